--- /dev/null
+++ b/cmd/hyssopdoor/config.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/pmezard/go-difflib/difflib"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/encoder"
+	"github.com/hyssopdoor/hyssopdoor/internal/operator"
+	"github.com/hyssopdoor/hyssopdoor/internal/parser"
+)
+
+const configUsage = `The configuration: classes of work, teams and routes. See: config apply --help.`
+
+const configApplyUsage = `Puts the configuration in FILE in force on all instances. Keys stay as they
+are. With --base, the command ends in a conflict when somebody else has changed
+the configuration since that revision.
+
+Example:
+  hyssopdoor config show > fleet.ini
+  hyssopdoor config apply fleet.ini --base 7`
+
+const configShowUsage = `Prints the configuration in force as INI; its revision goes to the standard
+error.
+
+Example:
+  hyssopdoor config show > fleet.ini`
+
+const configDiffUsage = `Prints how FILE differs from the configuration in force: nothing when they are
+equal.
+
+Example:
+  hyssopdoor config diff fleet.ini`
+
+// contextLines is how many equal lines stand around a difference.
+const contextLines = 3
+
+// fileArgument is one FILE.
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" required:"yes"`
+}
+
+// configApplyCommand applies a configuration.
+type configApplyCommand struct {
+	remote
+	Base int64        `long:"base" value-name:"REVISION" description:"configuration revision that the file was made from"`
+	Args fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs the command.
+func (c *configApplyCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return errors.Wrap(err, "config apply")
+	}
+	if _, err := parser.Parse(c.Args.File, data); err != nil {
+		return err
+	}
+	change := operator.ConfigChange{File: c.Args.File, Config: string(data), Base: c.Base}
+	return ask(&c.remote, func(ctx context.Context, client *operator.Client) (operator.Message, error) {
+		return client.Apply(ctx, change)
+	}, printMessage)
+}
+
+// configShowCommand shows the configuration.
+type configShowCommand struct{ remote }
+
+// Execute runs the command.
+func (c *configShowCommand) Execute([]string) error {
+	return ask(&c.remote, func(ctx context.Context, client *operator.Client) (operator.ConfigView, error) {
+		return client.Config(ctx)
+	}, func(w io.Writer, view operator.ConfigView) {
+		fmt.Fprint(w, view.Config)
+		fmt.Fprintf(os.Stderr, "configuration revision %d\n", view.ConfigRevision)
+	})
+}
+
+// configDiffCommand compares a file with the configuration.
+type configDiffCommand struct {
+	remote
+	Args fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Difference is the answer of config diff.
+type Difference struct {
+	Equal bool   `json:"equal"`
+	Diff  string `json:"diff"`
+}
+
+// Execute runs the command.
+func (c *configDiffCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return errors.Wrap(err, "config diff")
+	}
+	configuration, err := parser.Parse(c.Args.File, data)
+	if err != nil {
+		return err
+	}
+	return ask(&c.remote, func(ctx context.Context, client *operator.Client) (Difference, error) {
+		view, err := client.Config(ctx)
+		if err != nil {
+			return Difference{}, err
+		}
+		return compare(view.Config, encoder.Encode(configuration), c.Args.File)
+	}, func(w io.Writer, difference Difference) { fmt.Fprint(w, difference.Diff) })
+}
+
+func compare(inForce, wanted, file string) (Difference, error) {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A:        difflib.SplitLines(inForce),
+		B:        difflib.SplitLines(wanted),
+		FromFile: "in force",
+		ToFile:   file,
+		Context:  contextLines,
+	})
+	return Difference{Equal: inForce == wanted, Diff: text}, err
+}
--- /dev/null
+++ b/cmd/hyssopdoor/main.go
@@ -0,0 +1,104 @@
+// Command hyssopdoor routes language-model traffic with long shared prompts.
+//
+// # Usage
+//
+//	hyssopdoor try                           everything on loopback, to look at
+//	hyssopdoor serve --settings FILE         one instance
+//	hyssopdoor check FILE...                 check settings or configurations
+//	hyssopdoor config apply|show|diff        the configuration
+//	hyssopdoor keys issue|withdraw|list      the callers' keys
+//	hyssopdoor calls list|resolve            calls whose outcome is unknown
+//	hyssopdoor status                        what an instance knows
+//	hyssopdoor explain REQUEST-ID            what became of a request
+//
+// Exit codes: 0 done, 1 failed, 2 wrong usage or findings in a file.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run runs the command line and returns the exit code.
+func run(args []string) int {
+	parser := newParser()
+	_, err := parser.ParseArgs(args)
+	return report(err)
+}
+
+func newParser() *flags.Parser {
+	parser := flags.NewNamedParser("hyssopdoor", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "routes language-model traffic with long shared prompts"
+	addCommand(parser.Command, "serve", "Run one instance", serveUsage, &serveCommand{})
+	addCommand(parser.Command, "check", "Check settings or configurations without running", checkUsage, &checkCommand{})
+	addCommand(parser.Command, "try", "Run an instance and stand-ins on loopback", tryUsage, &tryCommand{})
+	addCommand(parser.Command, "status", "Show what an instance knows", statusUsage, &statusCommand{})
+	addCommand(parser.Command, "explain", "Tell what became of a request", explainUsage, &explainCommand{})
+	config := addCommand(parser.Command, "config", "Apply, show or compare the configuration", configUsage, &struct{}{})
+	addCommand(config, "apply", "Put a configuration in force", configApplyUsage, &configApplyCommand{})
+	addCommand(config, "show", "Show the configuration in force", configShowUsage, &configShowCommand{})
+	addCommand(config, "diff", "Compare a file with the configuration in force", configDiffUsage, &configDiffCommand{})
+	keys := addCommand(parser.Command, "keys", "Issue, withdraw or list keys", keysUsage, &struct{}{})
+	addCommand(keys, "issue", "Issue a key of a team", keysIssueUsage, &keysIssueCommand{})
+	addCommand(keys, "withdraw", "Withdraw a key", keysWithdrawUsage, &keysWithdrawCommand{})
+	addCommand(keys, "list", "List the keys", keysListUsage, &keysListCommand{})
+	calls := addCommand(parser.Command, "calls", "List or resolve calls whose outcome is unknown", callsUsage, &struct{}{})
+	addCommand(calls, "list", "List calls whose outcome is unknown", callsListUsage, &callsListCommand{})
+	addCommand(calls, "resolve", "Say whether a call ran", callsResolveUsage, &callsResolveCommand{})
+	return parser
+}
+
+// commander is what takes a subcommand.
+type commander interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}
+
+func addCommand(parent commander, name, short, usage string, data any) *flags.Command {
+	command, err := parent.AddCommand(name, short, usage, data)
+	if err != nil {
+		panic("hyssopdoor: " + name + ": " + err.Error())
+	}
+	return command
+}
+
+// usageError is a mistake on the command line that the parser does not find.
+type usageError struct{ message string }
+
+func (u usageError) Error() string { return u.message }
+
+// report prints the error and returns the exit code that stands for it.
+func report(err error) int {
+	if err == nil {
+		return exitDone
+	}
+	var flagError *flags.Error
+	var findings *collector.Collector
+	var usage usageError
+	switch {
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		fmt.Println(flagError.Message)
+		return exitDone
+	case errors.As(err, &flagError), errors.As(err, &findings), errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "hyssopdoor:", err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/cmd/hyssopdoor/serve.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/instance"
+	"github.com/hyssopdoor/hyssopdoor/internal/settings"
+)
+
+const serveUsage = `Runs one instance until SIGTERM or SIGINT, then drains: requests in flight are
+finished, for the drain timeout at most. Log lines go to the standard error.
+
+Example:
+  hyssopdoor serve --settings /etc/hyssopdoor.ini`
+
+// serveCommand runs one instance.
+type serveCommand struct {
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI file with the instance's settings"`
+}
+
+// Execute runs the command.
+func (s *serveCommand) Execute([]string) error {
+	set, err := settings.Read(s.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	running, err := instance.Start(set, os.Stderr)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stop()
+	if err := running.Drain(context.Background()); err != nil {
+		return errors.Wrap(err, "serve: not everything in flight was finished")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/applier/change.go
@@ -0,0 +1,67 @@
+package applier
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+)
+
+// Change is one change of the configuration.
+type Change interface{ isChange() }
+
+// Replace replaces everything but the keys.
+type Replace struct {
+	Config config.Config
+	// Base is the configuration revision that was changed; the operation ends in
+	// a conflict when another one is in force. 0 takes the first one read.
+	Base int64
+}
+
+// AddKey adds a key.
+type AddKey struct {
+	ID     string
+	Team   string
+	Secret secret.Secret
+}
+
+// RemoveKey removes the key with the identifier.
+type RemoveKey struct{ ID string }
+
+func (Replace) isChange()   {}
+func (AddKey) isChange()    {}
+func (RemoveKey) isChange() {}
+
+// rejection tells why a change does not fit the configuration.
+type rejection struct {
+	notFound bool
+	message  string
+}
+
+// apply returns the configuration after the change.
+func apply(change Change, current config.Config, salt string) (config.Config, *rejection) {
+	switch change := change.(type) {
+	case Replace:
+		return change.Config.WithKeysOf(current), nil
+	case AddKey:
+		return addKey(change, current, salt)
+	case RemoveKey:
+		return removeKey(change, current)
+	default:
+		return current, &rejection{message: "unknown change"}
+	}
+}
+
+func addKey(change AddKey, current config.Config, salt string) (config.Config, *rejection) {
+	if _, ok := current.Teams[change.Team]; !ok {
+		return current, &rejection{notFound: true, message: "team " + change.Team + " is not configured; apply a configuration that has it first"}
+	}
+	digest := digester.Key(salt, change.Secret.Reveal())
+	return current.WithKey(config.Key{ID: change.ID, Digest: digest, Team: change.Team}), nil
+}
+
+func removeKey(change RemoveKey, current config.Config) (config.Config, *rejection) {
+	if _, ok := current.KeyByID(change.ID); !ok {
+		return current, &rejection{notFound: true, message: "no key has the identifier " + change.ID + "; see: keys list"}
+	}
+	return current.WithoutKey(change.ID), nil
+}
--- /dev/null
+++ b/internal/authenticator/authenticator.go
@@ -0,0 +1,26 @@
+// Package authenticator finds the team of a caller's key.
+//
+// # Usage
+//
+//	team, ok := authenticator.Team(configuration, salt, key)
+package authenticator
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+)
+
+// Team returns the team whose key it is. It reports false when the key is
+// unknown, withdrawn, or its team is no longer configured.
+func Team(configuration config.Config, salt string, key secret.Secret) (config.Team, bool) {
+	if key.Empty() {
+		return config.Team{}, false
+	}
+	known, ok := configuration.Keys[digester.Key(salt, key.Reveal())]
+	if !ok {
+		return config.Team{}, false
+	}
+	team, ok := configuration.Teams[known.Team]
+	return team, ok
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,148 @@
+// Package client makes calls to the platform over HTTP.
+//
+// # Usage
+//
+//	api := client.New("http://10.0.0.2:9000", timeout)
+//	answer := api.Call(ctx, platform.Get{Name: "config/manifest"})
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+const (
+	// watchWait is how long the platform holds a watch back, at most.
+	watchWait = 5 * time.Second
+	// maxAnswerBytes bounds an answer of the platform.
+	maxAnswerBytes = 16 << 20
+)
+
+// Client makes calls to the platform. It is safe for concurrent use.
+type Client struct {
+	address string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a Client for the URL; a call that is no watch is bounded by
+// timeout.
+func New(address string, timeout clock.Millis) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	return &Client{address: address, timeout: timeout.Duration(), http: &http.Client{Transport: transport}}
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Call makes the call. A failure is an outcome of the answer.
+func (c *Client) Call(ctx context.Context, op platform.Op) platform.Answer {
+	switch op := op.(type) {
+	case platform.Get:
+		return c.exchange(ctx, c.timeout, http.MethodGet, objectPath(op.Name), nil)
+	case platform.Put:
+		return c.put(ctx, op)
+	case platform.Watch:
+		query := url.Values{"since": {strconv.FormatInt(op.Since, 10)}, "name": {op.Name}}
+		return c.exchange(ctx, watchWait+c.timeout, http.MethodGet, "/watch?"+query.Encode(), nil)
+	case platform.ListInstances:
+		return c.exchange(ctx, c.timeout, http.MethodGet, "/instances?since="+strconv.FormatInt(op.Since, 10), nil)
+	case platform.ListObjects:
+		query := url.Values{"prefix": {op.Prefix}, "after": {op.After}}
+		return c.exchange(ctx, c.timeout, http.MethodGet, "/objects?"+query.Encode(), nil)
+	default:
+		return platform.Answer{Outcome: platform.Refused}
+	}
+}
+
+// Register puts the instance on the instance list, or changes its entry.
+func (c *Client) Register(ctx context.Context, instance platform.Instance) error {
+	body, err := json.Marshal(instance)
+	if err != nil {
+		return errors.Wrap(err, "client.Register")
+	}
+	answer := c.exchange(ctx, c.timeout, http.MethodPost, "/instances", body)
+	if answer.Outcome != platform.Done {
+		return errors.Errorf("client.Register: the platform answered %s", answer.Outcome)
+	}
+	return nil
+}
+
+func (c *Client) put(ctx context.Context, op platform.Put) platform.Answer {
+	path := objectPath(op.Name) + "?ifVersion=" + strconv.FormatInt(op.IfVersion, 10)
+	return c.exchange(ctx, c.timeout, http.MethodPut, path, op.Value)
+}
+
+func objectPath(name string) string {
+	return "/objects/" + name
+}
+
+// exchange sends one request. Without an answer, the outcome is Refused only
+// when no connection was made; else the request may have taken effect.
+func (c *Client) exchange(ctx context.Context, timeout time.Duration, method, path string, body []byte) platform.Answer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return platform.Answer{Outcome: platform.Refused}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return lost(connected)
+	}
+	defer response.Body.Close()
+	value, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return lost(true)
+	}
+	return decode(response.StatusCode, value)
+}
+
+func lost(connected bool) platform.Answer {
+	if connected {
+		return platform.Answer{Outcome: platform.Unknown}
+	}
+	return platform.Answer{Outcome: platform.Refused}
+}
+
+// decode reads an answer of the platform.
+func decode(status int, body []byte) platform.Answer {
+	var answer platform.Answer
+	switch status {
+	case http.StatusOK:
+		answer.Outcome = platform.Done
+	case http.StatusNotFound:
+		return platform.Answer{Outcome: platform.Absent}
+	case http.StatusConflict:
+		answer.Outcome = platform.Conflict
+	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
+		return platform.Answer{Outcome: platform.Refused}
+	default:
+		return platform.Answer{Outcome: platform.Unknown}
+	}
+	var wire platform.Wire
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return platform.Answer{Outcome: platform.Unknown}
+	}
+	answer.Version = wire.Version
+	answer.Value = wire.Value
+	answer.Instances = wire.Instances
+	answer.Objects = wire.Objects
+	return answer
+}
--- /dev/null
+++ b/internal/config/class.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
+)
+
+// Class is a class of work and its target.
+type Class struct {
+	Name string `json:"name"`
+	// FirstToken is the target for the time to the first token.
+	FirstToken clock.Millis `json:"firstToken"`
+	// BetweenTokens is the target for the time between two tokens.
+	BetweenTokens clock.Millis `json:"betweenTokens"`
+}
+
+// Defaults of a Class.
+const (
+	defaultFirstToken    = 1600 * clock.Millisecond
+	defaultBetweenTokens = 25 * clock.Millisecond
+)
+
+// ClassDefaults returns a Class with the default targets.
+func ClassDefaults(name string) Class {
+	return Class{Name: name, FirstToken: defaultFirstToken, BetweenTokens: defaultBetweenTokens}
+}
+
+func (c Class) validate(locate Locator, findings *collector.Collector) {
+	section := "class " + c.Name
+	if c.FirstToken <= 0 {
+		findings.Add(locate(section, "firstToken"), "is not a positive time", "give a time such as 1600ms")
+	}
+	if c.BetweenTokens <= 0 {
+		findings.Add(locate(section, "betweenTokens"), "is not a positive time", "give a time such as 25ms")
+	}
+}
--- /dev/null
+++ b/internal/config/team.go
@@ -0,0 +1,30 @@
+package config
+
+import "github.com/hyssopdoor/hyssopdoor/pkg/collector"
+
+// Team is a tenant and its limit over the whole fleet.
+type Team struct {
+	Name string `json:"name"`
+	// Rate is in tokens a second.
+	Rate int64 `json:"rate"`
+	// Burst is in tokens.
+	Burst int64 `json:"burst"`
+}
+
+// maxTokens bounds rates and bursts, so that sums can't overflow.
+const maxTokens = 1_000_000_000_000
+
+// TeamDefaults returns a Team that may use nothing.
+func TeamDefaults(name string) Team {
+	return Team{Name: name}
+}
+
+func (t Team) validate(locate Locator, findings *collector.Collector) {
+	section := "team " + t.Name
+	if t.Rate <= 0 || t.Rate > maxTokens {
+		findings.Add(locate(section, "rate"), "is not between 1 and 1000000000000", "give the tokens a second that the team may use")
+	}
+	if t.Burst <= 0 || t.Burst > maxTokens {
+		findings.Add(locate(section, "burst"), "is not between 1 and 1000000000000", "give the tokens that the team may use at once")
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/stream.go
@@ -0,0 +1,154 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// Sink takes the chunks of a stream in order. An error means that the caller
+// has gone.
+type Sink interface {
+	Pass(chunk completer.Chunk) error
+}
+
+// Stream sends a completion request to an engine and passes its chunks on. The
+// answer is whole only when the engine said so and no chunk is missing.
+func (d *Dispatcher) Stream(ctx context.Context, dispatch action.Dispatch, kind completer.Kind, body []byte, sink Sink) Result {
+	a := begin(ctx, dispatch.FirstTokenTimeout.Duration())
+	defer a.end()
+	request, err := http.NewRequestWithContext(a.ctx, http.MethodPost, "http://"+dispatch.Address+kind.Path(), bytes.NewReader(body))
+	if err != nil {
+		return Result{Reach: retrier.NotSent, Failure: retrier.Dial}
+	}
+	request.Header = engineHeader(dispatch)
+	response, err := d.reusing.Do(request)
+	if err != nil {
+		return a.failed(ctx, retrier.Sent, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return d.engineRefused(ctx, a, response)
+	}
+	reading := &streamReading{dispatch: dispatch, kind: kind, sink: sink}
+	err = reading.run(response.Body, func() { a.wait(d.timeouts.Idle.Duration()) })
+	return reading.result(ctx, a, err)
+}
+
+func engineHeader(dispatch action.Dispatch) http.Header {
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set("Accept", "text/event-stream")
+	header.Set("User-Agent", "hyssopdoor")
+	header.Set(RequestField, dispatch.Request)
+	header.Set(AttemptField, dispatch.Attempt)
+	return header
+}
+
+// engineRefused returns the result of an answer that is no stream.
+func (d *Dispatcher) engineRefused(ctx context.Context, a *attempt, response *http.Response) Result {
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
+		return Result{Reach: retrier.Sent, Failure: retrier.Busy}
+	case response.StatusCode >= http.StatusInternalServerError:
+		return Result{Reach: retrier.Sent, Failure: retrier.ServerError}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, d.answerBytes))
+	if err != nil {
+		return a.failed(ctx, retrier.Sent, err)
+	}
+	return Result{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}
+}
+
+// streamReading is a stream while it is read.
+type streamReading struct {
+	dispatch action.Dispatch
+	kind     completer.Kind
+	sink     Sink
+
+	next      int64 // next is the number of the event that must come now.
+	passed    bool
+	finished  bool // finished tells that a chunk had a reason to finish.
+	whole     bool
+	malformed bool
+	gone      bool
+}
+
+// run reads the stream to its end; each event starts the wait anew.
+func (s *streamReading) run(body io.Reader, alive func()) error {
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return err
+		}
+		alive()
+		if !s.take(event) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// take takes one event. It reports whether to read on.
+func (s *streamReading) take(event sse.Event) bool {
+	if !s.inOrder(event.LastEventID) {
+		s.malformed = true
+		return false
+	}
+	if event.Data == completer.DoneData {
+		s.whole = s.finished
+		s.malformed = !s.finished
+		return false
+	}
+	chunk, err := completer.DecodeChunk(s.kind, event.Data)
+	if err != nil || s.finished {
+		s.malformed = true
+		return false
+	}
+	s.finished = chunk.FinishReason != ""
+	s.passed = true
+	if s.sink.Pass(chunk) != nil {
+		s.gone = true
+		return false
+	}
+	return true
+}
+
+// inOrder reports whether the event is the next one of this attempt: its
+// identifier is the attempt's, a colon, and a number that counts up by one.
+func (s *streamReading) inOrder(id string) bool {
+	attempt, number, ok := strings.Cut(id, ":")
+	if !ok || attempt != s.dispatch.Attempt {
+		return false
+	}
+	s.next++
+	return number == strconv.FormatInt(s.next, 10)
+}
+
+func (s *streamReading) result(ctx context.Context, a *attempt, err error) Result {
+	reach := retrier.Sent
+	if s.passed {
+		reach = retrier.Streaming
+	}
+	switch {
+	case s.whole:
+		return Result{Status: http.StatusOK}
+	case s.gone:
+		return Result{Gone: true}
+	case s.malformed:
+		return Result{Reach: reach, Failure: retrier.Malformed}
+	default:
+		return a.failed(ctx, reach, err)
+	}
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,149 @@
+// Package event has what can happen to an instance: the inputs of its state
+// machine, package router.
+//
+// # Usage
+//
+//	actions := machine.Step(now, event.Tick{})
+package event
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+)
+
+// Event is one input of the state machine.
+type Event interface{ isEvent() }
+
+// Started is the first event of an instance.
+type Started struct{}
+
+// Tick tells that the time asked for has come.
+type Tick struct{}
+
+// RequestArrived is a caller's request, read whole.
+type RequestArrived struct {
+	Request string
+	Key     secret.Secret
+	// Class is the class that the caller asked for; empty for the route's.
+	Class string
+	// Model is the model of a model request; empty for a service request.
+	Model string
+	// Service, Method and Path are those of a service request.
+	Service string
+	Method  string
+	Path    string
+	// PromptTokens and MaxTokens are in tokens.
+	PromptTokens int64
+	MaxTokens    int64
+	// Chain is the content hashes of the prompt's prefixes.
+	Chain []uint64
+	// IdempotencyKey names a call that may not be repeated.
+	IdempotencyKey string
+	// Fingerprint is the digest of what the request asks for.
+	Fingerprint string
+}
+
+// RequestAbandoned tells that the caller has gone.
+type RequestAbandoned struct{ Request string }
+
+// FirstToken tells that an attempt has begun to answer.
+type FirstToken struct{ Request, Attempt string }
+
+// AttemptFailed tells that an attempt has ended without a whole answer.
+type AttemptFailed struct {
+	Request string
+	Attempt string
+	Reach   retrier.Reach
+	Failure retrier.Failure
+	// Passed is the number of events of the stream passed to the caller.
+	Passed int64
+}
+
+// AttemptAnswered tells that an attempt has ended with a whole answer.
+type AttemptAnswered struct {
+	Request string
+	Attempt string
+	// Status, ContentType and Body are a service's answer; a model's answer has
+	// been passed on by then and has only a status.
+	Status      int
+	ContentType string
+	Body        []byte
+	// UsedTokens is what the request used, in tokens.
+	UsedTokens int64
+}
+
+// PlatformAnswered is the answer to a call to the platform.
+type PlatformAnswered struct {
+	Call   uint64
+	Answer platform.Answer
+}
+
+// PeerMessage is a message from a peer.
+type PeerMessage struct {
+	From    string
+	Message *peerv1.Message
+}
+
+// ConfigSubmitted is an operator's new configuration.
+type ConfigSubmitted struct {
+	Operation string
+	Config    config.Config
+	// Base is the configuration revision that the operator changed; 0 for the
+	// one in force when the submission is read.
+	Base int64
+}
+
+// KeyIssued is an operator's new key.
+type KeyIssued struct {
+	Operation string
+	ID        string
+	Team      string
+	Secret    secret.Secret
+}
+
+// KeyWithdrawn is an operator's withdrawal of a key.
+type KeyWithdrawn struct {
+	Operation string
+	ID        string
+}
+
+// CallsListed asks for the recorded calls whose outcome is unknown.
+type CallsListed struct{ Operation string }
+
+// CallResolved is an operator's word on a call whose outcome is unknown.
+type CallResolved struct {
+	Operation string
+	// Object is the name of the call's record.
+	Object string
+	// Ran tells whether the call ran.
+	Ran bool
+}
+
+// ExplanationAsked is an operator's question about a request.
+type ExplanationAsked struct {
+	Operation string
+	Request   string
+}
+
+// DrainAsked tells that the instance shall stop.
+type DrainAsked struct{}
+
+func (Started) isEvent()          {}
+func (Tick) isEvent()             {}
+func (RequestArrived) isEvent()   {}
+func (RequestAbandoned) isEvent() {}
+func (FirstToken) isEvent()       {}
+func (AttemptFailed) isEvent()    {}
+func (AttemptAnswered) isEvent()  {}
+func (PlatformAnswered) isEvent() {}
+func (PeerMessage) isEvent()      {}
+func (ConfigSubmitted) isEvent()  {}
+func (KeyIssued) isEvent()        {}
+func (KeyWithdrawn) isEvent()     {}
+func (CallsListed) isEvent()      {}
+func (CallResolved) isEvent()     {}
+func (ExplanationAsked) isEvent() {}
+func (DrainAsked) isEvent()       {}
--- /dev/null
+++ b/internal/gateway/completions.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/dispatcher"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+)
+
+// completions handles completion requests of the kind.
+func (g *Gateway) completions(kind completer.Kind) iris.Handler {
+	return func(ctx iris.Context) {
+		g.completion(kind, ctx.ResponseWriter(), ctx.Request())
+	}
+}
+
+func (g *Gateway) completion(kind completer.Kind, w http.ResponseWriter, r *http.Request) {
+	read, refusal := g.readInput(w, r)
+	if refusal != nil {
+		writeRefusal(w, "", *refusal)
+		return
+	}
+	request, err := completer.Decode(kind, read.body)
+	if err != nil {
+		writeRefusal(w, "", *invalid(err.Error()))
+		return
+	}
+	c := &completion{
+		gateway: g,
+		id:      newRequestID(),
+		request: request,
+		writer:  newStreamWriter(w, request),
+	}
+	c.writer.id = c.id
+	g.serve(r.Context(), c.arrival(read), func(next action.Action) bool { return c.perform(r.Context(), next) })
+}
+
+// completion is one completion request while it is served.
+type completion struct {
+	gateway *Gateway
+	id      string
+	request completer.Request
+	writer  *streamWriter
+	attempt string
+	began   bool // began tells that the current attempt's first token came.
+}
+
+func (c *completion) arrival(read input) event.RequestArrived {
+	return event.RequestArrived{
+		Request:      c.id,
+		Key:          read.key,
+		Class:        read.class,
+		Model:        c.request.Model,
+		PromptTokens: chunker.Tokens(len(c.request.Prompt)),
+		MaxTokens:    c.request.MaxTokens,
+		Chain:        chunker.Chain(c.request.Prompt),
+		Fingerprint:  digester.Content(read.body),
+	}
+}
+
+// perform performs one action. It reports whether the request has ended.
+func (c *completion) perform(ctx context.Context, next action.Action) bool {
+	switch next := next.(type) {
+	case action.Dispatch:
+		return c.dispatch(ctx, next)
+	case action.Refuse:
+		c.writer.refuse(next.Refusal)
+		return true
+	case action.EndStream:
+		c.writer.refuse(next.Refusal)
+		return true
+	case action.Answer:
+		c.writer.finish(next.Answer)
+		return true
+	case action.Cancel:
+		return true
+	default:
+		return false
+	}
+}
+
+// dispatch runs one attempt. It reports whether the caller has gone.
+func (c *completion) dispatch(ctx context.Context, dispatch action.Dispatch) bool {
+	c.attempt = dispatch.Attempt
+	c.began = false
+	body := c.request.ForEngine(completer.Dispatch{
+		Salt:         strconv.FormatUint(dispatch.Salt, 16),
+		Priority:     dispatch.Priority,
+		Passed:       c.writer.text.String(),
+		PassedTokens: c.writer.tokens,
+	})
+	result := c.gateway.dispatch.Stream(ctx, dispatch, c.request.Kind, body, c)
+	if result.Gone {
+		c.gateway.machine.Submit(event.RequestAbandoned{Request: c.id})
+		return true
+	}
+	c.gateway.machine.Submit(c.outcome(result))
+	return false
+}
+
+func (c *completion) outcome(result dispatcher.Result) event.Event {
+	if result.Answered() {
+		return event.AttemptAnswered{
+			Request:     c.id,
+			Attempt:     c.attempt,
+			Status:      result.Status,
+			ContentType: result.ContentType,
+			Body:        result.Body,
+			UsedTokens:  c.writer.promptTokens() + c.writer.tokens,
+		}
+	}
+	reach := result.Reach
+	if c.writer.tokens > 0 && reach == retrier.Sent {
+		reach = retrier.Streaming
+	}
+	return event.AttemptFailed{Request: c.id, Attempt: c.attempt, Reach: reach, Failure: result.Failure, Passed: c.writer.tokens}
+}
+
+// Pass passes one chunk on to the caller.
+func (c *completion) Pass(chunk completer.Chunk) error {
+	if !c.began {
+		c.began = true
+		c.gateway.machine.Submit(event.FirstToken{Request: c.id, Attempt: c.attempt})
+	}
+	return c.writer.pass(chunk)
+}
--- /dev/null
+++ b/internal/gateway/inputs.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+)
+
+// Names of header fields that callers send.
+const (
+	authorizationField  = "Authorization"
+	classField          = "X-Hyssopdoor-Class"
+	idempotencyKeyField = "Idempotency-Key"
+)
+
+// maxFieldBytes bounds an idempotency key and a class, in bytes.
+const maxFieldBytes = 255
+
+// input is what is common to all requests.
+type input struct {
+	key            secret.Secret
+	class          string
+	idempotencyKey string
+	body           []byte
+}
+
+func invalid(message string) *action.Refusal {
+	refusal := action.Refused(http.StatusBadRequest, action.CodeInvalidRequest, message)
+	return &refusal
+}
+
+// readInput reads the header and the body of a request, or tells what is wrong.
+func (g *Gateway) readInput(w http.ResponseWriter, r *http.Request) (input, *action.Refusal) {
+	for _, name := range []string{authorizationField, classField, idempotencyKeyField} {
+		if len(r.Header.Values(name)) > 1 {
+			return input{}, invalid("the header " + name + " stands more than once; send it once")
+		}
+	}
+	read := input{class: r.Header.Get(classField), idempotencyKey: r.Header.Get(idempotencyKeyField)}
+	if len(read.class) > maxFieldBytes || len(read.idempotencyKey) > maxFieldBytes {
+		return input{}, invalid("a header is longer than 255 characters; shorten it")
+	}
+	key, refusal := readKey(r.Header.Get(authorizationField))
+	if refusal != nil {
+		return input{}, refusal
+	}
+	read.key = key
+	read.body, refusal = g.readBody(w, r)
+	if refusal != nil {
+		return input{}, refusal
+	}
+	return read, read.refuseStrayKey(r.URL)
+}
+
+func readKey(field string) (secret.Secret, *action.Refusal) {
+	if field == "" {
+		return secret.Secret{}, nil
+	}
+	key, ok := strings.CutPrefix(field, "Bearer ")
+	if !ok || key == "" || strings.ContainsAny(key, " \t,") {
+		return secret.Secret{}, invalid("the Authorization header is not of the form: Bearer KEY")
+	}
+	return secret.New(key), nil
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *action.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		refusal := action.Refused(http.StatusRequestEntityTooLarge, action.CodeInvalidRequest, "the body is longer than this instance takes; shorten it")
+		return nil, &refusal
+	}
+	if err != nil {
+		return nil, invalid("the body could not be read whole")
+	}
+	return body, nil
+}
+
+// refuseStrayKey refuses a request whose key also stands where a backend
+// server would see it.
+func (i input) refuseStrayKey(target *url.URL) *action.Refusal {
+	if i.key.Empty() {
+		return nil
+	}
+	key := i.key.Reveal()
+	query, err := url.QueryUnescape(target.RawQuery)
+	if err != nil {
+		return invalid("the query is malformed")
+	}
+	if strings.Contains(target.Path, key) || strings.Contains(query, key) || bytes.Contains(i.body, []byte(key)) {
+		return invalid("the key stands in the path, the query or the body; send it in the Authorization header only")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/requests.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+)
+
+// serve submits the request and performs its actions until one ends it. When
+// the caller goes, the machine is told once; it says what still has to be done.
+func (g *Gateway) serve(ctx context.Context, arrived event.RequestArrived, perform func(action.Action) bool) {
+	actions := g.machine.Open(arrived.Request)
+	defer g.machine.Done(arrived.Request)
+	g.machine.Submit(arrived)
+	gone := ctx.Done()
+	for {
+		select {
+		case next := <-actions:
+			if perform(next) {
+				return
+			}
+		case <-gone:
+			gone = nil
+			g.machine.Submit(event.RequestAbandoned{Request: arrived.Request})
+		}
+	}
+}
--- /dev/null
+++ b/internal/inireader/inireader.go
@@ -0,0 +1,144 @@
+// Package inireader reads INI files and remembers the line of each key, so
+// that every finding about a file names its place.
+//
+// # Usage
+//
+//	document := inireader.New("hyssopdoor.ini", data, findings)
+//	section := document.Section("instance")
+//	name := section.Text("name", "")
+//	document.Done()
+package inireader
+
+import (
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
+)
+
+// Document is one INI file while it is being read.
+type Document struct {
+	file     string
+	lines    map[lineKey]int
+	sections []*Section
+	findings *collector.Collector
+}
+
+type lineKey struct{ section, key string }
+
+// New reads data. What can't be read is added to findings.
+func New(file string, data []byte, findings *collector.Collector) *Document {
+	document := &Document{file: file, lines: map[lineKey]int{}, findings: findings}
+	document.indexLines(string(data))
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:        true,
+		IgnoreInlineComment:       true,
+		SkipUnrecognizableLines:   true,
+		PreserveSurroundedQuote:   true,
+		KeyValueDelimiters:        "=",
+		UnescapeValueDoubleQuotes: false,
+	}, data)
+	if err != nil {
+		findings.Add(collector.Place{File: file}, "is not an INI file: "+err.Error(), "write sections of lines key = value")
+		return document
+	}
+	for _, section := range parsed.Sections() {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		document.sections = append(document.sections, &Section{document: document, name: section.Name(), values: section.KeysHash(), used: map[string]bool{}})
+	}
+	return document
+}
+
+// indexLines records where sections and keys stand, and reports what the
+// library would pass over: doubled names and lines that are neither.
+func (d *Document) indexLines(text string) {
+	section := ini.DefaultSection
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == ';' || line[0] == '#' {
+			continue
+		}
+		if line[0] == '[' && strings.HasSuffix(line, "]") {
+			section = strings.TrimSpace(line[1 : len(line)-1])
+			d.indexName(lineKey{section: section}, i+1)
+			continue
+		}
+		name, _, found := strings.Cut(line, "=")
+		if !found {
+			d.findings.Add(collector.Place{File: d.file, Line: i + 1, Section: section}, "has a line that is no key = value", "write key = value, or begin a comment with ;")
+			continue
+		}
+		d.indexName(lineKey{section: section, key: strings.TrimSpace(name)}, i+1)
+	}
+}
+
+func (d *Document) indexName(name lineKey, line int) {
+	if _, ok := d.lines[name]; ok {
+		d.findings.Add(collector.Place{File: d.file, Line: line, Section: name.section, Key: name.key}, "stands twice", "keep one of them")
+	}
+	d.lines[name] = line
+}
+
+// Place returns where the key of the section stands; the section's own line
+// when the key is absent.
+func (d *Document) Place(section, key string) collector.Place {
+	line, ok := d.lines[lineKey{section, key}]
+	if !ok {
+		line = d.lines[lineKey{section: section}]
+	}
+	return collector.Place{File: d.file, Line: line, Section: section, Key: key}
+}
+
+// Section returns the section with the name; an absent one is reported.
+func (d *Document) Section(name string) *Section {
+	if section := d.find(name); section != nil {
+		section.known = true
+		return section
+	}
+	d.findings.Add(collector.Place{File: d.file, Section: name}, "is missing", "add a section ["+name+"]")
+	return &Section{document: d, name: name, used: map[string]bool{}}
+}
+
+// OptionalSection returns the section with the name, empty when it is absent.
+func (d *Document) OptionalSection(name string) *Section {
+	if section := d.find(name); section != nil {
+		section.known = true
+		return section
+	}
+	return &Section{document: d, name: name, used: map[string]bool{}}
+}
+
+// SectionsOf returns the sections named "kind NAME", in the order of the file.
+func (d *Document) SectionsOf(kind string) []*Section {
+	var matching []*Section
+	for _, section := range d.sections {
+		if strings.HasPrefix(section.name, kind+" ") {
+			section.known = true
+			matching = append(matching, section)
+		}
+	}
+	return matching
+}
+
+// Done reports the sections and keys that nobody asked for.
+func (d *Document) Done() {
+	for _, section := range d.sections {
+		if !section.known {
+			d.findings.Add(d.Place(section.name, ""), "is an unknown section", "remove it, or correct its name")
+			continue
+		}
+		section.reportUnknown()
+	}
+}
+
+func (d *Document) find(name string) *Section {
+	i := slices.IndexFunc(d.sections, func(s *Section) bool { return s.name == name })
+	if i < 0 {
+		return nil
+	}
+	return d.sections[i]
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,214 @@
+// Package instance runs one instance of the system: its state machine and its
+// three listeners, for callers, operators and peers.
+//
+// # Usage
+//
+//	running, err := instance.Start(set, os.Stderr)
+//	running.Drain(ctx)
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/client"
+	"github.com/hyssopdoor/hyssopdoor/internal/dispatcher"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/gateway"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/logger"
+	"github.com/hyssopdoor/hyssopdoor/internal/meter"
+	"github.com/hyssopdoor/hyssopdoor/internal/operator"
+	"github.com/hyssopdoor/hyssopdoor/internal/peer"
+	"github.com/hyssopdoor/hyssopdoor/internal/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/runner"
+	"github.com/hyssopdoor/hyssopdoor/internal/settings"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+const (
+	// incarnationBytes is the length of an incarnation, in bytes.
+	incarnationBytes = 6
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 10 * time.Second
+)
+
+// Instance is a running instance.
+type Instance struct {
+	settings settings.Settings
+	platform *client.Client
+	sender   *peer.Sender
+	dispatch *dispatcher.Dispatcher
+	runner   *runner.Runner
+
+	// listeners and servers are for callers, operators and peers.
+	listeners [3]net.Listener
+	servers   [3]*http.Server
+
+	drained  chan struct{}
+	stopOnce sync.Once
+}
+
+// Start listens and begins to serve. Log lines go to the stream. A port of 0
+// listens at any free one; Addresses tells which.
+func Start(set settings.Settings, stream io.Writer) (*Instance, error) {
+	i := &Instance{settings: set, drained: make(chan struct{})}
+	if err := i.listen(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	machine, err := newMachine(i.settings)
+	if err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	i.platform = client.New(set.Platform.Address, set.Platform.Timeout)
+	i.sender = peer.NewSender(set.Name, set.Fleet.Credential)
+	i.dispatch = dispatcher.New(set.Timeouts, set.Limits.AnswerBytes)
+	counts := meter.New()
+	log := logger.New(stream)
+	i.runner = runner.New(machine, runner.Performers{
+		Platform: i.platform,
+		Peers:    i.sender,
+		Log: func(entry journal.Entry) {
+			log.Write(entry)
+			counts.Entry(entry)
+		},
+		Stopped: func() { close(i.drained) },
+	})
+	counts.Gauge("status", i.status)
+	if err := i.serve(counts); err != nil {
+		i.Kill()
+		return nil, err
+	}
+	i.runner.Submit(event.Started{})
+	return i, nil
+}
+
+// Addresses returns where the instance listens.
+func (i *Instance) Addresses() settings.Listen {
+	return i.settings.Listen
+}
+
+// listen opens the listeners and notes their addresses in the settings.
+func (i *Instance) listen() error {
+	addresses := &i.settings.Listen
+	for n, address := range []*string{&addresses.Callers, &addresses.Operators, &addresses.Peers} {
+		listener, err := net.Listen("tcp", *address)
+		if err != nil {
+			return errors.Wrap(err, "instance.Start")
+		}
+		i.listeners[n] = listener
+		*address = listener.Addr().String()
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, listener := range i.listeners {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func newMachine(set settings.Settings) (*router.Router, error) {
+	var seed [32]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, errors.Wrap(err, "instance.Start")
+	}
+	incarnation := make([]byte, incarnationBytes)
+	if _, err := rand.Read(incarnation); err != nil {
+		return nil, errors.Wrap(err, "instance.Start")
+	}
+	return router.New(router.Settings{
+		Name:          set.Name,
+		Domain:        set.Domain,
+		Address:       set.Listen.Peers,
+		Incarnation:   hex.EncodeToString(incarnation),
+		Seeds:         set.Fleet.Seeds,
+		MaxInFlight:   int(set.Limits.MaxInFlight),
+		AnswerTimeout: set.Timeouts.Answer,
+		RecordTimeout: set.Timeouts.Record,
+		Seed:          seed,
+	}), nil
+}
+
+func (i *Instance) status() any {
+	var status router.Status
+	i.runner.View(func(now clock.Millis, machine *router.Router) { status = machine.Status(now) })
+	return status
+}
+
+// serve starts a server on each listener.
+func (i *Instance) serve(counts *meter.Meter) error {
+	callers, err := gateway.New(i.runner, i.dispatch, i.settings.Limits)
+	if err != nil {
+		return errors.Wrap(err, "instance.Start")
+	}
+	operators, err := operator.New(i.runner, counts.Handler(), i.settings.OperatorToken)
+	if err != nil {
+		return errors.Wrap(err, "instance.Start")
+	}
+	peers := peer.NewHandler(i.settings.Fleet.Credential, func(from string, message *peerv1.Message) {
+		i.runner.Submit(event.PeerMessage{From: from, Message: message})
+	})
+	for n, handler := range []http.Handler{callers, operators, peers} {
+		i.servers[n] = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		go func() { _ = i.servers[n].Serve(i.listeners[n]) }()
+	}
+	return nil
+}
+
+// Drain stops the instance without cutting a request: it tells the peers, lets
+// callers' connections end, and waits for what is in flight, for the drain
+// timeout at most. It reports an error when something was cut.
+func (i *Instance) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, i.settings.Timeouts.Drain.Duration())
+	defer cancel()
+	defer i.Kill()
+	callers := i.servers[0]
+	callers.SetKeepAlivesEnabled(false)
+	i.runner.Submit(event.DrainAsked{})
+	if err := callers.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "instance.Drain")
+	}
+	if err := i.waitDrained(ctx); err != nil {
+		return errors.Wrap(err, "instance.Drain")
+	}
+	return nil
+}
+
+func (i *Instance) waitDrained(ctx context.Context) error {
+	select {
+	case <-i.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Kill stops the instance at once, as a crash would.
+func (i *Instance) Kill() {
+	i.stopOnce.Do(func() {
+		i.runner.Close()
+		for _, server := range i.servers {
+			if server != nil {
+				_ = server.Close()
+			}
+		}
+		i.closeListeners()
+		i.platform.Close()
+		i.sender.Close()
+		i.dispatch.Close()
+	})
+}
--- /dev/null
+++ b/internal/journal/entry.go
@@ -0,0 +1,51 @@
+// Package journal has the numbered events that instances log. The catalogue is
+// docs/EVENTS.md; a test holds both together.
+//
+// # Usage
+//
+//	entry := journal.New(journal.RouteChosen, request).With("server", "engine-1")
+package journal
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Entry is one event. Values are immutable. It never has prompt text or keys.
+type Entry struct {
+	Number  Number
+	Request string // Request is the request's identifier; empty when there is none.
+	Fields  []Field
+}
+
+// Field is a named value of an Entry.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// New returns an Entry about the request, which may be empty.
+func New(number Number, request string) Entry {
+	return Entry{Number: number, Request: request}
+}
+
+// With returns the entry with one more field.
+func (e Entry) With(name string, value any) Entry {
+	fields := make([]Field, len(e.Fields), len(e.Fields)+1)
+	copy(fields, e.Fields)
+	e.Fields = append(fields, Field{Name: name, Value: fmt.Sprint(value)})
+	return e
+}
+
+// String returns the entry as one line.
+func (e Entry) String() string {
+	text := &strings.Builder{}
+	fmt.Fprintf(text, "%d %s", e.Number, e.Number)
+	if e.Request != "" {
+		fmt.Fprintf(text, " request=%s", e.Request)
+	}
+	for _, field := range e.Fields {
+		fmt.Fprintf(text, " %s=%s", field.Name, field.Value)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/journal/number.go
@@ -0,0 +1,80 @@
+package journal
+
+// Number identifies a kind of event. Numbers are never used again.
+type Number int
+
+// The events, by area. docs/EVENTS.md has what each means.
+const (
+	RequestReceived    Number = 1001
+	RequestRefused     Number = 1002
+	RequestAnswered    Number = 1003
+	RequestAbandoned   Number = 1004
+	RequestReplayed    Number = 1005
+	RouteChosen        Number = 1101
+	AttemptFailed      Number = 1102
+	AttemptFirstToken  Number = 1103
+	AnswerDropped      Number = 1104
+	TokensTaken        Number = 1201
+	TokensRefused      Number = 1202
+	TokensReturned     Number = 1203
+	CallRecorded       Number = 1301
+	CallSettled        Number = 1302
+	CallUnsettled      Number = 1303
+	CallFound          Number = 1304
+	ConfigInForce      Number = 2001
+	ConfigRejected     Number = 2002
+	ConfigWritten      Number = 2003
+	ConfigConflict     Number = 2004
+	LeaseTaken         Number = 2101
+	LeaseLost          Number = 2102
+	ServerSuspected    Number = 2201
+	InstanceStarted    Number = 3001
+	InstanceDraining   Number = 3002
+	InstanceStopped    Number = 3003
+	PlatformFailed     Number = 3101
+	PlatformRecovered  Number = 3102
+	PeerMessageInvalid Number = 3103
+)
+
+// names are the events' names in log lines.
+var names = map[Number]string{
+	RequestReceived:    "requestReceived",
+	RequestRefused:     "requestRefused",
+	RequestAnswered:    "requestAnswered",
+	RequestAbandoned:   "requestAbandoned",
+	RequestReplayed:    "requestReplayed",
+	RouteChosen:        "routeChosen",
+	AttemptFailed:      "attemptFailed",
+	AttemptFirstToken:  "attemptFirstToken",
+	AnswerDropped:      "answerDropped",
+	TokensTaken:        "tokensTaken",
+	TokensRefused:      "tokensRefused",
+	TokensReturned:     "tokensReturned",
+	CallRecorded:       "callRecorded",
+	CallSettled:        "callSettled",
+	CallUnsettled:      "callUnsettled",
+	CallFound:          "callFound",
+	ConfigInForce:      "configInForce",
+	ConfigRejected:     "configRejected",
+	ConfigWritten:      "configWritten",
+	ConfigConflict:     "configConflict",
+	LeaseTaken:         "leaseTaken",
+	LeaseLost:          "leaseLost",
+	ServerSuspected:    "serverSuspected",
+	InstanceStarted:    "instanceStarted",
+	InstanceDraining:   "instanceDraining",
+	InstanceStopped:    "instanceStopped",
+	PlatformFailed:     "platformFailed",
+	PlatformRecovered:  "platformRecovered",
+	PeerMessageInvalid: "peerMessageInvalid",
+}
+
+// String returns the event's name.
+func (n Number) String() string {
+	return names[n]
+}
+
+// Numbers returns all events with their names.
+func Numbers() map[Number]string {
+	return names
+}
--- /dev/null
+++ b/internal/logger/logger.go
@@ -0,0 +1,40 @@
+// Package logger writes the numbered events of package journal as log lines.
+//
+// # Usage
+//
+//	log := logger.New(os.Stderr)
+//	log.Write(entry)
+package logger
+
+import (
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+)
+
+// Logger writes log lines. It is safe for concurrent use.
+type Logger struct {
+	log *log.Logger
+}
+
+// New returns a Logger that writes to the stream.
+func New(stream io.Writer) *Logger {
+	options := log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter}
+	return &Logger{log: log.NewWithOptions(stream, options)}
+}
+
+// Write writes the entry as one line.
+func (l *Logger) Write(entry journal.Entry) {
+	values := make([]any, 0, 4+2*len(entry.Fields))
+	values = append(values, "event", int(entry.Number))
+	if entry.Request != "" {
+		values = append(values, "request", entry.Request)
+	}
+	for _, field := range entry.Fields {
+		values = append(values, field.Name, field.Value)
+	}
+	l.log.Info(entry.Number.String(), values...)
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,135 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+)
+
+// clientTimeout bounds one call of the Client.
+const clientTimeout = 10 * time.Second
+
+// Client calls the operators' address of an instance.
+type Client struct {
+	address string
+	token   secret.Secret
+	http    *http.Client
+}
+
+// NewClient returns a Client for the address, given as host:port.
+func NewClient(address string, token secret.Secret) *Client {
+	return &Client{address: address, token: token, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Refused is an answer that says no.
+type Refused struct {
+	Status int
+	Message
+}
+
+// Error returns the message and the findings, one a line.
+func (r *Refused) Error() string {
+	return strings.Join(append([]string{r.Message.Message}, r.Findings...), "\n")
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (ConfigView, error) {
+	var view ConfigView
+	return view, c.call(ctx, http.MethodGet, "/operator/config", nil, &view)
+}
+
+// Apply submits a configuration.
+func (c *Client) Apply(ctx context.Context, change ConfigChange) (Message, error) {
+	var message Message
+	return message, c.call(ctx, http.MethodPut, "/operator/config", change, &message)
+}
+
+// IssueKey issues a key of the team.
+func (c *Client) IssueKey(ctx context.Context, team string) (KeyView, error) {
+	var view KeyView
+	return view, c.call(ctx, http.MethodPost, "/operator/keys", KeyWanted{Team: team}, &view)
+}
+
+// WithdrawKey withdraws the key with the identifier.
+func (c *Client) WithdrawKey(ctx context.Context, id string) (Message, error) {
+	var message Message
+	return message, c.call(ctx, http.MethodDelete, "/operator/keys/"+url.PathEscape(id), nil, &message)
+}
+
+// Keys returns the keys without their secrets.
+func (c *Client) Keys(ctx context.Context) ([]KeyView, error) {
+	var views []KeyView
+	return views, c.call(ctx, http.MethodGet, "/operator/keys", nil, &views)
+}
+
+// Status returns what the instance knows.
+func (c *Client) Status(ctx context.Context) (router.Status, error) {
+	var status router.Status
+	return status, c.call(ctx, http.MethodGet, "/operator/status", nil, &status)
+}
+
+// Explain returns what became of the request.
+func (c *Client) Explain(ctx context.Context, request string) (Explanation, error) {
+	var explanation Explanation
+	return explanation, c.call(ctx, http.MethodGet, "/operator/explain/"+url.PathEscape(request), nil, &explanation)
+}
+
+// Calls returns the recorded calls whose outcome is unknown.
+func (c *Client) Calls(ctx context.Context) ([]CallView, error) {
+	var views []CallView
+	return views, c.call(ctx, http.MethodGet, "/operator/calls", nil, &views)
+}
+
+// ResolveCall says whether a call ran.
+func (c *Client) ResolveCall(ctx context.Context, resolution CallResolution) (Message, error) {
+	var message Message
+	return message, c.call(ctx, http.MethodPost, "/operator/calls/resolve", resolution, &message)
+}
+
+// call sends body, unless it is nil, and reads the answer into the value.
+func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "operator.Client")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return errors.Wrap(err, "operator.Client")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token.Reveal())
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "operator.Client: no instance answers at "+c.address)
+	}
+	defer response.Body.Close()
+	return readAnswer(response, into)
+}
+
+func readAnswer(response *http.Response, into any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return errors.Wrap(err, "operator.Client")
+	}
+	if response.StatusCode != http.StatusOK {
+		refused := &Refused{Status: response.StatusCode}
+		if json.Unmarshal(data, &refused.Message) != nil || refused.Message.Message == "" {
+			refused.Message.Message = "the instance answered " + response.Status
+		}
+		return refused
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return errors.Wrap(err, "operator.Client")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/wire.go
@@ -0,0 +1,9 @@
+package platform
+
+// Wire is the JSON body of the platform's answers.
+type Wire struct {
+	Version   int64      `json:"version"`
+	Value     []byte     `json:"value,omitempty"`
+	Instances []Instance `json:"instances,omitempty"`
+	Objects   []Object   `json:"objects,omitempty"`
+}
--- /dev/null
+++ b/internal/randomizer/randomizer.go
@@ -0,0 +1,33 @@
+// Package randomizer makes identifiers from a seeded source, so that a run
+// with the same seed has the same identifiers.
+//
+// # Usage
+//
+//	ids := randomizer.New(seed)
+//	attempt := ids.ID("a")
+package randomizer
+
+import (
+	"encoding/hex"
+	"math/rand/v2"
+)
+
+// idBytes is the length of the random part of an identifier, in bytes.
+const idBytes = 12
+
+// Randomizer is a seeded source of identifiers.
+type Randomizer struct {
+	source *rand.ChaCha8
+}
+
+// New returns a Randomizer for the seed.
+func New(seed [32]byte) *Randomizer {
+	return &Randomizer{source: rand.NewChaCha8(seed)}
+}
+
+// ID returns the next identifier: the prefix and random hexadecimal digits.
+func (r *Randomizer) ID(prefix string) string {
+	var random [idBytes]byte
+	r.source.Read(random[:])
+	return prefix + hex.EncodeToString(random[:])
+}
--- /dev/null
+++ b/internal/router/attempts.go
@@ -0,0 +1,269 @@
+package router
+
+import (
+	"net/http"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+)
+
+// dispatch chooses a server and begins an attempt there.
+func (r *Router) dispatch(f *flight) {
+	server, ok := r.choose(f)
+	if !ok {
+		r.noServer(f)
+		return
+	}
+	f.stage = stageRunning
+	f.attempts++
+	f.attempt = r.ids.ID("a")
+	f.server = server.Name
+	f.tried[server.Name] = true
+	r.known.Placed(server.Name)
+	r.emit(action.Dispatch{
+		Request:           f.id(),
+		Attempt:           f.attempt,
+		Server:            server.Name,
+		Address:           server.Address,
+		Salt:              f.scope(server).Salt(),
+		Priority:          int(f.class.FirstToken),
+		Continue:          f.attempts > 1,
+		Operation:         f.operation(),
+		FirstTokenTimeout: r.settings.AnswerTimeout,
+	})
+}
+
+// operation returns the identifier under which a service may recognize a call
+// that may not be repeated.
+func (f *flight) operation() string {
+	if f.route.Repeatable {
+		return ""
+	}
+	return f.call.Record().Attempt
+}
+
+// scope returns within what the request may use cached blocks of the server.
+func (f *flight) scope(server tracker.Server) chunker.Scope {
+	return chunker.Scope{Team: f.team.Name, Model: f.route.Model, Weights: server.Weights}
+}
+
+// choose returns the server for the next attempt: one that was not tried yet,
+// if there is any.
+func (r *Router) choose(f *flight) (tracker.Server, bool) {
+	servers := r.candidates(f)
+	candidates := make([]chooser.Candidate, 0, len(servers))
+	for _, server := range servers {
+		if !f.tried[server.Name] {
+			candidates = append(candidates, chooser.Candidate{Name: server.Name, InFlight: server.InFlight})
+		}
+	}
+	choice, ok := chooser.Choose(f.prefix(), candidates)
+	if !ok {
+		return tracker.Server{}, false
+	}
+	entry := journal.New(journal.RouteChosen, f.id()).With("server", choice.Chosen.Name).With("attempt", f.attempts+1)
+	for _, scored := range choice.Ranked[:min(len(choice.Ranked), maxLogged)] {
+		entry = entry.With("candidate", scored)
+	}
+	r.log(entry)
+	return r.known.Server(choice.Chosen.Name)
+}
+
+// maxLogged bounds the candidates in a log line.
+const maxLogged = 4
+
+func (r *Router) candidates(f *flight) []tracker.Server {
+	if f.isModel() {
+		return r.known.Engines(r.now, f.route.Model)
+	}
+	return r.known.Services(r.now, f.route.Service)
+}
+
+// prefix returns the hash of the request's first level, for its choice.
+func (f *flight) prefix() uint64 {
+	scope := chunker.Scope{Team: f.team.Name, Model: f.route.Model}
+	if len(f.request.Chain) == 0 {
+		return scope.Salt()
+	}
+	return chunker.Scoped(scope, f.request.Chain[:1])[0]
+}
+
+// noServer ends a request for which no server is left.
+func (r *Router) noServer(f *flight) {
+	if f.attempts > 0 && f.route.Repeatable {
+		r.giveUp(f, action.CodeServerFailed, "all backend servers that could answer have failed")
+		return
+	}
+	r.notRun(f, action.CodeNoServer, "no backend server can take the request")
+}
+
+// notRun ends a request that certainly has not run.
+func (r *Router) notRun(f *flight, code action.Code, message string) {
+	r.refundAll(f)
+	if !f.route.Repeatable {
+		r.settleNotRun(f)
+	}
+	r.refuse(f, action.Refused(http.StatusServiceUnavailable, code, message).WithRetryAfter(comeBack))
+}
+
+// giveUp ends a request that may have run in part and may be repeated.
+func (r *Router) giveUp(f *flight, code action.Code, message string) {
+	refusal := action.Refused(http.StatusBadGateway, code, message).WithPossiblyRun().WithRetryAfter(comeBack)
+	r.refuse(f, refusal)
+}
+
+func (r *Router) firstToken(happened event.FirstToken) {
+	f, ok := r.attemptOf(happened.Request, happened.Attempt)
+	if !ok {
+		return
+	}
+	r.log(journal.New(journal.AttemptFirstToken, f.id()).With("attempt", f.attempt).With("after", r.now.Since(f.arrived)))
+}
+
+// attemptOf returns the flight whose current attempt it is. Late and crossed
+// answers have another attempt and are dropped.
+func (r *Router) attemptOf(request, attempt string) (*flight, bool) {
+	f, ok := r.flights[request]
+	if !ok || f.stage != stageRunning || f.attempt != attempt {
+		r.log(journal.New(journal.AnswerDropped, request).With("attempt", attempt))
+		return nil, false
+	}
+	return f, true
+}
+
+func (r *Router) attemptFailed(happened event.AttemptFailed) {
+	f, ok := r.attemptOf(happened.Request, happened.Attempt)
+	if !ok {
+		return
+	}
+	entry := journal.New(journal.AttemptFailed, f.id()).With("server", f.server).With("attempt", f.attempt)
+	r.log(entry.With("reach", happened.Reach).With("failure", happened.Failure).With("passed", happened.Passed))
+	r.endAttempt(f, happened.Failure == retrier.Busy)
+	r.afterFailure(f, retrier.Decide(retrier.Attempt{
+		Repeatable: f.route.Repeatable,
+		Reach:      happened.Reach,
+		Failure:    happened.Failure,
+		Number:     f.attempts,
+	}), happened.Passed)
+}
+
+func (r *Router) afterFailure(f *flight, verdict retrier.Verdict, passed int64) {
+	switch verdict {
+	case retrier.Elsewhere:
+		r.dispatch(f)
+	case retrier.Resume:
+		r.resume(f)
+	case retrier.NotRun:
+		r.notRun(f, action.CodeServerFailed, "no backend server could be reached")
+	case retrier.GiveUp:
+		r.giveUpAfter(f, passed)
+	case retrier.UnknownOutcome:
+		r.settleInBackground(f, recorder.StateUnknown)
+		r.refuse(f, unknownOutcome())
+	}
+}
+
+// resume goes on with a broken stream on another server.
+func (r *Router) resume(f *flight) {
+	if len(r.untried(f)) == 0 {
+		r.endStream(f)
+		return
+	}
+	r.dispatch(f)
+}
+
+func (r *Router) untried(f *flight) []tracker.Server {
+	var untried []tracker.Server
+	for _, server := range r.candidates(f) {
+		if !f.tried[server.Name] {
+			untried = append(untried, server)
+		}
+	}
+	return untried
+}
+
+func (r *Router) giveUpAfter(f *flight, passed int64) {
+	if passed > 0 {
+		r.endStream(f)
+		return
+	}
+	r.giveUp(f, action.CodeServerFailed, "the backend servers failed to answer")
+}
+
+// endStream ends a stream of which the caller has a part.
+func (r *Router) endStream(f *flight) {
+	refusal := action.Refused(http.StatusBadGateway, action.CodeStreamIncomplete, "the backend servers failed before the end of the stream")
+	refusal = refusal.WithPossiblyRun().WithRetryAfter(comeBack)
+	r.log(journal.New(journal.RequestRefused, f.id()).With("code", refusal.Code).With("status", refusal.Status))
+	r.emit(action.EndStream{Request: f.id(), Refusal: refusal})
+	r.end(f)
+}
+
+func (r *Router) endAttempt(f *flight, reached bool) {
+	before, _ := r.known.Server(f.server)
+	r.known.Ended(r.now, f.server, reached)
+	after, _ := r.known.Server(f.server)
+	if after.Suspect(r.now) && !before.Suspect(r.now) {
+		r.log(journal.New(journal.ServerSuspected, f.id()).With("server", f.server))
+	}
+}
+
+func (r *Router) attemptAnswered(happened event.AttemptAnswered) {
+	f, ok := r.attemptOf(happened.Request, happened.Attempt)
+	if !ok {
+		return
+	}
+	if failure, failed := f.retryable(happened.Status); failed {
+		r.attemptFailed(event.AttemptFailed{Request: f.id(), Attempt: f.attempt, Reach: retrier.Sent, Failure: failure})
+		return
+	}
+	r.endAttempt(f, true)
+	f.answer = recorder.Answer{Status: happened.Status, ContentType: happened.ContentType, Body: happened.Body}
+	if f.isModel() {
+		r.refund(f, max(f.cost()-happened.UsedTokens, 0))
+	}
+	if f.route.Repeatable {
+		r.answer(f)
+		return
+	}
+	r.settleAnswer(f, stateAfter(happened.Status))
+}
+
+// retryable returns the failure that a service's status stands for, when the
+// call may be repeated.
+func (f *flight) retryable(status int) (retrier.Failure, bool) {
+	if f.isModel() || !f.route.Repeatable {
+		return 0, false
+	}
+	switch status {
+	case http.StatusServiceUnavailable:
+		return retrier.Busy, true
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return retrier.ServerError, true
+	default:
+		return 0, false
+	}
+}
+
+// stateAfter returns what a service's status says of a call: after an error of
+// the server's own nobody knows whether the call ran.
+func stateAfter(status int) recorder.State {
+	if status >= http.StatusInternalServerError {
+		return recorder.StateUnknown
+	}
+	return recorder.StateDone
+}
+
+// answer ends a flight with its answer.
+func (r *Router) answer(f *flight) {
+	entry := journal.New(journal.RequestAnswered, f.id()).With("server", f.server).With("status", f.answer.Status)
+	r.log(entry.With("attempts", f.attempts).With("after", r.now.Since(f.arrived)))
+	r.emit(action.Answer{Request: f.id(), Answer: f.answer})
+	r.end(f)
+}
--- /dev/null
+++ b/internal/router/calls.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// pendingCall is what a call to the platform is for.
+type pendingCall interface {
+	answered(r *Router, answer platform.Answer)
+}
+
+type (
+	manifestCall  struct{}
+	watchCall     struct{}
+	shardCall     struct{ digest string }
+	instancesCall struct{}
+	leaseReadCall struct{ shard int }
+	recordCall    struct{ request string }
+	settleCall    struct{ attempt string }
+	operationCall struct{ operation string }
+)
+
+// leaseWriteCall remembers when it was asked, from which the lease counts.
+type leaseWriteCall struct {
+	shard int
+	asked clock.Millis
+	write leaser.Write
+}
+
+func (manifestCall) answered(r *Router, answer platform.Answer)    { r.manifestRead(answer) }
+func (watchCall) answered(r *Router, answer platform.Answer)       { r.watched(answer) }
+func (c shardCall) answered(r *Router, answer platform.Answer)     { r.shardRead(c.digest, answer) }
+func (instancesCall) answered(r *Router, answer platform.Answer)   { r.instancesListed(answer) }
+func (c leaseReadCall) answered(r *Router, answer platform.Answer) { r.leaseRead(c.shard, answer) }
+func (c leaseWriteCall) answered(r *Router, answer platform.Answer) {
+	r.leaseWritten(c, answer)
+}
+func (c recordCall) answered(r *Router, answer platform.Answer) { r.recordAnswered(c.request, answer) }
+func (c settleCall) answered(r *Router, answer platform.Answer) { r.settleAnswered(c.attempt, answer) }
+func (c operationCall) answered(r *Router, answer platform.Answer) {
+	r.operationAnswered(c.operation, answer)
+}
+
+func (r *Router) call(purpose pendingCall, op platform.Op) {
+	r.lastCall++
+	r.calls[r.lastCall] = purpose
+	r.emit(action.CallPlatform{Call: r.lastCall, Op: op})
+}
+
+func (r *Router) platformAnswered(happened event.PlatformAnswered) {
+	purpose, ok := r.calls[happened.Call]
+	if !ok {
+		return
+	}
+	delete(r.calls, happened.Call)
+	r.notePlatform(happened.Answer)
+	purpose.answered(r, happened.Answer)
+}
+
+// notePlatform logs when the platform goes out of reach and comes back.
+func (r *Router) notePlatform(answer platform.Answer) {
+	down := answer.Failed()
+	if down == r.platformDown {
+		return
+	}
+	r.platformDown = down
+	number := journal.PlatformRecovered
+	if down {
+		number = journal.PlatformFailed
+	}
+	r.log(journal.New(number, "").With("outcome", answer.Outcome))
+}
--- /dev/null
+++ b/internal/router/flight.go
@@ -0,0 +1,75 @@
+package router
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// stage is where a request is in its life.
+type stage int
+
+const (
+	stageDrawing stage = iota
+	stageRecording
+	stageRunning
+	stageSettling
+)
+
+// String returns the stage's name.
+func (s stage) String() string {
+	return [...]string{"drawing", "recording", "running", "settling"}[s]
+}
+
+// flight is one request from its arrival to its end.
+type flight struct {
+	request event.RequestArrived
+	team    config.Team
+	route   config.Route
+	class   config.Class
+	stage   stage
+	arrived clock.Millis
+	// abandoned tells that the caller has gone.
+	abandoned bool
+
+	draws draws
+
+	call recorder.Recorder
+	// answer is a service's answer while it is being recorded.
+	answer recorder.Answer
+
+	attempt  string
+	server   string
+	attempts int
+	tried    map[string]bool
+}
+
+// id returns the request's identifier.
+func (f *flight) id() string {
+	return f.request.Request
+}
+
+func (f *flight) isModel() bool {
+	return f.route.Kind == config.KindModel
+}
+
+// cost returns what the request may use, in tokens.
+func (f *flight) cost() int64 {
+	if f.isModel() {
+		return f.request.PromptTokens + f.request.MaxTokens
+	}
+	return f.route.Cost
+}
+
+// refuse ends the flight with the refusal.
+func (r *Router) refuse(f *flight, refusal action.Refusal) {
+	r.refuseRequest(f.id(), refusal)
+	r.end(f)
+}
+
+// end forgets the flight.
+func (r *Router) end(f *flight) {
+	delete(r.flights, f.id())
+}
--- /dev/null
+++ b/internal/router/heartbeats.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// Times of membership.
+const (
+	heartbeatEvery = clock.Second
+	listEvery      = clock.Second
+)
+
+func (r *Router) send(to tracker.Peer, message *peerv1.Message) {
+	r.emit(action.Send{To: to.Name, Address: to.Address, Message: message})
+}
+
+// heartbeat sends one heartbeat and asks for the next.
+func (r *Router) heartbeat() {
+	r.known.Expire(r.now)
+	r.beat()
+	r.after(heartbeatEvery, heartbeatDue{})
+}
+
+// beat tells all peers of the own failure domain, and one of each other, that
+// this instance lives and what it knows.
+func (r *Router) beat() {
+	r.beats++
+	message := &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: r.heartbeatBody()}}
+	far := map[string][]tracker.Peer{}
+	near := 0
+	for _, peer := range r.known.Peers() {
+		if peer.Domain == r.settings.Domain {
+			near++
+			r.send(peer, message)
+			continue
+		}
+		far[peer.Domain] = append(far[peer.Domain], peer)
+	}
+	for _, domain := range slices.Sorted(maps.Keys(far)) {
+		r.send(far[domain][r.beats%len(far[domain])], message)
+	}
+	if near == 0 || !r.ready() {
+		r.beatSeeds(message)
+	}
+}
+
+func (r *Router) beatSeeds(message *peerv1.Message) {
+	for _, address := range r.settings.Seeds {
+		if address != r.settings.Address {
+			r.emit(action.Send{Address: address, Message: message})
+		}
+	}
+}
+
+func (r *Router) heartbeatBody() *peerv1.Heartbeat {
+	return &peerv1.Heartbeat{
+		Domain:       r.settings.Domain,
+		Address:      r.settings.Address,
+		Incarnation:  r.settings.Incarnation,
+		Revision:     r.manifest.Revision,
+		Leaving:      r.draining,
+		PlatformDown: r.platformDown,
+		Holdings:     r.ownHoldings(),
+	}
+}
+
+func (r *Router) peerMessage(happened event.PeerMessage) {
+	switch body := happened.Message.GetBody().(type) {
+	case *peerv1.Message_Heartbeat:
+		r.heartbeatHeard(happened.From, body.Heartbeat)
+	case *peerv1.Message_ConfigRequest:
+		r.configRequested(happened.From, body.ConfigRequest)
+	case *peerv1.Message_ConfigOffer:
+		r.configOffered(happened.From, body.ConfigOffer)
+	case *peerv1.Message_ShardRequest:
+		r.shardsRequested(happened.From, body.ShardRequest)
+	case *peerv1.Message_ShardOffer:
+		r.shardsOffered(body.ShardOffer)
+	case *peerv1.Message_Draw:
+		r.drawAsked(happened.From, body.Draw)
+	case *peerv1.Message_Grant:
+		r.granted(happened.From, body.Grant)
+	case *peerv1.Message_Refund:
+		r.rights.Refund(r.now, body.Refund.GetId(), body.Refund.GetTeam(), body.Refund.GetTokens())
+	case *peerv1.Message_ExplainRequest:
+		r.explainRequested(happened.From, body.ExplainRequest)
+	case *peerv1.Message_ExplainAnswer:
+		r.explainAnswered(body.ExplainAnswer)
+	default:
+		r.log(journal.New(journal.PeerMessageInvalid, "").With("from", happened.From))
+	}
+}
+
+func (r *Router) heartbeatHeard(from string, beat *peerv1.Heartbeat) {
+	_, met := r.known.Peer(from)
+	peer := tracker.Peer{
+		Name:         from,
+		Domain:       beat.GetDomain(),
+		Address:      beat.GetAddress(),
+		Incarnation:  beat.GetIncarnation(),
+		Leaving:      beat.GetLeaving(),
+		PlatformDown: beat.GetPlatformDown(),
+		Revision:     beat.GetRevision(),
+	}
+	r.known.Heard(r.now, peer)
+	r.noteHoldings(peer.Domain, beat.GetHoldings())
+	if peer.Revision > r.manifest.Revision {
+		r.send(peer, &peerv1.Message{Body: &peerv1.Message_ConfigRequest{ConfigRequest: &peerv1.ConfigRequest{Revision: r.manifest.Revision}}})
+	}
+	if !met || (peer.Revision < r.manifest.Revision && !r.ready()) {
+		r.send(peer, &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: r.heartbeatBody()}})
+	}
+}
+
+func (r *Router) listInstances() {
+	r.call(instancesCall{}, platform.ListInstances{Since: r.known.ListRevision()})
+}
+
+func (r *Router) instancesListed(answer platform.Answer) {
+	if answer.Outcome == platform.Done {
+		r.known.Listed(answer.Version, answer.Instances)
+	}
+	r.after(listEvery, instancesDue{})
+}
+
+// rank returns the place of this instance for the key among the instances of
+// its failure domain that live and reach the platform; 0 is the first.
+func (r *Router) rank(key uint64) int {
+	own := chooser.Rendezvous(key, r.settings.Name)
+	place := 0
+	for _, peer := range r.known.LivePeers(r.now, r.settings.Domain) {
+		if peer.Leaving || peer.PlatformDown {
+			continue
+		}
+		if chooser.Rendezvous(key, peer.Name) > own {
+			place++
+		}
+	}
+	return place
+}
--- /dev/null
+++ b/internal/router/leases.go
@@ -0,0 +1,158 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
+	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+)
+
+// rightsKey keeps the ranks for rights apart from those for other roles.
+const rightsKey uint64 = 0x7269676874730000
+
+// holdingKey names one shard of one domain's rights.
+type holdingKey struct {
+	domain string
+	shard  int32
+}
+
+func leaseName(domain string, shard int) string {
+	return fmt.Sprintf("leases/rights/%s/%d", domain, shard)
+}
+
+// leaseStep takes the next step of the shard's lease and asks for the one after.
+// Timers that were set before are void.
+func (r *Router) leaseStep(shard int) {
+	r.leaseTurns[shard]++
+	lease := r.leases[shard]
+	wanted := !r.draining && r.ready() && (r.rights.Holds(shard) || r.rank(rightsKey+uint64(shard)) == 0)
+	lease = lease.WithWanted(wanted)
+	r.dropLapsed(shard)
+	switch step := lease.Next(r.now).(type) {
+	case leaser.Read:
+		lease = lease.WithAsked()
+		r.call(leaseReadCall{shard: shard}, platform.Get{Name: lease.Name()})
+	case leaser.Write:
+		lease = lease.WithAsked()
+		r.writeLease(shard, step)
+	case leaser.Wait:
+		r.at(step.Until, leaseDue{shard: shard, turn: r.leaseTurns[shard]})
+	}
+	r.leases[shard] = lease
+}
+
+// leaseTimer takes a step unless the timer is void.
+func (r *Router) leaseTimer(due leaseDue) {
+	if due.turn == r.leaseTurns[due.shard] {
+		r.leaseStep(due.shard)
+	}
+}
+
+// leaseSteps takes the next step of every lease.
+func (r *Router) leaseSteps() {
+	for shard := range r.leases {
+		r.leaseStep(shard)
+	}
+}
+
+func (r *Router) writeLease(shard int, step leaser.Write) {
+	if step.Record.Holder == "" {
+		r.dropRights(shard)
+	}
+	op := platform.Put{Name: r.leases[shard].Name(), Value: step.Record.Encode(), IfVersion: step.IfVersion}
+	r.call(leaseWriteCall{shard: shard, asked: r.now, write: step}, op)
+}
+
+func (r *Router) leaseRead(shard int, answer platform.Answer) {
+	r.leases[shard] = r.leases[shard].WithRead(r.now, answer)
+	r.noteLease(shard)
+	r.leaseStep(shard)
+}
+
+func (r *Router) leaseWritten(call leaseWriteCall, answer platform.Answer) {
+	shard := call.shard
+	r.leases[shard] = r.leases[shard].WithWritten(call.asked, r.now, call.write, answer)
+	if r.leases[shard].Held(r.now) && !r.rights.Holds(shard) && !r.draining {
+		r.takeRights(shard, call.write.IfVersion == platform.IfAbsent)
+	}
+	r.noteLease(shard)
+	r.leaseStep(shard)
+}
+
+func (r *Router) takeRights(shard int, first bool) {
+	start := limiter.StartEmpty
+	if first {
+		start = limiter.StartFull
+	}
+	r.rights.Hold(r.now, shard, start)
+	r.heldTerms[shard] = r.leases[shard].Term()
+	r.log(journal.New(journal.LeaseTaken, "").With("lease", r.leases[shard].Name()).With("term", r.heldTerms[shard]))
+	r.beat()
+}
+
+// dropLapsed drops rights whose lease has run out.
+func (r *Router) dropLapsed(shard int) {
+	if r.rights.Holds(shard) && !r.leases[shard].Held(r.now) {
+		r.dropRights(shard)
+	}
+}
+
+func (r *Router) dropRights(shard int) {
+	if !r.rights.Holds(shard) {
+		return
+	}
+	r.rights.Drop(shard)
+	r.log(journal.New(journal.LeaseLost, "").With("lease", r.leases[shard].Name()).With("term", r.heldTerms[shard]))
+}
+
+// noteLease remembers the holder that the lease object names.
+func (r *Router) noteLease(shard int) {
+	lease := r.leases[shard]
+	name, _, _ := strings.Cut(lease.Holder(), "#")
+	if name == "" || name == r.settings.Name {
+		return
+	}
+	r.noteHoldings(r.settings.Domain, []*peerv1.Holding{{Shard: int32(shard), Instance: name, Term: lease.Term()}})
+}
+
+// noteHoldings keeps what is new about the holders of a domain.
+func (r *Router) noteHoldings(domain string, holdings []*peerv1.Holding) {
+	for _, holding := range holdings {
+		if holding.GetShard() < 0 || holding.GetShard() >= limiter.Shards {
+			continue
+		}
+		key := holdingKey{domain: domain, shard: holding.GetShard()}
+		known, ok := r.holdings[key]
+		if !ok && len(r.holdings) >= maxHoldings {
+			return
+		}
+		if holding.GetTerm() >= known.GetTerm() {
+			r.holdings[key] = holding
+		}
+	}
+}
+
+// ownHoldings returns what is known of the holders of the own domain.
+func (r *Router) ownHoldings() []*peerv1.Holding {
+	var holdings []*peerv1.Holding
+	for shard := range int32(limiter.Shards) {
+		if r.holdsRights(int(shard)) {
+			holdings = append(holdings, &peerv1.Holding{Shard: shard, Instance: r.settings.Name, Term: r.heldTerms[shard]})
+			continue
+		}
+		if holding, ok := r.holdings[holdingKey{domain: r.settings.Domain, shard: shard}]; ok {
+			holdings = append(holdings, holding)
+		}
+	}
+	return holdings
+}
+
+// holdsRights reports whether the rights of the shard are held here right now.
+func (r *Router) holdsRights(shard int) bool {
+	r.dropLapsed(shard)
+	return r.rights.Holds(shard)
+}
--- /dev/null
+++ b/internal/sharder/shards.go
@@ -0,0 +1,120 @@
+package sharder
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+)
+
+const (
+	// shardCount is into how many shards teams and keys are split, each.
+	shardCount = 64
+	// maxShardBytes is the platform's longest value.
+	maxShardBytes = 1_000_000
+
+	fleetShard = "fleet"
+)
+
+// Shards are the encoded parts of a configuration by shard name.
+type Shards map[string][]byte
+
+// part is what one shard has; unused fields stay empty.
+type part struct {
+	Domains []string                `json:"domains,omitempty"`
+	Classes map[string]config.Class `json:"classes,omitempty"`
+	Routes  map[string]config.Route `json:"routes,omitempty"`
+	Teams   map[string]config.Team  `json:"teams,omitempty"`
+	Keys    map[string]config.Key   `json:"keys,omitempty"`
+}
+
+// Split returns the shards of the configuration. A shard that is longer than
+// the platform takes is an error.
+func Split(configuration config.Config) (Shards, error) {
+	parts := map[string]*part{fleetShard: {Domains: configuration.Domains, Classes: configuration.Classes, Routes: configuration.Routes}}
+	for name, team := range configuration.Teams {
+		shard := shardOf(parts, "teams", name)
+		if shard.Teams == nil {
+			shard.Teams = map[string]config.Team{}
+		}
+		shard.Teams[name] = team
+	}
+	for digest, key := range configuration.Keys {
+		shard := shardOf(parts, "keys", digest)
+		if shard.Keys == nil {
+			shard.Keys = map[string]config.Key{}
+		}
+		shard.Keys[digest] = key
+	}
+	return encodeParts(parts)
+}
+
+func shardOf(parts map[string]*part, kind, name string) *part {
+	shardName := fmt.Sprintf("%s/%02d", kind, xxhash.Sum64String(name)%shardCount)
+	if parts[shardName] == nil {
+		parts[shardName] = &part{}
+	}
+	return parts[shardName]
+}
+
+func encodeParts(parts map[string]*part) (Shards, error) {
+	shards := Shards{}
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		value, err := json.Marshal(parts[name])
+		if err != nil {
+			return nil, errors.Wrap(err, "sharder.Split: "+name)
+		}
+		if len(value) > maxShardBytes {
+			return nil, errors.Errorf("sharder.Split: shard %s has %d bytes, the platform holds %d; use fewer or shorter entries", name, len(value), maxShardBytes)
+		}
+		shards[name] = value
+	}
+	return shards, nil
+}
+
+// Join returns the configuration whose shards the manifest names. Values are
+// by digest; a missing or unreadable one is an error.
+func Join(manifest Manifest, values map[string][]byte) (config.Config, error) {
+	configuration := config.Defaults()
+	for _, name := range slices.Sorted(maps.Keys(manifest.Shards)) {
+		value, ok := values[manifest.Shards[name]]
+		if !ok {
+			return config.Config{}, errors.Errorf("sharder.Join: shard %s is missing", name)
+		}
+		var shard part
+		if err := json.Unmarshal(value, &shard); err != nil {
+			return config.Config{}, errors.Wrap(err, "sharder.Join: "+name)
+		}
+		if name == fleetShard {
+			configuration.Domains = shard.Domains
+		}
+		maps.Copy(configuration.Classes, shard.Classes)
+		maps.Copy(configuration.Routes, shard.Routes)
+		maps.Copy(configuration.Teams, shard.Teams)
+		maps.Copy(configuration.Keys, shard.Keys)
+	}
+	return configuration, nil
+}
+
+// ByDigest returns the shards' values by their digests.
+func (s Shards) ByDigest() map[string][]byte {
+	values := make(map[string][]byte, len(s))
+	for _, value := range s {
+		values[digester.Content(value)] = value
+	}
+	return values
+}
+
+func (s Shards) names() map[string]string {
+	digests := make(map[string]string, len(s))
+	for name, value := range s {
+		digests[name] = digester.Content(value)
+	}
+	return digests
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,235 @@
+// Package tracker knows the backend servers and the peers of one instance: from
+// the platform's instance list, which lags, from heartbeats, and from what
+// becomes of the instance's own attempts.
+//
+// A tracker is never sure. What it says costs time when it is wrong, never
+// safety: ownership that matters moves only in the platform.
+//
+// # Usage
+//
+//	known := tracker.New("split-a-1", "split-a")
+//	known.Listed(now, instances)
+//	servers := known.Engines(now, "scarp")
+package tracker
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// Suspicion of backend servers.
+const (
+	// suspectAfter is the failures in a row that make a server suspect.
+	suspectAfter = 2
+	// suspectFor is how long a suspect server gets no new work at first.
+	suspectFor = clock.Second
+	// maxSuspectFor bounds the doubling of suspectFor.
+	maxSuspectFor = 16 * clock.Second
+)
+
+// Tracker is what one instance knows of the others. It is not safe for
+// concurrent use.
+type Tracker struct {
+	self         string
+	domain       string
+	servers      map[string]Server
+	peers        map[string]Peer
+	listRevision int64
+}
+
+// New returns the Tracker of the named instance in the failure domain.
+func New(self, domain string) *Tracker {
+	return &Tracker{self: self, domain: domain, servers: map[string]Server{}, peers: map[string]Peer{}}
+}
+
+// ListRevision returns the revision of the instance list that was last read.
+func (t *Tracker) ListRevision() int64 { return t.listRevision }
+
+// Listed takes in the changed entries of the instance list. Entries of an older
+// revision than the last are passed over.
+func (t *Tracker) Listed(revision int64, changed []platform.Instance) {
+	if revision < t.listRevision {
+		return
+	}
+	t.listRevision = revision
+	for _, instance := range changed {
+		if instance.Role == platform.RoleEntry {
+			t.listPeer(instance)
+			continue
+		}
+		t.listServer(instance)
+	}
+}
+
+func (t *Tracker) listServer(instance platform.Instance) {
+	if instance.State == platform.StateGone {
+		delete(t.servers, instance.Name)
+		return
+	}
+	known, ok := t.servers[instance.Name]
+	if !ok || known.Incarnation != instance.Incarnation {
+		known = Server{InFlight: known.InFlight}
+	}
+	known.Instance = instance
+	t.servers[instance.Name] = known
+}
+
+func (t *Tracker) listPeer(instance platform.Instance) {
+	if instance.Name == t.self {
+		return
+	}
+	known := t.peers[instance.Name]
+	known.Listed = instance.State != platform.StateGone
+	if !known.Listed && known.HeardAt == 0 {
+		delete(t.peers, instance.Name)
+		return
+	}
+	known.Name = instance.Name
+	known.Domain = instance.Domain
+	known.Address = instance.Address
+	known.Leaving = known.Leaving || instance.State == platform.StateLeaving
+	t.peers[instance.Name] = known
+}
+
+// Heard takes in a peer's heartbeat.
+func (t *Tracker) Heard(now clock.Millis, peer Peer) {
+	if peer.Name == t.self {
+		return
+	}
+	known := t.peers[peer.Name]
+	peer.Listed = known.Listed
+	peer.HeardAt = max(now, 1)
+	if peer.Address == "" {
+		peer.Address = known.Address
+	}
+	t.peers[peer.Name] = peer
+}
+
+// Expire forgets the peers that are neither listed nor heard of.
+func (t *Tracker) Expire(now clock.Millis) {
+	for name, peer := range t.peers {
+		if !peer.Listed && !peer.Alive(now) {
+			delete(t.peers, name)
+		}
+	}
+}
+
+// Peers returns the peers that are not known to be gone, by name.
+func (t *Tracker) Peers() []Peer {
+	return sortedValues(t.peers)
+}
+
+// Peer returns the named peer.
+func (t *Tracker) Peer(name string) (Peer, bool) {
+	peer, ok := t.peers[name]
+	return peer, ok
+}
+
+// LivePeers returns the peers in the failure domain whose heartbeats come, by
+// name.
+func (t *Tracker) LivePeers(now clock.Millis, domain string) []Peer {
+	return slices.DeleteFunc(t.Peers(), func(p Peer) bool {
+		return p.Domain != domain || !p.Alive(now)
+	})
+}
+
+// IdentityAlive reports whether one start of an instance is alive, as far as
+// heartbeats tell.
+func (t *Tracker) IdentityAlive(now clock.Millis, identity string) bool {
+	for _, peer := range t.peers {
+		if peer.Identity() == identity {
+			return peer.Alive(now)
+		}
+	}
+	return false
+}
+
+// Servers returns all backend servers, by name.
+func (t *Tracker) Servers() []Server {
+	return sortedValues(t.servers)
+}
+
+// Server returns the named backend server.
+func (t *Tracker) Server(name string) (Server, bool) {
+	server, ok := t.servers[name]
+	return server, ok
+}
+
+// Engines returns the servers that may be given work for the model.
+func (t *Tracker) Engines(now clock.Millis, model string) []Server {
+	return t.usable(now, func(s Server) bool { return s.serves(model) })
+}
+
+// Services returns the servers that may be given work for the plain service.
+func (t *Tracker) Services(now clock.Millis, service string) []Server {
+	return t.usable(now, func(s Server) bool { return s.Role == platform.RoleService && s.Service == service })
+}
+
+// usable returns the live servers that match: those of the own failure domain
+// that are not suspect, else those of other domains, else the suspect ones.
+func (t *Tracker) usable(now clock.Millis, match func(Server) bool) []Server {
+	var near, far, suspect []Server
+	for _, server := range t.Servers() {
+		switch {
+		case server.State != platform.StateLive || !match(server):
+		case server.Suspect(now):
+			suspect = append(suspect, server)
+		case server.Domain == t.domain:
+			near = append(near, server)
+		default:
+			far = append(far, server)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	if len(far) > 0 {
+		return far
+	}
+	return suspect
+}
+
+// Placed counts an attempt that began at the named server.
+func (t *Tracker) Placed(name string) {
+	if server, ok := t.servers[name]; ok {
+		server.InFlight++
+		t.servers[name] = server
+	}
+}
+
+// Ended counts an attempt that ended at the named server. An attempt that could
+// not reach it, or was cut, makes it suspect after a few in a row.
+func (t *Tracker) Ended(now clock.Millis, name string, reached bool) {
+	server, ok := t.servers[name]
+	if !ok {
+		return
+	}
+	server.InFlight = max(server.InFlight-1, 0)
+	if reached {
+		server.failures = 0
+		server.suspectUntil = 0
+	} else {
+		server.failures++
+	}
+	if server.failures >= suspectAfter {
+		server.suspectUntil = now.Add(suspicion(server.failures))
+	}
+	t.servers[name] = server
+}
+
+// suspicion doubles with each failure.
+func suspicion(failures int) clock.Millis {
+	doublings := min(failures-suspectAfter, 4)
+	return min(suspectFor<<doublings, maxSuspectFor)
+}
+
+func sortedValues[V any](entries map[string]V) []V {
+	values := make([]V, 0, len(entries))
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		values = append(values, entries[name])
+	}
+	return values
+}
