--- /dev/null
+++ b/internal/action/status.go
@@ -0,0 +1,18 @@
+package action
+
+// The HTTP statuses of refusals. They stand here so that decisions need no
+// package that does I/O.
+const (
+	StatusOK                 = 200
+	StatusBadRequest         = 400
+	StatusUnauthorized       = 401
+	StatusNotFound           = 404
+	StatusConflict           = 409
+	StatusTooLarge           = 413
+	StatusUnprocessable      = 422
+	StatusTooManyRequests    = 429
+	StatusInternalError      = 500
+	StatusBadGateway         = 502
+	StatusServiceUnavailable = 503
+	StatusGatewayTimeout     = 504
+)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -90,6 +90,10 @@
 		i.Kill()
 		return nil, err
 	}
+	log.Write(journal.New(journal.InstanceListening, "").
+		With("callers", i.settings.Listen.Callers).
+		With("operators", i.settings.Listen.Operators).
+		With("peers", i.settings.Listen.Peers))
 	i.runner.Submit(event.Started{})
 	return i, nil
 }
--- /dev/null
+++ b/internal/journal/catalogue_test.go
@@ -0,0 +1,26 @@
+package journal_test
+
+import (
+	"os"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+)
+
+// TestCatalogue holds the code's events and docs/EVENTS.md together, both ways.
+func TestCatalogue(t *testing.T) {
+	data, err := os.ReadFile("../../docs/EVENTS.md")
+	require.NoError(t, err)
+	documented := map[journal.Number]string{}
+	for _, row := range regexp.MustCompile("(?m)^\\| (\\d+) \\| `(\\w+)` \\| \\S").FindAllStringSubmatch(string(data), -1) {
+		number, err := strconv.Atoi(row[1])
+		require.NoError(t, err)
+		require.NotContains(t, documented, journal.Number(number), "a number stands twice")
+		documented[journal.Number(number)] = row[2]
+	}
+	require.Equal(t, journal.Numbers(), documented)
+}
--- a/internal/journal/number.go
+++ b/internal/journal/number.go
@@ -31,6 +31,7 @@
 	InstanceStarted    Number = 3001
 	InstanceDraining   Number = 3002
 	InstanceStopped    Number = 3003
+	InstanceListening  Number = 3004
 	PlatformFailed     Number = 3101
 	PlatformRecovered  Number = 3102
 	PeerMessageInvalid Number = 3103
@@ -64,6 +65,7 @@
 	InstanceStarted:    "instanceStarted",
 	InstanceDraining:   "instanceDraining",
 	InstanceStopped:    "instanceStopped",
+	InstanceListening:  "instanceListening",
 	PlatformFailed:     "platformFailed",
 	PlatformRecovered:  "platformRecovered",
 	PeerMessageInvalid: "peerMessageInvalid",
--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"net/http"
-
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/authenticator"
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
@@ -35,14 +33,14 @@
 
 func (r *Router) refuseAtDoor(request event.RequestArrived) (action.Refusal, bool) {
 	if _, ok := r.flights[request.Request]; ok {
-		return action.Refused(http.StatusConflict, action.CodeInvalidRequest, "a request with this identifier is in flight"), true
+		return action.Refused(action.StatusConflict, action.CodeInvalidRequest, "a request with this identifier is in flight"), true
 	}
 	if len(r.flights) >= r.settings.MaxInFlight {
-		refusal := action.Refused(http.StatusServiceUnavailable, action.CodeTooManyRequests, "this instance has too many requests in flight")
+		refusal := action.Refused(action.StatusServiceUnavailable, action.CodeTooManyRequests, "this instance has too many requests in flight")
 		return refusal.WithRetryAfter(comeBack), true
 	}
 	if !r.ready() {
-		refusal := action.Refused(http.StatusServiceUnavailable, action.CodeNotReady, "this instance has no configuration yet")
+		refusal := action.Refused(action.StatusServiceUnavailable, action.CodeNotReady, "this instance has no configuration yet")
 		return refusal.WithRetryAfter(comeBack), true
 	}
 	return action.Refusal{}, false
@@ -53,14 +51,14 @@
 func (r *Router) admit(request event.RequestArrived) (*flight, action.Refusal) {
 	team, known := authenticator.Team(r.configuration, r.manifest.Salt, request.Key)
 	if _, ok := r.configuration.Classes[request.Class]; request.Class != "" && !ok {
-		return nil, action.Refused(http.StatusBadRequest, action.CodeUnknownClass, "the class "+request.Class+" is not configured")
+		return nil, action.Refused(action.StatusBadRequest, action.CodeUnknownClass, "the class "+request.Class+" is not configured")
 	}
 	route, found := r.match(request)
 	if !known && (!found || route.Access != config.AccessOpen) {
-		return nil, action.Refused(http.StatusUnauthorized, action.CodeInvalidKey, "the key is missing, unknown or withdrawn; send a valid one as Authorization: Bearer KEY")
+		return nil, action.Refused(action.StatusUnauthorized, action.CodeInvalidKey, "the key is missing, unknown or withdrawn; send a valid one as Authorization: Bearer KEY")
 	}
 	if !found {
-		return nil, action.Refused(http.StatusNotFound, action.CodeNoRoute, "no route leads to this model or service")
+		return nil, action.Refused(action.StatusNotFound, action.CodeNoRoute, "no route leads to this model or service")
 	}
 	if route.Access == config.AccessOpen {
 		team = r.configuration.Teams[route.Team]
@@ -78,10 +76,10 @@
 
 func (r *Router) checkFlight(f *flight) (*flight, action.Refusal) {
 	if !f.route.Repeatable && f.request.IdempotencyKey == "" {
-		return nil, action.Refused(http.StatusBadRequest, action.CodeKeyMissing, "this call may not be repeated; send an Idempotency-Key header with it")
+		return nil, action.Refused(action.StatusBadRequest, action.CodeKeyMissing, "this call may not be repeated; send an Idempotency-Key header with it")
 	}
 	if f.cost() > f.team.Burst {
-		return nil, action.Refused(http.StatusRequestEntityTooLarge, action.CodeOverBurst, "the request needs more tokens than the team's burst; shorten the prompt or max_tokens")
+		return nil, action.Refused(action.StatusTooLarge, action.CodeOverBurst, "the request needs more tokens than the team's burst; shorten the prompt or max_tokens")
 	}
 	return f, action.Refusal{}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"net/http"
+	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
@@ -53,15 +53,12 @@
 	return chunker.Scope{Team: f.team.Name, Model: f.route.Model, Weights: server.Weights}
 }
 
-// choose returns the server for the next attempt: one that was not tried yet,
-// if there is any.
+// choose returns the server for the next attempt, one that was not tried yet.
 func (r *Router) choose(f *flight) (tracker.Server, bool) {
-	servers := r.candidates(f)
-	candidates := make([]chooser.Candidate, 0, len(servers))
-	for _, server := range servers {
-		if !f.tried[server.Name] {
-			candidates = append(candidates, chooser.Candidate{Name: server.Name, InFlight: server.InFlight})
-		}
+	servers := r.known.Prefer(r.now, r.untried(f))
+	candidates := make([]chooser.Candidate, len(servers))
+	for i, server := range servers {
+		candidates[i] = chooser.Candidate{Name: server.Name, InFlight: server.InFlight}
 	}
 	choice, ok := chooser.Choose(f.prefix(), candidates)
 	if !ok {
@@ -78,11 +75,13 @@
 // maxLogged bounds the candidates in a log line.
 const maxLogged = 4
 
-func (r *Router) candidates(f *flight) []tracker.Server {
+// untried returns the live servers that the flight has not tried.
+func (r *Router) untried(f *flight) []tracker.Server {
+	servers := r.known.Services(f.route.Service)
 	if f.isModel() {
-		return r.known.Engines(r.now, f.route.Model)
+		servers = r.known.Engines(f.route.Model)
 	}
-	return r.known.Services(r.now, f.route.Service)
+	return slices.DeleteFunc(servers, func(s tracker.Server) bool { return f.tried[s.Name] })
 }
 
 // prefix returns the hash of the request's first level, for its choice.
@@ -109,12 +108,14 @@
 	if !f.route.Repeatable {
 		r.settleNotRun(f)
 	}
-	r.refuse(f, action.Refused(http.StatusServiceUnavailable, code, message).WithRetryAfter(comeBack))
+	r.refuse(f, action.Refused(action.StatusServiceUnavailable, code, message).WithRetryAfter(comeBack))
 }
 
-// giveUp ends a request that may have run in part and may be repeated.
+// giveUp ends a request that may have run in part and may be repeated. Its
+// caller has got nothing, so its tokens are returned.
 func (r *Router) giveUp(f *flight, code action.Code, message string) {
-	refusal := action.Refused(http.StatusBadGateway, code, message).WithPossiblyRun().WithRetryAfter(comeBack)
+	r.refundAll(f)
+	refusal := action.Refused(action.StatusBadGateway, code, message).WithPossiblyRun().WithRetryAfter(comeBack)
 	r.refuse(f, refusal)
 }
 
@@ -178,16 +179,6 @@
 	r.dispatch(f)
 }
 
-func (r *Router) untried(f *flight) []tracker.Server {
-	var untried []tracker.Server
-	for _, server := range r.candidates(f) {
-		if !f.tried[server.Name] {
-			untried = append(untried, server)
-		}
-	}
-	return untried
-}
-
 func (r *Router) giveUpAfter(f *flight, passed int64) {
 	if passed > 0 {
 		r.endStream(f)
@@ -198,7 +189,7 @@
 
 // endStream ends a stream of which the caller has a part.
 func (r *Router) endStream(f *flight) {
-	refusal := action.Refused(http.StatusBadGateway, action.CodeStreamIncomplete, "the backend servers failed before the end of the stream")
+	refusal := action.Refused(action.StatusBadGateway, action.CodeStreamIncomplete, "the backend servers failed before the end of the stream")
 	refusal = refusal.WithPossiblyRun().WithRetryAfter(comeBack)
 	r.log(journal.New(journal.RequestRefused, f.id()).With("code", refusal.Code).With("status", refusal.Status))
 	r.emit(action.EndStream{Request: f.id(), Refusal: refusal})
@@ -242,9 +233,9 @@
 		return 0, false
 	}
 	switch status {
-	case http.StatusServiceUnavailable:
+	case action.StatusServiceUnavailable:
 		return retrier.Busy, true
-	case http.StatusBadGateway, http.StatusGatewayTimeout:
+	case action.StatusBadGateway, action.StatusGatewayTimeout:
 		return retrier.ServerError, true
 	default:
 		return 0, false
@@ -254,7 +245,7 @@
 // stateAfter returns what a service's status says of a call: after an error of
 // the server's own nobody knows whether the call ran.
 func stateAfter(status int) recorder.State {
-	if status >= http.StatusInternalServerError {
+	if status >= action.StatusInternalError {
 		return recorder.StateUnknown
 	}
 	return recorder.StateDone
--- a/internal/router/draws.go
+++ b/internal/router/draws.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"net/http"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
@@ -72,7 +71,7 @@
 		return
 	}
 	if f.cost() > 0 {
-		r.log(journal.New(journal.TokensTaken, f.id()).With("tokens", f.cost()).With("draws", len(f.draws.taken)))
+		r.log(journal.New(journal.TokensTaken, f.id()).With("team", f.team.Name).With("tokens", f.cost()).With("draws", len(f.draws.taken)))
 	}
 	r.tokensTaken(f)
 }
@@ -178,7 +177,7 @@
 	r.refundAll(f)
 	r.log(journal.New(journal.TokensRefused, f.id()).With("missing", f.draws.missing).With("heard", f.draws.heard))
 	if !f.draws.heard {
-		refusal := action.Refused(http.StatusServiceUnavailable, action.CodeRightsAway, "no holder of the team's rate can be reached")
+		refusal := action.Refused(action.StatusServiceUnavailable, action.CodeRightsAway, "no holder of the team's rate can be reached")
 		r.refuse(f, refusal.WithRetryAfter(comeBack))
 		return
 	}
@@ -186,7 +185,7 @@
 	if wait == 0 {
 		wait = clock.Millis(f.draws.missing*int64(clock.Second)/f.team.Rate) + clock.Millisecond
 	}
-	refusal := action.Refused(http.StatusTooManyRequests, action.CodeOverRate, "the team has used its rate and burst")
+	refusal := action.Refused(action.StatusTooManyRequests, action.CodeOverRate, "the team has used its rate and burst")
 	r.refuse(f, refusal.WithRetryAfter(wait))
 }
 
--- a/internal/router/operations.go
+++ b/internal/router/operations.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/applier"
@@ -226,7 +225,7 @@
 	resolving.written = true
 	resolved := record.WithEnd(recorder.StateNotRun, recorder.Answer{})
 	if resolving.asked.Ran {
-		resolved = record.WithEnd(recorder.StateDone, recorder.Answer{Status: http.StatusOK, Omitted: true})
+		resolved = record.WithEnd(recorder.StateDone, recorder.Answer{Status: action.StatusOK, Omitted: true})
 	}
 	op := platform.Put{Name: resolving.asked.Object, Value: resolved.Encode(), IfVersion: answer.Version}
 	r.call(operationCall{operation: id}, op)
--- a/internal/router/records.go
+++ b/internal/router/records.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"net/http"
-
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
@@ -106,7 +104,7 @@
 	if f.call.MayExist() {
 		r.settleNotRun(f)
 	}
-	refusal := action.Refused(http.StatusServiceUnavailable, action.CodePlatformFailed, "the call could not be recorded; it was not run")
+	refusal := action.Refused(action.StatusServiceUnavailable, action.CodePlatformFailed, "the call could not be recorded; it was not run")
 	r.refuse(f, refusal.WithRetryAfter(comeBack))
 }
 
@@ -115,14 +113,14 @@
 	r.refundAll(f)
 	r.log(journal.New(journal.CallFound, f.id()).With("state", found.State).With("by", found.Request))
 	if found.Fingerprint != f.request.Fingerprint {
-		r.refuse(f, action.Refused(http.StatusUnprocessableEntity, action.CodeKeyReused, "the Idempotency-Key was used for another request").WithPossiblyRun())
+		r.refuse(f, action.Refused(action.StatusUnprocessable, action.CodeKeyReused, "the Idempotency-Key was used for another request").WithPossiblyRun())
 		return
 	}
 	switch {
 	case found.State == recorder.StateDone:
 		r.replay(f, found.Answer)
 	case found.State == recorder.StateAttempted && r.runs(found):
-		refusal := action.Refused(http.StatusConflict, action.CodeInProgress, "the call with this Idempotency-Key is still running").WithPossiblyRun()
+		refusal := action.Refused(action.StatusConflict, action.CodeInProgress, "the call with this Idempotency-Key is still running").WithPossiblyRun()
 		r.refuse(f, refusal.WithRetryAfter(comeBack))
 	default:
 		r.refuse(f, unknownOutcome())
@@ -130,7 +128,7 @@
 }
 
 func unknownOutcome() action.Refusal {
-	refusal := action.Refused(http.StatusConflict, action.CodeOutcomeUnknown, "it is not known whether the call ran; it will not be run again until an operator has resolved it")
+	refusal := action.Refused(action.StatusConflict, action.CodeOutcomeUnknown, "it is not known whether the call ran; it will not be run again until an operator has resolved it")
 	return refusal.WithPossiblyRun()
 }
 
@@ -149,7 +147,7 @@
 
 func (r *Router) replay(f *flight, answer recorder.Answer) {
 	if answer.Omitted {
-		refusal := action.Refused(http.StatusConflict, action.CodeAnswerNotKept, "the call has run; its answer was too long to be kept")
+		refusal := action.Refused(action.StatusConflict, action.CodeAnswerNotKept, "the call has run; its answer was too long to be kept")
 		r.refuse(f, refusal.WithPossiblyRun())
 		return
 	}
--- a/internal/standin/objectserver/objectserver.go
+++ b/internal/standin/objectserver/objectserver.go
@@ -12,13 +12,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/standin/store"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // Options are the properties of the stand-in.
@@ -35,9 +35,6 @@
 // maxValueBytes is the longest value of an object.
 const maxValueBytes = 1 << 20
 
-// pageSize is how many objects one list has.
-const pageSize = 200
-
 // Defaults returns the brief's figures.
 func Defaults() Options {
 	return Options{WritesPerSecond: 500, ReadsPerSecond: 2000, ListLag: 200 * time.Millisecond, WatchWait: 4 * time.Second}
@@ -47,21 +44,13 @@
 type Server struct {
 	options Options
 
-	mu       sync.Mutex
-	objects  map[string]platform.Object
-	revision int64
-	changed  chan struct{} // changed is closed and made anew at each change.
-	list     []listed
-	faults   Faults
-	counts   Counts
-	writes   quota
-	reads    quota
-}
-
-// listed is a change of the instance list and when it happened.
-type listed struct {
-	instance platform.Instance
-	at       time.Time
+	mu      sync.Mutex
+	objects *store.Store
+	changed chan struct{} // changed is closed and made anew at each change.
+	faults  Faults
+	counts  Counts
+	writes  quota
+	reads   quota
 }
 
 // Faults are the faults on demand.
@@ -85,7 +74,7 @@
 func New(options Options) *Server {
 	return &Server{
 		options: options,
-		objects: map[string]platform.Object{},
+		objects: store.New(),
 		changed: make(chan struct{}),
 		writes:  newQuota(options.WritesPerSecond),
 		reads:   newQuota(options.ReadsPerSecond),
@@ -149,13 +138,9 @@
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	object, ok := s.objects[r.PathValue("name")]
+	answer := s.objects.Get(platform.Get{Name: r.PathValue("name")})
 	s.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	reply(w, http.StatusOK, platform.Wire{Version: object.Version, Value: object.Value})
+	replyAnswer(w, answer)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
@@ -169,71 +154,57 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status, wire, lose := s.write(r.PathValue("name"), value, ifVersion)
+	answer, lose := s.write(platform.Put{Name: r.PathValue("name"), Value: value, IfVersion: ifVersion})
 	if lose {
 		drop(w)
 		return
 	}
-	reply(w, status, wire)
+	replyAnswer(w, answer)
 }
 
-func (s *Server) write(name string, value []byte, ifVersion int64) (status int, wire platform.Wire, lose bool) {
+func (s *Server) write(op platform.Put) (answer platform.Answer, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		lose = true
 	}
-	known := s.objects[name]
-	if known.Version != ifVersion {
-		return http.StatusConflict, platform.Wire{Version: known.Version, Value: known.Value}, lose
+	answer = s.objects.Put(op)
+	if answer.Outcome == platform.Done {
+		close(s.changed)
+		s.changed = make(chan struct{})
 	}
-	s.revision++
-	s.objects[name] = platform.Object{Name: name, Version: s.revision, Value: value}
-	s.notify()
-	return http.StatusOK, platform.Wire{Version: s.revision}, lose
-}
-
-func (s *Server) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+	return answer, lose
 }
 
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
-	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
-	var found []platform.Object
-	for name, object := range s.objects {
-		if strings.HasPrefix(name, prefix) && name > after {
-			found = append(found, object)
-		}
-	}
+	answer := s.objects.ListObjects(platform.ListObjects{Prefix: r.URL.Query().Get("prefix"), After: r.URL.Query().Get("after")})
 	s.mu.Unlock()
-	slices.SortFunc(found, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
-	reply(w, http.StatusOK, platform.Wire{Objects: found[:min(len(found), pageSize)]})
+	replyAnswer(w, answer)
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	name := r.URL.Query().Get("name")
 	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	op := platform.Watch{Name: r.URL.Query().Get("name"), Since: since}
 	end := time.After(s.options.WatchWait)
 	for {
 		s.mu.Lock()
-		object := s.objects[name]
+		answer := s.objects.Watch(op)
 		changed := s.changed
 		s.mu.Unlock()
-		if object.Version > since {
-			reply(w, http.StatusOK, platform.Wire{Version: object.Version, Value: object.Value})
+		if answer.Outcome == platform.Done {
+			replyAnswer(w, answer)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			w.WriteHeader(http.StatusNotFound)
+			replyAnswer(w, answer)
 			return
 		case <-r.Context().Done():
 			return
@@ -248,41 +219,21 @@
 		return
 	}
 	s.mu.Lock()
-	s.list = append(s.list, listed{instance: instance, at: time.Now()})
+	s.objects.Register(clock.FromTime(time.Now()), instance)
 	s.mu.Unlock()
-	reply(w, http.StatusOK, platform.Wire{})
+	replyAnswer(w, platform.Answer{Outcome: platform.Done})
 }
 
-// listInstances answers with the changes after since that the lag lets show.
-// The list's revision is the number of changes shown.
 func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.Atoi(r.URL.Query().Get("since"))
-	if err != nil || since < 0 {
+	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
-	shown := slices.IndexFunc(s.list, func(l listed) bool { return time.Since(l.at) < s.options.ListLag })
-	if shown < 0 {
-		shown = len(s.list)
-	}
-	wire := platform.Wire{Version: int64(shown), Instances: latest(s.list[min(since, shown):shown])}
+	answer := s.objects.ListInstances(clock.FromTime(time.Now().Add(-s.options.ListLag)), platform.ListInstances{Since: since})
 	s.mu.Unlock()
-	reply(w, http.StatusOK, wire)
-}
-
-// latest returns the last entry of each instance, in the order of the list.
-func latest(changes []listed) []platform.Instance {
-	var instances []platform.Instance
-	seen := map[string]bool{}
-	for _, change := range slices.Backward(changes) {
-		if !seen[change.instance.Name] {
-			seen[change.instance.Name] = true
-			instances = append(instances, change.instance)
-		}
-	}
-	slices.Reverse(instances)
-	return instances
+	replyAnswer(w, answer)
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
@@ -303,6 +254,22 @@
 	reply(w, http.StatusOK, counts)
 }
 
+// statuses are the HTTP statuses of the outcomes.
+var statuses = map[platform.Outcome]int{
+	platform.Done:     http.StatusOK,
+	platform.Absent:   http.StatusNotFound,
+	platform.Conflict: http.StatusConflict,
+}
+
+func replyAnswer(w http.ResponseWriter, answer platform.Answer) {
+	reply(w, statuses[answer.Outcome], platform.Wire{
+		Version:   answer.Version,
+		Value:     answer.Value,
+		Instances: answer.Instances,
+		Objects:   answer.Objects,
+	})
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,111 @@
+// Package store is the state of the stand-in for the platform, without HTTP and
+// without a clock: versioned objects with conditional updates, and an instance
+// list.
+//
+// # Usage
+//
+//	objects := store.New()
+//	answer := objects.Put(platform.Put{Name: "a", Value: value, IfVersion: platform.IfAbsent})
+package store
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// pageSize is how many objects one list has.
+const pageSize = 200
+
+// Store is the platform's state. It is not safe for concurrent use.
+type Store struct {
+	objects  map[string]platform.Object
+	revision int64
+	list     []change
+}
+
+// change is a change of the instance list and when it happened.
+type change struct {
+	instance platform.Instance
+	at       clock.Millis
+}
+
+// New returns an empty Store.
+func New() *Store {
+	return &Store{objects: map[string]platform.Object{}}
+}
+
+// Get reads an object.
+func (s *Store) Get(op platform.Get) platform.Answer {
+	object, ok := s.objects[op.Name]
+	if !ok {
+		return platform.Answer{Outcome: platform.Absent}
+	}
+	return platform.Answer{Outcome: platform.Done, Version: object.Version, Value: object.Value}
+}
+
+// Put writes an object when it has the expected version.
+func (s *Store) Put(op platform.Put) platform.Answer {
+	known := s.objects[op.Name]
+	if known.Version != op.IfVersion {
+		return platform.Answer{Outcome: platform.Conflict, Version: known.Version, Value: known.Value}
+	}
+	s.revision++
+	s.objects[op.Name] = platform.Object{Name: op.Name, Version: s.revision, Value: op.Value}
+	return platform.Answer{Outcome: platform.Done, Version: s.revision}
+}
+
+// Watch returns the object if its version is greater than the watch's, else
+// that there is nothing new.
+func (s *Store) Watch(op platform.Watch) platform.Answer {
+	answer := s.Get(platform.Get{Name: op.Name})
+	if answer.Version <= op.Since {
+		return platform.Answer{Outcome: platform.Absent}
+	}
+	return answer
+}
+
+// ListObjects reads the next page of the objects with the prefix.
+func (s *Store) ListObjects(op platform.ListObjects) platform.Answer {
+	var found []platform.Object
+	for name, object := range s.objects {
+		if strings.HasPrefix(name, op.Prefix) && name > op.After {
+			found = append(found, object)
+		}
+	}
+	slices.SortFunc(found, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	return platform.Answer{Outcome: platform.Done, Objects: found[:min(len(found), pageSize)]}
+}
+
+// Register changes the instance's entry of the list at now.
+func (s *Store) Register(now clock.Millis, instance platform.Instance) {
+	s.list = append(s.list, change{instance: instance, at: now})
+}
+
+// ListInstances reads the changes of the list after the operation's revision
+// that happened before the instant until. The list's revision is the number of
+// changes.
+func (s *Store) ListInstances(until clock.Millis, op platform.ListInstances) platform.Answer {
+	shown := slices.IndexFunc(s.list, func(c change) bool { return c.at > until })
+	if shown < 0 {
+		shown = len(s.list)
+	}
+	since := min(max(int(op.Since), 0), shown)
+	return platform.Answer{Outcome: platform.Done, Version: int64(shown), Instances: latest(s.list[since:shown])}
+}
+
+// latest returns the last entry of each instance, in the order of the list.
+func latest(changes []change) []platform.Instance {
+	var instances []platform.Instance
+	seen := map[string]bool{}
+	for _, change := range slices.Backward(changes) {
+		if !seen[change.instance.Name] {
+			seen[change.instance.Name] = true
+			instances = append(instances, change.instance)
+		}
+	}
+	slices.Reverse(instances)
+	return instances
+}
--- /dev/null
+++ b/internal/testkit/platform.go
@@ -0,0 +1,142 @@
+package testkit
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/standin/store"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// watchWait is the longest wait of a watch.
+const watchWait = 4 * clock.Second
+
+// Platform is the fake platform of a Fleet.
+type Platform struct {
+	Store *store.Store
+	// Down makes calls end without effect.
+	Down bool
+	// Slow is added before each call takes effect; when it is longer than the
+	// callers' timeout, the call takes effect after they have given it up.
+	Slow clock.Millis
+	// LoseAnswers is how many of the next writes take effect without an answer.
+	LoseAnswers int
+	// ListLag is how late the instance list shows a change.
+	ListLag clock.Millis
+	// Writes and Reads count calls.
+	Writes int
+	Reads  int
+
+	fleet    *Fleet
+	watchers []watcher
+}
+
+// watcher is a watch that waits.
+type watcher struct {
+	op    platform.Watch
+	reply func(platform.Answer)
+}
+
+func newPlatform(f *Fleet) *Platform {
+	return &Platform{Store: store.New(), ListLag: 200 * clock.Millisecond, fleet: f}
+}
+
+// call carries one call of a node.
+func (p *Platform) call(n *Node, call action.CallPlatform) {
+	answered := false
+	answer := func(answer platform.Answer) {
+		if answered {
+			return
+		}
+		answered = true
+		n.deliver(0, event.PlatformAnswered{Call: call.Call, Answer: answer})
+	}
+	timeout := platformTimeout
+	if _, ok := call.Op.(platform.Watch); ok {
+		timeout += watchWait
+	}
+	p.fleet.After(timeout, func() { answer(platform.Answer{Outcome: platform.Unknown}) })
+	if p.Down {
+		p.fleet.After(PlatformLatency, func() { answer(platform.Answer{Outcome: platform.Refused}) })
+		return
+	}
+	if p.unreachable(n) {
+		return
+	}
+	p.fleet.After(PlatformLatency+p.Slow, func() {
+		if !p.Down {
+			p.arrive(n, call.Op, answer)
+		}
+	})
+}
+
+func (p *Platform) unreachable(n *Node) bool {
+	return p.fleet.isCut(n.domain, PlatformDomain)
+}
+
+// arrive lets the call take effect and sends its answer back.
+func (p *Platform) arrive(n *Node, op platform.Op, answer func(platform.Answer)) {
+	reply := func(result platform.Answer) {
+		p.fleet.After(PlatformLatency, func() {
+			if !p.unreachable(n) {
+				answer(result)
+			}
+		})
+	}
+	switch op := op.(type) {
+	case platform.Put:
+		p.put(op, reply)
+	case platform.Watch:
+		p.watch(op, reply)
+	default:
+		p.Reads++
+		reply(p.read(op))
+	}
+}
+
+func (p *Platform) read(op platform.Op) platform.Answer {
+	switch op := op.(type) {
+	case platform.Get:
+		return p.Store.Get(op)
+	case platform.ListObjects:
+		return p.Store.ListObjects(op)
+	case platform.ListInstances:
+		return p.Store.ListInstances(p.fleet.Now-p.ListLag, op)
+	default:
+		return platform.Answer{Outcome: platform.Refused}
+	}
+}
+
+func (p *Platform) put(op platform.Put, reply func(platform.Answer)) {
+	p.Writes++
+	result := p.Store.Put(op)
+	p.notify()
+	if p.LoseAnswers > 0 {
+		p.LoseAnswers--
+		return
+	}
+	reply(result)
+}
+
+func (p *Platform) watch(op platform.Watch, reply func(platform.Answer)) {
+	p.Reads++
+	if result := p.Store.Watch(op); result.Outcome == platform.Done {
+		reply(result)
+		return
+	}
+	p.watchers = append(p.watchers, watcher{op: op, reply: reply})
+	p.fleet.After(watchWait, func() { reply(platform.Answer{Outcome: platform.Absent}) })
+}
+
+// notify answers the watches that have something new.
+func (p *Platform) notify() {
+	var waiting []watcher
+	for _, watcher := range p.watchers {
+		if result := p.Store.Watch(watcher.op); result.Outcome == platform.Done {
+			watcher.reply(result)
+			continue
+		}
+		waiting = append(waiting, watcher)
+	}
+	p.watchers = waiting
+}
--- /dev/null
+++ b/internal/testkit/sample.go
@@ -0,0 +1,58 @@
+package testkit
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+)
+
+// Sample returns a configuration of the failure domains with a model route, a
+// service route whose calls may not be repeated, one whose calls may, and the
+// team "press" with the rate and burst in tokens.
+func Sample(rate, burst int64, domains ...string) config.Config {
+	configuration := config.Defaults()
+	configuration.Domains = domains
+	configuration.Classes["quick"] = config.ClassDefaults("quick")
+	configuration.Teams["press"] = config.Team{Name: "press", Rate: rate, Burst: burst}
+	verdict := config.RouteDefaults("verdict")
+	verdict.Class = "quick"
+	verdict.Model = "verdict"
+	configuration.Routes["verdict"] = verdict
+	orders := config.RouteDefaults("orders")
+	orders.Kind = config.KindService
+	orders.Class = "quick"
+	orders.Service = "ordering"
+	orders.Path = "/orders"
+	orders.Repeatable = false
+	configuration.Routes["orders"] = orders
+	stock := orders
+	stock.Name = "stock"
+	stock.Path = "/stock"
+	stock.Repeatable = true
+	configuration.Routes["stock"] = stock
+	return configuration
+}
+
+// Order returns an order of the team "press" with the idempotency key.
+func Order(key string) event.RequestArrived {
+	return event.RequestArrived{
+		Key:            secret.New("key-press"),
+		Service:        "ordering",
+		Method:         "POST",
+		Path:           "/orders",
+		IdempotencyKey: key,
+		Fingerprint:    "order " + key,
+	}
+}
+
+// Verdict returns a model request of the team "press".
+func Verdict(promptTokens, maxTokens int64) event.RequestArrived {
+	return event.RequestArrived{
+		Key:          secret.New("key-press"),
+		Model:        "verdict",
+		PromptTokens: promptTokens,
+		MaxTokens:    maxTokens,
+		Chain:        []uint64{1, 2},
+		Fingerprint:  "verdict",
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -9,7 +9,7 @@
 //
 //	known := tracker.New("split-a-1", "split-a")
 //	known.Listed(now, instances)
-//	servers := known.Engines(now, "scarp")
+//	servers := known.Prefer(now, known.Engines("scarp"))
 package tracker
 
 import (
@@ -158,23 +158,29 @@
 	return server, ok
 }
 
-// Engines returns the servers that may be given work for the model.
-func (t *Tracker) Engines(now clock.Millis, model string) []Server {
-	return t.usable(now, func(s Server) bool { return s.serves(model) })
+// Engines returns the live servers that serve the model.
+func (t *Tracker) Engines(model string) []Server {
+	return t.live(func(s Server) bool { return s.serves(model) })
 }
 
-// Services returns the servers that may be given work for the plain service.
-func (t *Tracker) Services(now clock.Millis, service string) []Server {
-	return t.usable(now, func(s Server) bool { return s.Role == platform.RoleService && s.Service == service })
+// Services returns the live servers of the plain service.
+func (t *Tracker) Services(service string) []Server {
+	return t.live(func(s Server) bool { return s.Role == platform.RoleService && s.Service == service })
 }
 
-// usable returns the live servers that match: those of the own failure domain
-// that are not suspect, else those of other domains, else the suspect ones.
-func (t *Tracker) usable(now clock.Millis, match func(Server) bool) []Server {
+func (t *Tracker) live(match func(Server) bool) []Server {
+	return slices.DeleteFunc(t.Servers(), func(s Server) bool {
+		return s.State != platform.StateLive || !match(s)
+	})
+}
+
+// Prefer returns those of the servers to choose from: the ones of the own
+// failure domain that are not suspect, else those of other domains, else the
+// suspect ones.
+func (t *Tracker) Prefer(now clock.Millis, servers []Server) []Server {
 	var near, far, suspect []Server
-	for _, server := range t.Servers() {
+	for _, server := range servers {
 		switch {
-		case server.State != platform.StateLive || !match(server):
 		case server.Suspect(now):
 			suspect = append(suspect, server)
 		case server.Domain == t.domain:
