Watch the manifest by its object's version, not by its revision

Cause: the watch was asked since the manifest's own revision, which is smaller than the platform's version of the object, so each watch was answered at once and asked again. Found by profiling a slow test: half of its time was spent in decoding the same manifest.

Ruled out: the fake platform's watch (the HTTP stand-in does the same with the same numbers).

A new test holds calm calls to the platform's rates at the target size: it failed before.

Conclusion: versions of the platform and revisions of ours are different numbers; only the first goes into calls.

--- /dev/null
+++ b/internal/router/calm_test.go
@@ -0,0 +1,32 @@
+package router_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// TestCalmFleetCallsPlatformSeldom holds the calls that instances make without
+// any work to a part of the platform's rates: several hundred writes and about
+// two thousand reads a second for 380 instances in 12 failure domains.
+func TestCalmFleetCallsPlatformSeldom(t *testing.T) {
+	const (
+		instances       = 3
+		domains         = 3
+		targetInstances = 380
+		targetDomains   = 12
+		readsPerSecond  = 2000
+		writesPerSecond = 300
+		seconds         = 60
+	)
+	fleet := newFleet(1, 3000, 30000)
+	reads, writes := fleet.Platform.Reads, fleet.Platform.Writes
+	fleet.RunFor(seconds * clock.Second)
+	reads = fleet.Platform.Reads - reads
+	writes = fleet.Platform.Writes - writes
+	require.Less(t, reads*targetInstances, readsPerSecond*seconds*instances, "reads of the platform")
+	require.Less(t, writes*targetDomains, writesPerSecond*seconds*domains, "writes to the platform")
+	t.Logf("reads a second and instance: %.2f, writes a second and domain: %.2f", float64(reads)/seconds/instances, float64(writes)/seconds/domains)
+}
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -62,7 +62,7 @@
 		return
 	}
 	r.watching = true
-	r.call(watchCall{}, platform.Watch{Name: sharder.ManifestName, Since: r.manifest.Revision})
+	r.call(watchCall{}, platform.Watch{Name: sharder.ManifestName, Since: r.seenVersion})
 }
 
 func (r *Router) watched(answer platform.Answer) {
@@ -79,6 +79,7 @@
 	if answer.Outcome != platform.Done || len(answer.Value) == 0 {
 		return
 	}
+	r.seenVersion = answer.Version
 	manifest, err := sharder.DecodeManifest(answer.Value)
 	if err != nil {
 		r.rejectConfig(err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,6 +82,8 @@
 	configuration config.Config
 	values        map[string][]byte // values are the shards in force, by digest.
 	pending       *pendingConfig
+	// seenVersion is the version of the manifest's object that was last read.
+	seenVersion int64
 
 	flights    map[string]*flight
 	drawers    map[string]string // drawers are requests by their open draw.
