Prove at most one run of an order under every fault at every step

Change: 19 faults at 40 steps over the state machines, pairs of them drawn with a seed, each row with a caller that repeats its order through the next instance, also when told not to; the dangerous rows and the graceful shutdown with real processes.

--- a/cmd/hyssopdoor/fleet_test.go
+++ b/cmd/hyssopdoor/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -246,18 +245,16 @@
 	return alive == len(s.entries)-1
 }
 
-// request sends a request to the named instance.
+// request sends a request to the named instance, which must answer.
 func (s *system) request(name, method, path, body string, header http.Header) (*http.Response, string) {
 	s.t.Helper()
-	request, err := http.NewRequest(method, "http://"+s.entries[name].callers+path, bytes.NewReader([]byte(body)))
+	response, answer, err := s.send(name, method, path, body, header)
 	require.NoError(s.t, err)
-	request.Header = header
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(s.t, err)
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	require.NoError(s.t, err)
-	return response, string(answer)
+	return response, answer
+}
+
+func (s *system) send(name, method, path, body string, header http.Header) (*http.Response, string, error) {
+	return sendTo(context.Background(), s.entries[name].callers, method, path, body, header)
 }
 
 func (s *system) keyed() http.Header {
--- a/cmd/hyssopdoor/once.go
+++ b/cmd/hyssopdoor/once.go
@@ -65,7 +65,12 @@
 }
 
 func (t *trial) send(ctx context.Context, method, path, body string, header http.Header) (*http.Response, string, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+t.running.Addresses().Callers+path, strings.NewReader(body))
+	return sendTo(ctx, t.running.Addresses().Callers, method, path, body, header)
+}
+
+// sendTo sends a request to the address and reads the whole answer.
+func sendTo(ctx context.Context, address, method, path, body string, header http.Header) (*http.Response, string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return nil, "", err
 	}
@@ -139,20 +144,11 @@
 
 func checkRecords(ctx context.Context, t *trial) (string, error) {
 	service := t.standIns[len(t.standIns)-1]
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, service.URL()+"/records", nil)
-	if err != nil {
-		return "", err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "", err
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
+	_, answer, err := sendTo(ctx, service.Address(), http.MethodGet, "/records", "", http.Header{})
 	if err != nil {
 		return "", err
 	}
-	text := strings.TrimSpace(string(answer))
+	text := strings.TrimSpace(answer)
 	if !strings.Contains(text, `"total":1,"doubles":0`) || !strings.Contains(text, `"sawAuthorization":0`) {
 		return text, errors.New("the service has not recorded exactly one order, without a key")
 	}
--- /dev/null
+++ b/internal/router/matrix_test.go
@@ -0,0 +1,362 @@
+package router_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// outage is how long a fault that heals lasts: longer than a lease.
+const outage = 5 * clock.Second
+
+// fault is one fault of the matrix; it heals by itself.
+type fault func(f *testkit.Fleet)
+
+// kill ends the named instance and starts it anew after the outage.
+func kill(name string) fault {
+	return func(f *testkit.Fleet) {
+		f.Nodes[name].Kill()
+		f.After(outage, func() {
+			if !f.Nodes[name].Up {
+				f.Nodes[name].Restart()
+			}
+		})
+	}
+}
+
+func freeze(name string) fault {
+	return func(f *testkit.Fleet) {
+		f.Nodes[name].Freeze()
+		f.After(outage, f.Nodes[name].Thaw)
+	}
+}
+
+func cut(a string, others ...string) fault {
+	return func(f *testkit.Fleet) {
+		for _, other := range others {
+			f.Cut(a, other, true)
+		}
+		f.After(outage, func() {
+			for _, other := range others {
+				f.Cut(a, other, false)
+			}
+		})
+	}
+}
+
+// crash ends the services or engines whose names have the prefix.
+func crash(prefix string) fault {
+	return func(f *testkit.Fleet) {
+		for _, name := range slices.Sorted(maps.Keys(f.Servers)) {
+			if strings.HasPrefix(name, prefix) {
+				f.Servers[name].Crash()
+				f.After(clock.Second, f.Servers[name].Start)
+			}
+		}
+	}
+}
+
+func eachServer(change func(*testkit.Server)) fault {
+	return func(f *testkit.Fleet) {
+		for _, name := range slices.Sorted(maps.Keys(f.Servers)) {
+			change(f.Servers[name])
+		}
+	}
+}
+
+// faults are the faults of the matrix, each at one step. Instance a-1 is the
+// gateway of the request; a-2 stands beside it in its failure domain.
+var faults = map[string]fault{
+	"gateway killed":       kill("a-1"),
+	"neighbour killed":     kill("a-2"),
+	"gateway frozen":       freeze("a-1"),
+	"neighbour frozen":     freeze("a-2"),
+	"domain cut platform":  cut("a", testkit.PlatformDomain),
+	"domain cut others":    cut("a", "b", "c"),
+	"domain cut from both": cut("a", testkit.PlatformDomain, "b", "c"),
+	"servers crash":        crash(""),
+	"near server crashes":  crash("ordering-a"),
+	"cut before the run":   eachServer(func(s *testkit.Server) { s.CutBefore++ }),
+	"cut after the run":    eachServer(func(s *testkit.Server) { s.CutAfter++ }),
+	"crossed answer":       eachServer(func(s *testkit.Server) { s.Crossed++ }),
+	"platform down": func(f *testkit.Fleet) {
+		f.Platform.Down = true
+		f.After(outage, func() { f.Platform.Down = false })
+	},
+	"platform slow": func(f *testkit.Fleet) {
+		f.Platform.Slow = 300 * clock.Millisecond
+		f.After(outage, func() { f.Platform.Slow = 0 })
+	},
+	"platform slower than the timeout": func(f *testkit.Fleet) {
+		f.Platform.Slow = 700 * clock.Millisecond
+		f.After(outage, func() { f.Platform.Slow = 0 })
+	},
+	"platform's answer lost": func(f *testkit.Fleet) { f.Platform.LoseAnswers++ },
+	"two answers lost":       func(f *testkit.Fleet) { f.Platform.LoseAnswers += 2 },
+	"list late": func(f *testkit.Fleet) {
+		f.Platform.ListLag = outage
+		f.Servers["ordering-a"].Leave()
+	},
+	"operators race": func(f *testkit.Fleet) {
+		for _, node := range []string{"b-1", "c-1"} {
+			f.Operate(node, event.ConfigSubmitted{Operation: "race-" + node, Config: testkit.Sample(3000, 30001, "a", "b", "c")})
+		}
+	},
+}
+
+// newMatrixFleet returns two instances in domain a and one in b and in c, each
+// domain with an engine and a service.
+func newMatrixFleet(seed uint64, repeatableOrders bool) *testkit.Fleet {
+	fleet := testkit.NewFleet(seed)
+	for _, name := range []string{"a-1", "a-2", "b-1", "c-1"} {
+		fleet.AddNode(name, name[:1])
+	}
+	for _, domain := range []string{"a", "b", "c"} {
+		fleet.AddService("ordering-"+domain, domain, "ordering")
+		fleet.AddEngine("engine-"+domain, domain, "verdict")
+	}
+	fleet.RunFor(clock.Second)
+	configuration := testkit.Sample(3000, 30000, "a", "b", "c")
+	orders := configuration.Routes["orders"]
+	orders.Repeatable = repeatableOrders
+	configuration.Routes["orders"] = orders
+	fleet.Configure("a-1", configuration)
+	fleet.Trace = nil
+	return fleet
+}
+
+// caller sends an order, and sends it again through the next instance when its
+// connection is lost, when it is told to come back, and a few times though it is
+// not.
+type caller struct {
+	fleet    *testkit.Fleet
+	requests []*testkit.Request
+	next     int
+	sentAt   clock.Millis
+	stubborn int
+	finished bool
+}
+
+// callerTimeout is when a caller without any answer ends.
+const callerTimeout = clock.Minute
+
+// maxStubborn is how often a caller comes back though nobody told it to.
+const maxStubborn = 3
+
+// maxTries bounds what a caller sends.
+const maxTries = 12
+
+func (c *caller) send() {
+	nodes := []string{"a-1", "a-2", "b-1", "c-1"}
+	node := nodes[c.next%len(nodes)]
+	c.next++
+	c.sentAt = c.fleet.Now
+	c.requests = append(c.requests, c.fleet.Send(node, testkit.Order("k")))
+	c.look()
+}
+
+// look waits for the end of the last request.
+func (c *caller) look() {
+	last := c.requests[len(c.requests)-1]
+	if !last.Ended && c.fleet.Now.Since(c.sentAt) < callerTimeout {
+		c.fleet.After(50*clock.Millisecond, c.look)
+		return
+	}
+	again := last.Lost || (last.Refused() && last.Refusal.RetryAfter > 0)
+	if !again && last.Refused() && c.stubborn < maxStubborn {
+		c.stubborn++
+		again = true
+	}
+	if again && len(c.requests) < maxTries {
+		c.fleet.After(max(last.Refusal.RetryAfter, clock.Second), c.send)
+		return
+	}
+	c.finished = true
+}
+
+// row is one run of the matrix.
+type row struct {
+	seed       uint64
+	faults     []string
+	steps      []int
+	repeatable bool
+}
+
+func (r row) String() string {
+	return fmt.Sprintf("seed %d, faults %q at steps %v", r.seed, r.faults, r.steps)
+}
+
+// run runs an order under the faults, each before its step counted from the
+// order's arrival.
+func (r row) run() (*testkit.Fleet, *caller) {
+	fleet := newMatrixFleet(r.seed, r.repeatable)
+	first := fleet.Steps
+	fleet.BeforeStep = func(step int) {
+		for i, at := range r.steps {
+			if step-first == at {
+				faults[r.faults[i]](fleet)
+			}
+		}
+	}
+	c := &caller{fleet: fleet}
+	c.send()
+	for !c.finished {
+		fleet.RunFor(clock.Second)
+	}
+	fleet.RunFor(2 * outage)
+	return fleet, c
+}
+
+// orderSteps is the number of steps of an order without faults, from its
+// arrival to a little after its answer.
+const orderSteps = 40
+
+// checkOrder checks what must always hold for an order and its repeats.
+func checkOrder(fleet *testkit.Fleet, c *caller) error {
+	runs := fleet.TotalRuns("order k")
+	if runs > 1 {
+		return fmt.Errorf("the order ran %d times", runs)
+	}
+	for _, request := range c.requests {
+		id := request.Arrival.Request
+		ran := fleet.TotalRunsOf(id)
+		switch {
+		case !request.Ended:
+			return fmt.Errorf("request %s has no final answer", id)
+		case request.Answered() && runs != 1:
+			return fmt.Errorf("request %s is acknowledged, but the order ran %d times", id, runs)
+		case request.Answered() && !strings.HasPrefix(string(request.Answer.Body), "ran "):
+			return fmt.Errorf("request %s got the answer %q of another request", id, request.Answer.Body)
+		case request.Refused() && request.Refusal.NotRun && ran > 0:
+			return fmt.Errorf("request %s was refused as not run, but ran %d times", id, ran)
+		}
+	}
+	return nil
+}
+
+// verdict is how one row ended.
+type verdict struct {
+	row   row
+	err   error
+	trace []string
+	end   string
+	runs  int
+}
+
+func judge(r row) verdict {
+	fleet, c := r.run()
+	return verdict{row: r, err: checkOrder(fleet, c), trace: fleet.Trace, end: c.end(), runs: fleet.TotalRuns("order k")}
+}
+
+// end tells how the caller's last request ended.
+func (c *caller) end() string {
+	last := c.requests[len(c.requests)-1]
+	switch {
+	case last.Answered():
+		return "answered"
+	case last.Refusal.Code == action.CodeOutcomeUnknown:
+		return "outcome unknown"
+	default:
+		return "given up " + string(last.Refusal.Code)
+	}
+}
+
+// judgeRows runs the rows on all cores.
+func judgeRows(rows []row) []verdict {
+	verdicts := make([]verdict, len(rows))
+	var next atomic.Int64
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for i := next.Add(1) - 1; i < int64(len(rows)); i = next.Add(1) - 1 {
+				verdicts[i] = judge(rows[i])
+			}
+		})
+	}
+	workers.Wait()
+	return verdicts
+}
+
+// report fails the test for the first rows that broke a promise, with their
+// traces.
+func report(t *testing.T, verdicts []verdict) {
+	t.Helper()
+	const shown = 3
+	ends := map[string]int{}
+	broken := 0
+	for _, v := range verdicts {
+		ends[v.end]++
+		if v.err == nil {
+			continue
+		}
+		broken++
+		if broken <= shown {
+			t.Errorf("%s: %s\n%s", v.row, v.err, strings.Join(v.trace, "\n"))
+		}
+	}
+	require.Zero(t, broken, "rows that broke a promise, of %d", len(verdicts))
+	t.Logf("%d rows; what the callers met last: %v", len(verdicts), ends)
+}
+
+func singleRows(repeatable bool) []row {
+	var rows []row
+	for _, name := range slices.Sorted(maps.Keys(faults)) {
+		for step := range orderSteps {
+			rows = append(rows, row{seed: 1, faults: []string{name}, steps: []int{step}, repeatable: repeatable})
+		}
+	}
+	return rows
+}
+
+// TestOrderUnderEachFaultAtEachStep runs an order under every fault at every
+// step of its life.
+func TestOrderUnderEachFaultAtEachStep(t *testing.T) {
+	report(t, judgeRows(singleRows(false)))
+}
+
+// TestOrderDoublesWithoutRecord shows that the matrix finds doubled orders when
+// the calls are not recorded.
+func TestOrderDoublesWithoutRecord(t *testing.T) {
+	doubled := 0
+	verdicts := judgeRows(singleRows(true))
+	for _, v := range verdicts {
+		if v.runs > 1 {
+			doubled++
+		}
+	}
+	require.Positive(t, doubled, "the matrix must be able to find a doubled order")
+	t.Logf("orders that ran more than once without the record: %d of %d rows", doubled, len(verdicts))
+}
+
+// pairRows is how many rows with two faults are drawn.
+var pairRows = flag.Int("pairs", 1500, "rows with two faults to draw")
+
+// TestOrderUnderPairsOfFaults runs an order under pairs of faults, drawn with a
+// fixed seed.
+func TestOrderUnderPairsOfFaults(t *testing.T) {
+	source := rand.New(rand.NewPCG(1, 2))
+	names := slices.Sorted(maps.Keys(faults))
+	rows := make([]row, *pairRows)
+	for i := range rows {
+		rows[i] = row{
+			seed:   source.Uint64(),
+			faults: []string{names[source.IntN(len(names))], names[source.IntN(len(names))]},
+			steps:  []int{source.IntN(orderSteps), source.IntN(3 * orderSteps)},
+		}
+	}
+	report(t, judgeRows(rows))
+}
