--- a/internal/config/class.go
+++ b/internal/config/class.go
@@ -27,6 +27,7 @@
 
 func (c Class) validate(locate Locator, findings *collector.Collector) {
 	section := "class " + c.Name
+	validateName(c.Name, locate(section, ""), findings)
 	if c.FirstToken <= 0 {
 		findings.Add(locate(section, "firstToken"), "is not a positive time", "give a time such as 1600ms")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -103,5 +103,6 @@
 			findings.Add(place, "names "+domain+" twice", "list each failure domain once")
 		}
 		seen[domain] = true
+		validateName(domain, place, findings)
 	}
 }
--- a/internal/config/route.go
+++ b/internal/config/route.go
@@ -51,6 +51,7 @@
 
 func (r Route) validate(c Config, locate Locator, findings *collector.Collector) {
 	section := "route " + r.Name
+	validateName(r.Name, locate(section, ""), findings)
 	if _, ok := c.Classes[r.Class]; !ok {
 		findings.Add(locate(section, "class"), "names the unknown class "+quote(r.Class), "name a class that has a section [class NAME]")
 	}
--- a/internal/config/team.go
+++ b/internal/config/team.go
@@ -21,6 +21,7 @@
 
 func (t Team) validate(locate Locator, findings *collector.Collector) {
 	section := "team " + t.Name
+	validateName(t.Name, locate(section, ""), findings)
 	if t.Rate <= 0 || t.Rate > maxTokens {
 		findings.Add(locate(section, "rate"), "is not between 1 and 1000000000000", "give the tokens a second that the team may use")
 	}
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
@@ -55,7 +57,7 @@
 	if refusal != nil {
 		return input{}, refusal
 	}
-	return read, read.refuseStrayKey(r.URL)
+	return read, read.refuseStrayKey(r)
 }
 
 func readKey(field string) (secret.Secret, *action.Refusal) {
@@ -84,17 +86,36 @@
 
 // refuseStrayKey refuses a request whose key also stands where a backend
 // server would see it.
-func (i input) refuseStrayKey(target *url.URL) *action.Refusal {
+func (i input) refuseStrayKey(r *http.Request) *action.Refusal {
 	if i.key.Empty() {
 		return nil
 	}
 	key := i.key.Reveal()
-	query, err := url.QueryUnescape(target.RawQuery)
+	query, err := url.QueryUnescape(r.URL.RawQuery)
 	if err != nil {
 		return invalid("the query is malformed")
 	}
-	if strings.Contains(target.Path, key) || strings.Contains(query, key) || bytes.Contains(i.body, []byte(key)) {
-		return invalid("the key stands in the path, the query or the body; send it in the Authorization header only")
+	passed := []string{r.URL.Path, query, r.Header.Get("Content-Type"), r.Header.Get("Accept"), r.Header.Get("Accept-Language")}
+	stray := slices.ContainsFunc(passed, func(text string) bool { return strings.Contains(text, key) })
+	if stray || bytes.Contains(i.body, []byte(key)) || bytes.Contains(unescaped(i.body), []byte(key)) {
+		return invalid("the key stands in the path, the query, the body or another header; send it in the Authorization header only")
 	}
 	return nil
 }
+
+// unescaped returns a JSON body with its characters as they are, when it has
+// escaped ones.
+func unescaped(body []byte) []byte {
+	if !bytes.Contains(body, []byte(`\u`)) {
+		return nil
+	}
+	var value any
+	if json.Unmarshal(body, &value) != nil {
+		return nil
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
