Go on with a domain's rates through an outage of the platform

Cause: a holder's lease ran out 3 s into any outage, so every request was refused until the platform came back, although nobody could have taken the rights over meanwhile. After the outage a holder waited as long as a taker.

Change: a holding goes on while no instance of the domain that is heard reaches the platform; it ends 1.5 s after the first that does, or when the process was paused. A taker must see the platform without a gap for 3.25 s, and takes nothing that a live peer says it holds. A holder whose lease lapsed and that nobody followed renews at once under its term. A new instance asks its seeds and peers at once and is told all holders; it counts as ready when it knows them.

Ruled out: promises of all peers (a dead peer would end the holding), rights without leases (an instance that leaves the list may still run).

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -132,7 +132,7 @@
 	case http.StatusConflict:
 		answer.Outcome = platform.Conflict
 	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
-		return platform.Answer{Outcome: platform.Refused}
+		return platform.Answer{Outcome: platform.Refused, Reached: true}
 	default:
 		return platform.Answer{Outcome: platform.Unknown}
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -34,6 +34,9 @@
 	takeAfter = TTL + 250*clock.Millisecond
 	// readEvery is the time between reads of an instance that wants the lease.
 	readEvery = clock.Second
+	// maxReadGap is the longest time between reads that count as seeing the
+	// object without a gap.
+	maxReadGap = 2 * readEvery
 	// retryWrite is the time from a failed update to the next.
 	retryWrite = 250 * clock.Millisecond
 )
@@ -56,7 +59,9 @@
 	known   bool
 	record  Record
 	version int64
-	seenAt  clock.Millis // seenAt is when this version was first seen.
+	readAt  clock.Millis // readAt is when the object was last read.
+	// seenAt is since when this version has been seen without a gap.
+	seenAt clock.Millis
 
 	// readDue and writeDue are when the next call of each kind may be made.
 	readDue  clock.Millis
@@ -144,7 +149,7 @@
 	if !l.known || now >= l.readDue {
 		return l.readOrWait(now)
 	}
-	free := l.version == platform.IfAbsent || l.record.Holder == ""
+	free := l.version == platform.IfAbsent || l.record.Holder == "" || l.record.Holder == l.self
 	due := l.seenAt.Add(takeAfter)
 	if free {
 		due = l.seenAt
@@ -153,7 +158,16 @@
 	if now < due {
 		return Wait{Until: min(l.readDue, due)}
 	}
-	return Write{Record: Record{Holder: l.self, Term: l.record.Term + 1}, IfVersion: l.version}
+	return Write{Record: l.taken(), IfVersion: l.version}
+}
+
+// taken returns the record that takes the lease. A lapsed lease that nobody else
+// has taken goes on under the same term.
+func (l Lease) taken() Record {
+	if l.record.Holder == l.self {
+		return l.record
+	}
+	return Record{Holder: l.self, Term: l.record.Term + 1}
 }
 
 func (l Lease) readOrWait(now clock.Millis) Step {
@@ -174,8 +188,13 @@
 	l.busy = false
 	l.readDue = now.Add(readEvery)
 	if answer.Failed() {
+		l.known = false
 		return l
 	}
+	if now.Since(l.readAt) > maxReadGap {
+		l.known = false
+	}
+	l.readAt = now
 	if answer.Outcome == platform.Absent {
 		return l.withSeen(now, platform.IfAbsent, Record{})
 	}
--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -36,6 +36,8 @@
 // Answer is the platform's answer to one call.
 type Answer struct {
 	Outcome Outcome
+	// Reached tells that the platform itself refused the call, for its limits.
+	Reached bool
 	// Version and Value are the object's after the call.
 	Version int64
 	Value   []byte
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -64,8 +64,9 @@
 
 // notePlatform logs when the platform goes out of reach and comes back.
 func (r *Router) notePlatform(answer platform.Answer) {
-	down := answer.Failed()
+	down := answer.Failed() && !answer.Reached
 	if down == r.platformDown {
+		r.noteOutage()
 		return
 	}
 	r.platformDown = down
@@ -74,4 +75,6 @@
 		number = journal.PlatformFailed
 	}
 	r.log(journal.New(number, "").With("outcome", answer.Outcome))
+	r.beat()
+	r.noteOutage()
 }
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -27,6 +27,7 @@
 // heartbeat sends one heartbeat and asks for the next.
 func (r *Router) heartbeat() {
 	r.known.Expire(r.now)
+	r.noteOutage()
 	r.beat()
 	r.after(heartbeatEvery, heartbeatDue{})
 }
@@ -71,9 +72,22 @@
 		Leaving:      r.draining,
 		PlatformDown: r.platformDown,
 		Holdings:     r.ownHoldings(),
+		Sequence:     int64(r.beats),
 	}
 }
 
+// welcome is the answer to a peer that has just started: all known holders.
+func (r *Router) welcome() *peerv1.Message {
+	body := r.heartbeatBody()
+	for _, key := range r.sortedHoldings() {
+		if key.domain != r.settings.Domain {
+			holding := r.holdings[key]
+			body.Holdings = append(body.Holdings, &peerv1.Holding{Domain: key.domain, Shard: key.shard, Instance: holding.GetInstance(), Term: holding.GetTerm()})
+		}
+	}
+	return &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: body}}
+}
+
 func (r *Router) peerMessage(happened event.PeerMessage) {
 	switch body := happened.Message.GetBody().(type) {
 	case *peerv1.Message_Heartbeat:
@@ -102,7 +116,11 @@
 }
 
 func (r *Router) heartbeatHeard(from string, beat *peerv1.Heartbeat) {
-	_, met := r.known.Peer(from)
+	known, met := r.known.Peer(from)
+	met = met && known.Incarnation == beat.GetIncarnation()
+	if met && beat.GetSequence() < known.Sequence {
+		return
+	}
 	peer := tracker.Peer{
 		Name:         from,
 		Domain:       beat.GetDomain(),
@@ -111,14 +129,16 @@
 		Leaving:      beat.GetLeaving(),
 		PlatformDown: beat.GetPlatformDown(),
 		Revision:     beat.GetRevision(),
+		Sequence:     beat.GetSequence(),
 	}
 	r.known.Heard(r.now, peer)
-	r.noteHoldings(peer.Domain, beat.GetHoldings())
+	r.noteHoldings(peer, beat.GetHoldings())
+	r.noteOutage()
 	if peer.Revision > r.manifest.Revision {
 		r.send(peer, &peerv1.Message{Body: &peerv1.Message_ConfigRequest{ConfigRequest: &peerv1.ConfigRequest{Revision: r.manifest.Revision}}})
 	}
-	if !met || (peer.Revision < r.manifest.Revision && !r.ready()) {
-		r.send(peer, &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: r.heartbeatBody()}})
+	if !met {
+		r.send(peer, r.welcome())
 	}
 }
 
@@ -128,7 +148,11 @@
 
 func (r *Router) instancesListed(answer platform.Answer) {
 	if answer.Outcome == platform.Done {
+		first := r.known.ListRevision() == 0
 		r.known.Listed(answer.Version, answer.Instances)
+		if first {
+			r.beat()
+		}
 	}
 	r.after(listEvery, instancesDue{})
 }
--- a/internal/router/leases.go
+++ b/internal/router/leases.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
@@ -9,6 +12,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
 	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 )
 
 // rightsKey keeps the ranks for rights apart from those for other roles.
@@ -29,7 +33,7 @@
 func (r *Router) leaseStep(shard int) {
 	r.leaseTurns[shard]++
 	lease := r.leases[shard]
-	wanted := !r.draining && r.ready() && (r.rights.Holds(shard) || r.rank(rightsKey+uint64(shard)) == 0)
+	wanted := !r.draining && r.ready() && (r.rights.Holds(shard) || (r.rank(rightsKey+uint64(shard)) == 0 && !r.claimed(shard)))
 	lease = lease.WithWanted(wanted)
 	r.dropLapsed(shard)
 	switch step := lease.Next(r.now).(type) {
@@ -76,6 +80,9 @@
 func (r *Router) leaseWritten(call leaseWriteCall, answer platform.Answer) {
 	shard := call.shard
 	r.leases[shard] = r.leases[shard].WithWritten(call.asked, r.now, call.write, answer)
+	if r.leases[shard].Held(r.now) {
+		r.paused = false
+	}
 	if r.leases[shard].Held(r.now) && !r.rights.Holds(shard) && !r.draining {
 		r.takeRights(shard, call.write.IfVersion == platform.IfAbsent)
 	}
@@ -94,9 +101,10 @@
 	r.beat()
 }
 
-// dropLapsed drops rights whose lease has run out.
+// dropLapsed drops rights whose lease has run out, unless nobody can take them
+// over.
 func (r *Router) dropLapsed(shard int) {
-	if r.rights.Holds(shard) && !r.leases[shard].Held(r.now) {
+	if r.rights.Holds(shard) && !r.leases[shard].Held(r.now) && !r.outage() {
 		r.dropRights(shard)
 	}
 }
@@ -116,26 +124,45 @@
 	if name == "" || name == r.settings.Name {
 		return
 	}
-	r.noteHoldings(r.settings.Domain, []*peerv1.Holding{{Shard: int32(shard), Instance: name, Term: lease.Term()}})
+	r.noteHolding(r.settings.Domain, &peerv1.Holding{Shard: int32(shard), Instance: name, Term: lease.Term()})
 }
 
-// noteHoldings keeps what is new about the holders of a domain.
-func (r *Router) noteHoldings(domain string, holdings []*peerv1.Holding) {
+// noteHoldings keeps what is new about holders: of the peer's domain, where a
+// holding names no other.
+func (r *Router) noteHoldings(from tracker.Peer, holdings []*peerv1.Holding) {
 	for _, holding := range holdings {
 		if holding.GetShard() < 0 || holding.GetShard() >= limiter.Shards {
 			continue
 		}
-		key := holdingKey{domain: domain, shard: holding.GetShard()}
-		known, ok := r.holdings[key]
-		if !ok && len(r.holdings) >= maxHoldings {
-			return
+		domain := from.Domain
+		if holding.GetDomain() != "" {
+			domain = holding.GetDomain()
 		}
-		if holding.GetTerm() >= known.GetTerm() {
-			r.holdings[key] = holding
+		r.noteHolding(domain, holding)
+		if domain == r.settings.Domain && holding.GetInstance() == from.Name {
+			r.noteClaim(int(holding.GetShard()), from.Name)
 		}
 	}
 }
 
+func (r *Router) noteHolding(domain string, holding *peerv1.Holding) {
+	key := holdingKey{domain: domain, shard: holding.GetShard()}
+	known, ok := r.holdings[key]
+	if !ok && len(r.holdings) >= maxHoldings {
+		return
+	}
+	if holding.GetTerm() >= known.GetTerm() {
+		r.holdings[key] = holding
+	}
+}
+
+// sortedHoldings returns the keys of the known holders, sorted.
+func (r *Router) sortedHoldings() []holdingKey {
+	return slices.SortedFunc(maps.Keys(r.holdings), func(a, b holdingKey) int {
+		return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.shard, b.shard))
+	})
+}
+
 // ownHoldings returns what is known of the holders of the own domain.
 func (r *Router) ownHoldings() []*peerv1.Holding {
 	var holdings []*peerv1.Holding
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,10 +94,16 @@
 	lastCall     uint64
 	timers       timerQueue
 	platformDown bool
-	watching     bool
-	beats        int // beats counts heartbeats, to take turns among far peers.
-	draining     bool
-	stopped      bool
+	// outageSeenAt is when the whole domain was last seen without the platform.
+	outageSeenAt clock.Millis
+	// paused tells that the process was paused since the last renewal of a lease.
+	paused   bool
+	lastStep clock.Millis
+	claims   [limiter.Shards]claim
+	watching bool
+	beats    int // beats counts heartbeats, to take turns among far peers.
+	draining bool
+	stopped  bool
 }
 
 // New returns the state of an instance that has not started.
@@ -127,6 +133,7 @@
 func (r *Router) Step(now clock.Millis, happened event.Event) []action.Action {
 	r.now = now
 	r.out = nil
+	r.noteStep()
 	r.handle(happened)
 	r.runTimers()
 	r.stopWhenDrained()
@@ -189,3 +196,9 @@
 func (r *Router) ready() bool {
 	return r.manifest.Revision > 0
 }
+
+// Ready reports whether requests can be served: a configuration is in force and
+// the holders of the own domain's rights are known.
+func (r *Router) Ready() bool {
+	return r.ready() && len(r.ownHoldings()) == limiter.Shards
+}
--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -46,6 +46,8 @@
 	Nodes    map[string]*Node
 	Servers  map[string]*Server
 	Requests []*Request
+	// Admissions are the requests that were given tokens, in order.
+	Admissions []Admission
 	// Results are the results of operators' operations by their identifiers.
 	Results map[string]action.Result
 	// Trace has a line for each log entry and each answer.
@@ -181,6 +183,11 @@
 	f.RunFor(5 * clock.Second)
 }
 
+// seeds returns the addresses of all instances.
+func (f *Fleet) seeds() []string {
+	return slices.Sorted(maps.Keys(f.Nodes))
+}
+
 // nodeSeed returns the seed of one start of a node.
 func (f *Fleet) nodeSeed(name string, start int) [32]byte {
 	var seed [32]byte
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -66,6 +66,7 @@
 		Domain:        n.domain,
 		Address:       n.name,
 		Incarnation:   fmt.Sprint(n.starts),
+		Seeds:         n.fleet.seeds(),
 		MaxInFlight:   1000,
 		AnswerTimeout: 30 * clock.Second,
 		RecordTimeout: 2 * clock.Second,
@@ -74,6 +75,11 @@
 	n.Step(event.Started{})
 }
 
+// Ready reports whether a balancer sends requests to the node.
+func (n *Node) Ready() bool {
+	return n.Up && n.Machine.Ready()
+}
+
 // Kill ends the node at once. Its callers lose their connections.
 func (n *Node) Kill() {
 	n.Up = false
@@ -163,6 +169,7 @@
 		n.fleet.dispatch(n, next)
 	case action.Log:
 		n.fleet.trace(n.name, "%s", next.Entry)
+		n.fleet.noteTokens(next.Entry)
 	case action.FinishOperation:
 		n.fleet.Results[next.Operation] = next.Result
 	case action.Refuse:
--- a/internal/testkit/platform.go
+++ b/internal/testkit/platform.go
@@ -78,7 +78,7 @@
 func (p *Platform) arrive(n *Node, op platform.Op, answer func(platform.Answer)) {
 	reply := func(result platform.Answer) {
 		p.fleet.After(PlatformLatency, func() {
-			if !p.unreachable(n) {
+			if !p.unreachable(n) && !p.Down {
 				answer(result)
 			}
 		})
--- a/internal/tracker/peer.go
+++ b/internal/tracker/peer.go
@@ -13,6 +13,8 @@
 	PlatformDown bool
 	// Revision is the configuration that the peer has in force.
 	Revision int64
+	// Sequence counts its heartbeats since its start.
+	Sequence int64
 	// HeardAt is when its last heartbeat came; 0 when none has come.
 	HeardAt clock.Millis
 	// Listed tells whether the instance list has the peer as live.
