--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -9,16 +9,12 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
 	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// Times of membership.
-const (
-	heartbeatEvery = clock.Second
-	listEvery      = clock.Second
-)
+// heartbeatEvery is the time between two heartbeats.
+const heartbeatEvery = clock.Second
 
 func (r *Router) send(to tracker.Peer, message *peerv1.Message) {
 	r.emit(action.Send{To: to.Name, Address: to.Address, Message: message})
@@ -106,6 +102,10 @@
 		r.granted(happened.From, body.Grant)
 	case *peerv1.Message_Refund:
 		r.rights.Refund(r.now, body.Refund.GetId(), body.Refund.GetTeam(), body.Refund.GetTokens())
+	case *peerv1.Message_InstancesRequest:
+		r.instancesRequested(happened.From)
+	case *peerv1.Message_InstancesOffer:
+		r.instancesOffered(body.InstancesOffer)
 	case *peerv1.Message_ExplainRequest:
 		r.explainRequested(happened.From, body.ExplainRequest)
 	case *peerv1.Message_ExplainAnswer:
@@ -140,21 +140,9 @@
 	if !met {
 		r.send(peer, r.welcome())
 	}
-}
-
-func (r *Router) listInstances() {
-	r.call(instancesCall{}, platform.ListInstances{Since: r.known.ListRevision()})
-}
-
-func (r *Router) instancesListed(answer platform.Answer) {
-	if answer.Outcome == platform.Done {
-		first := r.known.ListRevision() == 0
-		r.known.Listed(answer.Version, answer.Instances)
-		if first {
-			r.beat()
-		}
+	if r.known.ListRevision() == 0 {
+		r.send(peer, &peerv1.Message{Body: &peerv1.Message_InstancesRequest{InstancesRequest: &peerv1.InstancesRequest{}}})
 	}
-	r.after(listEvery, instancesDue{})
 }
 
 // rank returns the place of this instance for the key among the instances of
--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -275,19 +275,23 @@
 	}
 }
 
-// judgeRows runs the rows on all cores.
-func judgeRows(rows []row) []verdict {
-	verdicts := make([]verdict, len(rows))
+// parallel runs the job for each number below count, on all cores.
+func parallel(count int, job func(i int)) {
 	var next atomic.Int64
 	var workers sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		workers.Go(func() {
-			for i := next.Add(1) - 1; i < int64(len(rows)); i = next.Add(1) - 1 {
-				verdicts[i] = judge(rows[i])
+			for i := next.Add(1) - 1; i < int64(count); i = next.Add(1) - 1 {
+				job(int(i))
 			}
 		})
 	}
 	workers.Wait()
+}
+
+func judgeRows(rows []row) []verdict {
+	verdicts := make([]verdict, len(rows))
+	parallel(len(rows), func(i int) { verdicts[i] = judge(rows[i]) })
 	return verdicts
 }
 
--- a/internal/router/rates_test.go
+++ b/internal/router/rates_test.go
@@ -1,11 +1,14 @@
 package router_test
 
 import (
+	"flag"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
@@ -45,6 +48,12 @@
 	if name != "" {
 		fleet.After(faultAt, func() { faults[name](fleet) })
 	}
+	l.runIn(fleet)
+	return fleet
+}
+
+// runIn sends the load in the fleet.
+func (l load) runIn(fleet *testkit.Fleet) {
 	gap := clock.Millis(usedTokens * 1000 * 100 / (teamRate * l.percent))
 	next := 0
 	for at := clock.Millis(0); at < loadSpan; at += gap {
@@ -54,7 +63,6 @@
 		})
 	}
 	fleet.RunFor(loadSpan + 2*outage)
-	return fleet
 }
 
 // send sends one request to the next instance that is up, as a balancer does.
@@ -99,15 +107,62 @@
 // TestTeamStaysInsideItsRate holds every window of every load under every fault
 // to the rate and burst, over all instances together.
 func TestTeamStaysInsideItsRate(t *testing.T) {
-	for _, loadName := range slices.Sorted(maps.Keys(loads)) {
-		for _, name := range append(slices.Sorted(maps.Keys(faults)), "") {
-			fleet := loads[loadName].run(1, name)
-			require.NotEmpty(t, fleet.Admissions)
-			require.NoError(t, checkWindows(fleet.Admissions), "load %q, fault %q", loadName, name)
+	loadNames := slices.Sorted(maps.Keys(loads))
+	names := append(slices.Sorted(maps.Keys(faults)), "")
+	errs := make([]error, len(loadNames)*len(names))
+	parallel(len(errs), func(i int) {
+		fleet := loads[loadNames[i/len(names)]].run(1, names[i%len(names)])
+		errs[i] = checkWindows(fleet.Admissions)
+		if len(fleet.Admissions) == 0 {
+			errs[i] = errors.New("nothing was admitted")
 		}
+	})
+	for i, err := range errs {
+		require.NoError(t, err, "load %q, fault %q", loadNames[i/len(names)], names[i%len(names)])
 	}
 }
 
+// ratePairs is how many runs with two faults are drawn.
+var ratePairs = flag.Int("ratepairs", 150, "loads with two faults to draw")
+
+// TestTeamStaysInsideItsRateUnderPairs draws pairs of faults at two instants
+// with a fixed seed.
+func TestTeamStaysInsideItsRateUnderPairs(t *testing.T) {
+	source := rand.New(rand.NewPCG(3, 4))
+	names := slices.Sorted(maps.Keys(faults))
+	loadNames := slices.Sorted(maps.Keys(loads))
+	runs := make([]pairRun, *ratePairs)
+	for i := range runs {
+		runs[i] = pairRun{seed: source.Uint64(), load: loadNames[source.IntN(len(loadNames))]}
+		for range 2 {
+			runs[i].faults = append(runs[i].faults, names[source.IntN(len(names))])
+			runs[i].at = append(runs[i].at, clock.Millis(source.IntN(int(loadSpan))))
+		}
+	}
+	errs := make([]error, len(runs))
+	parallel(len(runs), func(i int) { errs[i] = checkWindows(runs[i].run().Admissions) })
+	for i, err := range errs {
+		require.NoError(t, err, "%+v", runs[i])
+	}
+}
+
+// pairRun is a load under two faults.
+type pairRun struct {
+	seed   uint64
+	load   string
+	faults []string
+	at     []clock.Millis
+}
+
+func (p pairRun) run() *testkit.Fleet {
+	fleet := newMatrixFleet(p.seed, false)
+	for i, name := range p.faults {
+		fleet.After(p.at[i], func() { faults[name](fleet) })
+	}
+	loads[p.load].runIn(fleet)
+	return fleet
+}
+
 // Wrongful refusals while the demand is inside the rate, at most.
 const (
 	calmRefusals  = 1.0 / 1000
--- a/internal/testkit/admission.go
+++ b/internal/testkit/admission.go
@@ -19,12 +19,11 @@
 func (f *Fleet) noteTokens(entry journal.Entry) {
 	switch entry.Number {
 	case journal.TokensTaken:
+		f.admitted[entry.Request] = len(f.Admissions)
 		f.Admissions = append(f.Admissions, Admission{At: f.Now, Request: entry.Request, Used: tokensOf(entry)})
 	case journal.TokensReturned:
-		for i := range f.Admissions {
-			if f.Admissions[i].Request == entry.Request {
-				f.Admissions[i].Used -= tokensOf(entry)
-			}
+		if i, ok := f.admitted[entry.Request]; ok {
+			f.Admissions[i].Used -= tokensOf(entry)
 		}
 	}
 }
--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -61,6 +61,9 @@
 	queue  deliveries
 	number uint64
 	cuts   map[[2]string]bool
+	// byID and admitted are requests, and places in Admissions, by identifier.
+	byID     map[string]*Request
+	admitted map[string]int
 }
 
 // NewFleet returns a Fleet without instances at the instant of one second.
@@ -72,6 +75,9 @@
 		Results: map[string]action.Result{},
 		seed:    seed,
 		cuts:    map[[2]string]bool{},
+
+		byID:     map[string]*Request{},
+		admitted: map[string]int{},
 	}
 	f.Platform = newPlatform(f)
 	return f
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -206,12 +206,8 @@
 
 // request returns the request with the identifier.
 func (f *Fleet) request(id string) (*Request, bool) {
-	for _, request := range f.Requests {
-		if request.Arrival.Request == id {
-			return request, true
-		}
-	}
-	return nil, false
+	request, ok := f.byID[id]
+	return request, ok
 }
 
 // Send sends a caller's request to the node. Its identifier is given by the
@@ -222,6 +218,7 @@
 	}
 	request := &Request{Arrival: arrival, Node: node}
 	f.Requests = append(f.Requests, request)
+	f.byID[arrival.Request] = request
 	if !f.Nodes[node].Up {
 		request.Ended = true
 		request.EndedAt = f.Now
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -94,6 +94,20 @@
 	t.peers[instance.Name] = known
 }
 
+// Listing returns the entries of the instance list as they are known, by name.
+func (t *Tracker) Listing() []platform.Instance {
+	var entries []platform.Instance
+	for _, server := range t.Servers() {
+		entries = append(entries, server.Instance)
+	}
+	for _, peer := range t.Peers() {
+		if peer.Listed {
+			entries = append(entries, platform.Instance{Name: peer.Name, Role: platform.RoleEntry, Domain: peer.Domain, Address: peer.Address, State: platform.StateLive})
+		}
+	}
+	return entries
+}
+
 // Heard takes in a peer's heartbeat.
 func (t *Tracker) Heard(now clock.Millis, peer Peer) {
 	if peer.Name == t.self {
