Close no connection under a caller while an instance stops

Cause: the rolling restart lost 1 of 156 requests: a stopping instance closed its idle connections at once, and a caller had just begun to write on one.

Change: a stopping instance answers its health check with 503, serves on for the announce time, and asks for new connections by a header; only then it closes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 	Submit(happened event.Event)
 	Open(request string) <-chan action.Action
 	Done(request string)
+	// Ready reports whether the instance can serve and is not stopping.
+	Ready() bool
 }
 
 // Gateway serves callers.
@@ -49,7 +51,7 @@
 	app.Post(completer.KindText.Path(), g.completions(completer.KindText))
 	app.Post(completer.KindChat.Path(), g.completions(completer.KindChat))
 	app.Any("/services/{name}/{path:path}", g.service)
-	app.Get("/healthz", func(ctx iris.Context) { ctx.StatusCode(http.StatusOK) })
+	app.Get("/healthz", g.health)
 	app.OnAnyErrorCode(notFound)
 	if err := app.Build(); err != nil {
 		return nil, errors.Wrap(err, "gateway.New")
@@ -57,6 +59,15 @@
 	return app, nil
 }
 
+// health tells the platform's balancer whether to send requests here.
+func (g *Gateway) health(ctx iris.Context) {
+	if !g.machine.Ready() {
+		ctx.StopWithText(http.StatusServiceUnavailable, "not ready, or draining")
+		return
+	}
+	ctx.StopWithText(http.StatusOK, "ready")
+}
+
 // notFound answers paths and methods that have no handler.
 func notFound(ctx iris.Context) {
 	if ctx.ResponseWriter().Written() > 0 {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -55,6 +56,7 @@
 	servers   [3]*http.Server
 
 	drained  chan struct{}
+	draining atomic.Bool
 	stopOnce sync.Once
 }
 
@@ -166,13 +168,24 @@
 	peers := peer.NewHandler(i.settings.Fleet.Credential, func(from string, message *peerv1.Message) {
 		i.runner.Submit(event.PeerMessage{From: from, Message: message})
 	})
-	for n, handler := range []http.Handler{callers, operators, peers} {
+	for n, handler := range []http.Handler{i.endConnections(callers), operators, peers} {
 		i.servers[n] = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 		go func() { _ = i.servers[n].Serve(i.listeners[n]) }()
 	}
 	return nil
 }
 
+// endConnections asks callers to open new connections while the instance stops.
+// An idle connection is not closed under a caller that may just be using it.
+func (i *Instance) endConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Drain stops the instance without cutting a request: it tells the peers, lets
 // callers' connections end, and waits for what is in flight, for the drain
 // timeout at most. It reports an error when something was cut.
@@ -181,8 +194,9 @@
 	defer cancel()
 	defer i.Kill()
 	callers := i.servers[0]
-	callers.SetKeepAlivesEnabled(false)
 	i.runner.Submit(event.DrainAsked{})
+	i.draining.Store(true)
+	i.announce(ctx)
 	if err := callers.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "instance.Drain")
 	}
@@ -192,6 +206,14 @@
 	return nil
 }
 
+// announce waits until the balancer has seen that the instance stops.
+func (i *Instance) announce(ctx context.Context) {
+	select {
+	case <-time.After(i.settings.Timeouts.Announce.Duration()):
+	case <-ctx.Done():
+	}
+}
+
 func (i *Instance) waitDrained(ctx context.Context) error {
 	select {
 	case <-i.drained:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -197,8 +197,9 @@
 	return r.manifest.Revision > 0
 }
 
-// Ready reports whether requests can be served: a configuration is in force and
-// the holders of the own domain's rights are known.
+// Ready reports whether a balancer should send requests here: a configuration
+// is in force, the holders of the own domain's rights are known, and the
+// instance is not stopping. Requests are served while it stops as well.
 func (r *Router) Ready() bool {
-	return r.ready() && len(r.ownHoldings()) == limiter.Shards
+	return !r.draining && r.ready() && len(r.ownHoldings()) == limiter.Shards
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -132,6 +132,13 @@
 	}
 }
 
+// Ready reports whether the machine can serve and is not stopping.
+func (r *Runner) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Ready()
+}
+
 // View calls read with the machine, which read must not change or keep.
 func (r *Runner) View(read func(now clock.Millis, machine *router.Router)) {
 	r.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,9 @@
 	Idle clock.Millis
 	// Record bounds the recording of a call before its dispatch.
 	Record clock.Millis
+	// Announce is how long a stopping instance goes on accepting requests, so that
+	// the balancer sees that it stops.
+	Announce clock.Millis
 	// Drain bounds the wait for requests in flight when the instance stops.
 	Drain clock.Millis
 }
@@ -88,11 +91,12 @@
 		Platform: Platform{Timeout: 500 * clock.Millisecond},
 		Limits:   Limits{BodyBytes: 8 << 20, AnswerBytes: 8 << 20, MaxInFlight: 1024},
 		Timeouts: Timeouts{
-			Connect: clock.Second,
-			Answer:  30 * clock.Second,
-			Idle:    15 * clock.Second,
-			Record:  2 * clock.Second,
-			Drain:   30 * clock.Second,
+			Connect:  clock.Second,
+			Answer:   30 * clock.Second,
+			Idle:     15 * clock.Second,
+			Record:   2 * clock.Second,
+			Announce: clock.Second,
+			Drain:    30 * clock.Second,
 		},
 	}
 }
@@ -167,6 +171,7 @@
 	s.Timeouts.Answer = readSpan(section, "answer", s.Timeouts.Answer)
 	s.Timeouts.Idle = readSpan(section, "idle", s.Timeouts.Idle)
 	s.Timeouts.Record = readSpan(section, "record", s.Timeouts.Record)
+	s.Timeouts.Announce = readSpan(section, "announce", s.Timeouts.Announce)
 	s.Timeouts.Drain = readSpan(section, "drain", s.Timeouts.Drain)
 }
 
