Resume streams at the engine that has them, for the router and for callers

Cause: a stream whose connection broke was computed anew elsewhere although its engine still had it, and a caller who lost its instance could not go on.

Change: after a cut the same engine is asked once for the rest. Events carry signed identifiers; a caller sends the last one with its request through any instance, and the stream goes on at the engine. A caller who goes cancels by an explicit call, since engines keep streams whose connection broke. After a late failure to dial, an earlier attempt that may have run is no longer called 'not run'.

Measured with processes: connection lost after 5 tokens, whole, resumed without recomputing; instance killed after 7 tokens, the rest through another one, text equal; a changed number or another team's key: 400.

--- a/cmd/hyssopdoor/streams_test.go
+++ b/cmd/hyssopdoor/streams_test.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/tmaxmax/go-sse"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/completer"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/engine"
 )
 
@@ -60,6 +62,53 @@
 	}, startTimeout, 20*time.Millisecond)
 }
 
+// resumeElsewhere reads a part of a stream, kills its instance, and reads the
+// rest through another one by the last event's identifier.
+func (s *system) resumeElsewhere(t *testing.T) {
+	started := s.startEntry("split-a-2", "split-a")
+	s.waitReady()
+	prompt := "to be resumed"
+	request, err := http.NewRequest(http.MethodPost, "http://"+started.callers+"/v1/completions", strings.NewReader(streamBody(prompt)))
+	require.NoError(t, err)
+	request.Header = s.keyed()
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	text, last := "", ""
+	events := 0
+	for event, err := range sse.Read(response.Body, nil) {
+		require.NoError(t, err)
+		chunk, err := completer.DecodeChunk(completer.KindText, event.Data)
+		require.NoError(t, err)
+		text += chunk.Text
+		last = event.LastEventID
+		if events++; events == 7 {
+			break
+		}
+	}
+	started.kill()
+	delete(s.entries, "split-a-2")
+
+	header := s.keyed()
+	header.Set("Last-Event-ID", last)
+	_, rest := s.request("split-b-1", http.MethodPost, "/v1/completions", streamBody(prompt), header)
+	restText, done, err := readStream(rest)
+	require.NoError(t, err)
+	require.True(t, done, rest)
+	require.Equal(t, engine.Expected(prompt, streamTokens), text+restText)
+
+	other, err := s.operator("split-b-1").IssueKey(context.Background(), "visitors")
+	require.NoError(t, err)
+	forged := map[string]http.Header{
+		"changed number":     {"Authorization": header["Authorization"], "Last-Event-ID": {strings.Replace(last, "/7/", "/6/", 1)}},
+		"another team's key": {"Authorization": {"Bearer " + other.Secret}, "Last-Event-ID": {last}},
+	}
+	for name, header := range forged {
+		response, answer := s.request("split-b-1", http.MethodPost, "/v1/completions", streamBody(prompt), header)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, "%s: %s", name, answer)
+	}
+}
+
 // TestStreamsArriveWholeAndInOrder lets engines fail in the middle of streams.
 func TestStreamsArriveWholeAndInOrder(t *testing.T) {
 	s := startSystem(t, "split-a", "split-b", "split-c")
@@ -71,6 +120,7 @@
 		"cut after 5 tokens":         {1, engine.Faults{Cuts: 1, CutAfter: 5}},
 		"cut twice":                  {2, engine.Faults{Cuts: 1, CutAfter: 5}},
 		"cut before the first token": {2, engine.Faults{Cuts: 1}},
+		"connection lost, engine on": {1, engine.Faults{Drops: 1, CutAfter: 5}},
 		"another answer's events":    {1, engine.Faults{Crossed: 1}},
 		"refused for load":           {2, engine.Faults{RefuseBusy: 1}},
 	}
@@ -89,6 +139,12 @@
 		})
 	}
 
+	t.Run("a lost connection is resumed at the same engine", func(t *testing.T) {
+		require.Positive(t, s.engineCounts("engine-split-a").Resumed)
+	})
+
+	t.Run("a caller goes on through another instance", func(t *testing.T) { s.resumeElsewhere(t) })
+
 	t.Run("no engine is left", func(t *testing.T) {
 		for _, failing := range engines {
 			s.setFaults(s.addresses[failing], engine.Faults{Cuts: 1, CutAfter: 5})
--- a/internal/action/action.go
+++ b/internal/action/action.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
 	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
 )
@@ -28,14 +29,15 @@
 	Attempt string
 	Server  string
 	Address string
+	// Stamp makes the identifiers of the stream's events.
+	Stamp stamper.Stamper
 	// Salt keeps cached blocks of different teams and weights apart.
 	Salt uint64
 	// Priority orders requests in an engine; lower goes first.
 	Priority int
-	// Continue tells that the request goes on from the text already passed.
-	Continue bool
-	// ResumeAttempt is the attempt to resume at the same server; empty for none.
-	ResumeAttempt string
+	// ResumeAfter is the number of the last event of this attempt that came; the
+	// server shall go on after it. -1 begins the attempt.
+	ResumeAfter int64
 	// Operation is the idempotency key for a service that understands it.
 	Operation string
 	// FirstTokenTimeout bounds the wait for the first token or the answer.
--- a/internal/action/refusal.go
+++ b/internal/action/refusal.go
@@ -26,6 +26,7 @@
 	CodeTooManyRequests  Code = "tooManyInFlight"
 	CodeDraining         Code = "draining"
 	CodeStreamIncomplete Code = "streamIncomplete"
+	CodeStreamLost       Code = "streamLost"
 )
 
 // Refusal is a final answer that the system itself gives.
--- a/internal/action/status.go
+++ b/internal/action/status.go
@@ -8,6 +8,7 @@
 	StatusUnauthorized       = 401
 	StatusNotFound           = 404
 	StatusConflict           = 409
+	StatusGone               = 410
 	StatusTooLarge           = 413
 	StatusUnprocessable      = 422
 	StatusTooManyRequests    = 429
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -76,6 +76,9 @@
 	// Gone tells that the attempt was given up by its own side.
 	Gone bool
 
+	// LastEvent is the number of the last event of the attempt that came.
+	LastEvent int64
+
 	Status      int
 	ContentType string
 	Body        []byte
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -21,7 +22,8 @@
 // Sink takes the chunks of a stream in order. An error means that the caller
 // has gone.
 type Sink interface {
-	Pass(chunk completer.Chunk) error
+	// Pass takes a chunk, and the number of its event in the attempt.
+	Pass(chunk completer.Chunk, event int64) error
 }
 
 // Stream sends a completion request to an engine and passes its chunks on. The
@@ -36,15 +38,23 @@
 	request.Header = engineHeader(dispatch)
 	response, err := d.reusing.Do(request)
 	if err != nil {
-		return a.failed(ctx, retrier.Sent, err)
+		result := a.failed(ctx, retrier.Sent, err)
+		if result.Gone {
+			d.cancel(ctx, dispatch)
+		}
+		return result
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return d.engineRefused(ctx, a, response)
 	}
-	reading := &streamReading{dispatch: dispatch, kind: kind, sink: sink}
+	reading := &streamReading{dispatch: dispatch, kind: kind, sink: sink, next: max(dispatch.ResumeAfter, 0)}
 	err = reading.run(response.Body, func() { a.wait(d.timeouts.Idle.Duration()) })
-	return reading.result(ctx, a, err)
+	result := reading.result(ctx, a, err)
+	if result.Gone || result.Failure == retrier.Malformed {
+		d.cancel(ctx, dispatch)
+	}
+	return result
 }
 
 func engineHeader(dispatch action.Dispatch) http.Header {
@@ -54,15 +64,35 @@
 	header.Set("User-Agent", "hyssopdoor")
 	header.Set(RequestField, dispatch.Request)
 	header.Set(AttemptField, dispatch.Attempt)
+	if dispatch.ResumeAfter >= 0 {
+		header.Set("Last-Event-ID", dispatch.Attempt+":"+strconv.FormatInt(dispatch.ResumeAfter, 10))
+	}
 	return header
 }
 
+// cancelTimeout bounds the cancelling of an attempt.
+const cancelTimeout = 2 * time.Second
+
+// cancel tells the engine to end a stream that nobody wants any more. An engine
+// keeps a stream whose connection just broke.
+func (d *Dispatcher) cancel(ctx context.Context, dispatch action.Dispatch) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+dispatch.Address+"/v1/attempts/"+dispatch.Attempt, nil)
+	if err != nil {
+		return
+	}
+	if response, err := d.reusing.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 // engineRefused returns the result of an answer that is no stream.
 func (d *Dispatcher) engineRefused(ctx context.Context, a *attempt, response *http.Response) Result {
 	switch {
 	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		return Result{Reach: retrier.Sent, Failure: retrier.Busy}
-	case response.StatusCode >= http.StatusInternalServerError:
+	case response.StatusCode >= http.StatusInternalServerError, response.StatusCode == http.StatusGone:
 		return Result{Reach: retrier.Sent, Failure: retrier.ServerError}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.answerBytes))
@@ -78,7 +108,7 @@
 	kind     completer.Kind
 	sink     Sink
 
-	next      int64 // next is the number of the event that must come now.
+	next      int64 // next is the number of the last event that came.
 	passed    bool
 	finished  bool // finished tells that a chunk had a reason to finish.
 	whole     bool
@@ -118,7 +148,7 @@
 	}
 	s.finished = chunk.FinishReason != ""
 	s.passed = true
-	if s.sink.Pass(chunk) != nil {
+	if s.sink.Pass(chunk, s.next) != nil {
 		s.gone = true
 		return false
 	}
@@ -143,12 +173,14 @@
 	}
 	switch {
 	case s.whole:
-		return Result{Status: http.StatusOK}
+		return Result{Status: http.StatusOK, LastEvent: s.next}
 	case s.gone:
 		return Result{Gone: true}
 	case s.malformed:
 		return Result{Reach: reach, Failure: retrier.Malformed}
 	default:
-		return a.failed(ctx, reach, err)
+		failed := a.failed(ctx, reach, err)
+		failed.LastEvent = s.next
+		return failed
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,6 +40,9 @@
 	MaxTokens    int64
 	// Chain is the content hashes of the prompt's prefixes.
 	Chain []uint64
+	// LastEvent is the identifier of the last event that came of a stream which
+	// the caller wants to go on; empty for a new one.
+	LastEvent string
 	// IdempotencyKey names a call that may not be repeated.
 	IdempotencyKey string
 	// Fingerprint is the digest of what the request asks for.
@@ -58,8 +61,10 @@
 	Attempt string
 	Reach   retrier.Reach
 	Failure retrier.Failure
-	// Passed is the number of events of the stream passed to the caller.
+	// Passed is the number of tokens passed to the caller.
 	Passed int64
+	// LastEvent is the number of the attempt's last event that came.
+	LastEvent int64
 }
 
 // AttemptAnswered tells that an attempt has ended with a whole answer.
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -34,6 +34,10 @@
 		writeRefusal(w, "", *invalid(err.Error()))
 		return
 	}
+	if read.lastEvent != "" && !request.Stream {
+		writeRefusal(w, "", *invalid("Last-Event-ID stands at a request that is not streamed; send it with stream: true"))
+		return
+	}
 	c := &completion{
 		gateway: g,
 		id:      newRequestID(),
@@ -50,8 +54,9 @@
 	id      string
 	request completer.Request
 	writer  *streamWriter
-	attempt string
-	began   bool // began tells that the current attempt's first token came.
+	// dispatched is the current attempt.
+	dispatched action.Dispatch
+	began      bool // began tells that the current attempt's first token came.
 }
 
 func (c *completion) arrival(read input) event.RequestArrived {
@@ -62,6 +67,7 @@
 		Model:        c.request.Model,
 		PromptTokens: chunker.Tokens(len(c.request.Prompt)),
 		MaxTokens:    c.request.MaxTokens,
+		LastEvent:    read.lastEvent,
 		Chain:        chunker.Chain(c.request.Prompt),
 		Fingerprint:  digester.Content(read.body),
 	}
@@ -90,7 +96,7 @@
 
 // dispatch runs one attempt. It reports whether the caller has gone.
 func (c *completion) dispatch(ctx context.Context, dispatch action.Dispatch) bool {
-	c.attempt = dispatch.Attempt
+	c.dispatched = dispatch
 	c.began = false
 	body := c.request.ForEngine(completer.Dispatch{
 		Salt:         strconv.FormatUint(dispatch.Salt, 16),
@@ -111,7 +117,7 @@
 	if result.Answered() {
 		return event.AttemptAnswered{
 			Request:     c.id,
-			Attempt:     c.attempt,
+			Attempt:     c.dispatched.Attempt,
 			Status:      result.Status,
 			ContentType: result.ContentType,
 			Body:        result.Body,
@@ -119,17 +125,24 @@
 		}
 	}
 	reach := result.Reach
-	if c.writer.tokens > 0 && reach == retrier.Sent {
+	if c.writer.tokens > 0 {
 		reach = retrier.Streaming
 	}
-	return event.AttemptFailed{Request: c.id, Attempt: c.attempt, Reach: reach, Failure: result.Failure, Passed: c.writer.tokens}
+	return event.AttemptFailed{
+		Request:   c.id,
+		Attempt:   c.dispatched.Attempt,
+		Reach:     reach,
+		Failure:   result.Failure,
+		Passed:    c.writer.tokens,
+		LastEvent: result.LastEvent,
+	}
 }
 
 // Pass passes one chunk on to the caller.
-func (c *completion) Pass(chunk completer.Chunk) error {
+func (c *completion) Pass(chunk completer.Chunk, number int64) error {
 	if !c.began {
 		c.began = true
-		c.gateway.machine.Submit(event.FirstToken{Request: c.id, Attempt: c.attempt})
+		c.gateway.machine.Submit(event.FirstToken{Request: c.id, Attempt: c.dispatched.Attempt})
 	}
-	return c.writer.pass(chunk)
+	return c.writer.pass(chunk, c.dispatched.Stamp.ID(number))
 }
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -19,6 +19,7 @@
 	authorizationField  = "Authorization"
 	classField          = "X-Hyssopdoor-Class"
 	idempotencyKeyField = "Idempotency-Key"
+	lastEventField      = "Last-Event-ID"
 )
 
 // maxFieldBytes bounds an idempotency key and a class, in bytes.
@@ -29,6 +30,7 @@
 	key            secret.Secret
 	class          string
 	idempotencyKey string
+	lastEvent      string
 	body           []byte
 }
 
@@ -39,13 +41,13 @@
 
 // readInput reads the header and the body of a request, or tells what is wrong.
 func (g *Gateway) readInput(w http.ResponseWriter, r *http.Request) (input, *action.Refusal) {
-	for _, name := range []string{authorizationField, classField, idempotencyKeyField} {
+	for _, name := range []string{authorizationField, classField, idempotencyKeyField, lastEventField} {
 		if len(r.Header.Values(name)) > 1 {
 			return input{}, invalid("the header " + name + " stands more than once; send it once")
 		}
 	}
-	read := input{class: r.Header.Get(classField), idempotencyKey: r.Header.Get(idempotencyKeyField)}
-	if len(read.class) > maxFieldBytes || len(read.idempotencyKey) > maxFieldBytes {
+	read := input{class: r.Header.Get(classField), idempotencyKey: r.Header.Get(idempotencyKeyField), lastEvent: r.Header.Get(lastEventField)}
+	if len(read.class) > maxFieldBytes || len(read.lastEvent) > maxFieldBytes || len(read.idempotencyKey) > maxFieldBytes {
 		return input{}, invalid("a header is longer than 255 characters; shorten it")
 	}
 	key, refusal := readKey(r.Header.Get(authorizationField))
--- a/internal/gateway/streamwriter.go
+++ b/internal/gateway/streamwriter.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/tmaxmax/go-sse"
@@ -40,7 +39,7 @@
 }
 
 // pass takes one chunk. A chunk without text and reason is not passed.
-func (s *streamWriter) pass(chunk completer.Chunk) error {
+func (s *streamWriter) pass(chunk completer.Chunk, id string) error {
 	s.text.WriteString(chunk.Text)
 	if chunk.Text != "" {
 		s.tokens++
@@ -49,21 +48,16 @@
 	if !s.request.Stream {
 		return nil
 	}
-	return s.event(completer.EncodeChunk(s.request.Kind, s.id, s.request.Model, chunk), "")
+	message := &sse.Message{ID: sse.ID(id)}
+	message.AppendData(completer.EncodeChunk(s.request.Kind, s.id, s.request.Model, chunk))
+	return s.event(message)
 }
 
 // event writes one event of the stream.
-func (s *streamWriter) event(data, kind string) error {
+func (s *streamWriter) event(message *sse.Message) error {
 	if !s.begun {
 		s.begin()
 	}
-	message := &sse.Message{}
-	message.AppendData(data)
-	if kind != "" {
-		message.Type = sse.Type(kind)
-	} else {
-		message.ID = sse.ID(s.id + ":" + strconv.FormatInt(s.tokens, 10))
-	}
 	if _, err := message.WriteTo(s.writer); err != nil {
 		return err
 	}
@@ -83,7 +77,9 @@
 // a body of its own.
 func (s *streamWriter) finish(answer recorder.Answer) {
 	if s.request.Stream && s.begun {
-		_ = s.event(completer.DoneData, "")
+		message := &sse.Message{}
+		message.AppendData(completer.DoneData)
+		_ = s.event(message)
 		return
 	}
 	header := s.writer.Header()
@@ -105,5 +101,7 @@
 		writeRefusal(s.writer, s.id, refusal)
 		return
 	}
-	_ = s.event(string(encodeRefusal(s.id, refusal)), errorEvent)
+	message := &sse.Message{Type: sse.Type(errorEvent)}
+	message.AppendData(string(encodeRefusal(s.id, refusal)))
+	_ = s.event(message)
 }
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -43,7 +43,7 @@
 
 // allowed are what decisions may import, besides each other.
 var allowed = []string{
-	"cmp", "container/heap", "crypto/sha256", "encoding/binary", "encoding/hex", "encoding/json", "fmt", "maps",
+	"cmp", "container/heap", "crypto/hmac", "crypto/sha256", "encoding/binary", "encoding/hex", "encoding/json", "fmt", "maps",
 	"math", "math/bits", "math/rand/v2", "slices", "strconv", "strings",
 	"github.com/cespare/xxhash/v2", "github.com/go-faster/errors",
 	module + "internal/gen/peerv1", module + "internal/inireader", module + "pkg/clock",
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -54,6 +54,8 @@
 	Failure    Failure
 	// Number counts the attempts of the request, from 1.
 	Number int
+	// EarlierSent tells that an earlier attempt may have reached its server.
+	EarlierSent bool
 }
 
 // Verdict is what follows.
@@ -75,7 +77,7 @@
 )
 
 // MaxAttempts bounds the attempts of one request.
-const MaxAttempts = 3
+const MaxAttempts = 4
 
 // Decide returns what follows the failed attempt.
 func Decide(attempt Attempt) Verdict {
@@ -95,8 +97,12 @@
 }
 
 func decideNotSent(attempt Attempt) Verdict {
-	if attempt.Number >= MaxAttempts {
+	switch {
+	case attempt.Number < MaxAttempts:
+		return Elsewhere
+	case attempt.EarlierSent:
+		return GiveUp
+	default:
 		return NotRun
 	}
-	return Elsewhere
 }
--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -7,6 +7,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/matcher"
+	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -74,10 +75,26 @@
 	return r.checkFlight(f)
 }
 
+// checkResume reads where a lost stream shall go on.
+func (r *Router) checkResume(f *flight) error {
+	if f.request.LastEvent == "" {
+		return nil
+	}
+	place, err := stamper.Read(r.settings.Credential, f.team.Name, f.request.Fingerprint, f.request.LastEvent)
+	if err != nil {
+		return err
+	}
+	f.from = &place
+	return nil
+}
+
 func (r *Router) checkFlight(f *flight) (*flight, action.Refusal) {
 	if !f.route.Repeatable && f.request.IdempotencyKey == "" {
 		return nil, action.Refused(action.StatusBadRequest, action.CodeKeyMissing, "this call may not be repeated; send an Idempotency-Key header with it")
 	}
+	if err := r.checkResume(f); err != nil {
+		return nil, action.Refused(action.StatusBadRequest, action.CodeInvalidRequest, "the Last-Event-ID is not of this request; send the request without it")
+	}
 	if f.cost() > f.team.Burst {
 		return nil, action.Refused(action.StatusTooLarge, action.CodeOverBurst, "the request needs more tokens than the team's burst; shorten the prompt or max_tokens")
 	}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -10,30 +10,56 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
 	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
 	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 )
 
 // dispatch chooses a server and begins an attempt there.
 func (r *Router) dispatch(f *flight) {
+	if f.from != nil {
+		r.resumeLost(f)
+		return
+	}
 	server, ok := r.choose(f)
 	if !ok {
 		r.noServer(f)
 		return
 	}
+	f.attempt = r.ids.ID("a")
+	f.resumed = false
+	r.emitDispatch(f, server, -1)
+}
+
+// resumeLost goes on with a caller's lost stream at the engine that has it. The
+// text so far is not known here, so no other engine can.
+func (r *Router) resumeLost(f *flight) {
+	server, ok := r.known.Server(f.from.Server)
+	if !ok || f.attempts > 0 {
+		refusal := action.Refused(action.StatusGone, action.CodeStreamLost, "the stream can't go on; send the request without Last-Event-ID")
+		r.refuse(f, refusal.WithPossiblyRun())
+		return
+	}
+	f.attempt = f.from.Attempt
+	r.emitDispatch(f, server, f.from.Event)
+}
+
+// emitDispatch begins the flight's attempt at the server, or goes on with it
+// after the numbered event.
+func (r *Router) emitDispatch(f *flight, server tracker.Server, resumeAfter int64) {
 	f.stage = stageRunning
 	f.attempts++
-	f.attempt = r.ids.ID("a")
 	f.server = server.Name
 	f.tried[server.Name] = true
 	r.known.Placed(server.Name)
 	r.emit(action.Dispatch{
+		Stamp:             stamper.New(r.settings.Credential, f.team.Name, f.request.Fingerprint, server.Name, f.attempt),
+		ResumeAfter:       resumeAfter,
 		Request:           f.id(),
 		Attempt:           f.attempt,
 		Server:            server.Name,
 		Address:           server.Address,
 		Salt:              f.scope(server).Salt(),
 		Priority:          int(f.class.FirstToken),
-		Continue:          f.attempts > 1,
 		Operation:         f.operation(),
 		FirstTokenTimeout: r.settings.AnswerTimeout,
 	})
@@ -95,7 +121,7 @@
 
 // noServer ends a request for which no server is left.
 func (r *Router) noServer(f *flight) {
-	if f.attempts > 0 && f.route.Repeatable {
+	if f.sent && f.route.Repeatable {
 		r.giveUp(f, action.CodeServerFailed, "all backend servers that could answer have failed")
 		return
 	}
@@ -146,33 +172,43 @@
 	entry := journal.New(journal.AttemptFailed, f.id()).With("server", f.server).With("attempt", f.attempt)
 	r.log(entry.With("reach", happened.Reach).With("failure", happened.Failure).With("passed", happened.Passed))
 	r.endAttempt(f, happened.Failure == retrier.Busy)
-	r.afterFailure(f, retrier.Decide(retrier.Attempt{
-		Repeatable: f.route.Repeatable,
-		Reach:      happened.Reach,
-		Failure:    happened.Failure,
-		Number:     f.attempts,
-	}), happened.Passed)
+	verdict := retrier.Decide(retrier.Attempt{
+		Repeatable:  f.route.Repeatable,
+		Reach:       happened.Reach,
+		Failure:     happened.Failure,
+		Number:      f.attempts,
+		EarlierSent: f.sent,
+	})
+	f.sent = f.sent || happened.Reach != retrier.NotSent
+	r.afterFailure(f, happened, verdict)
 }
 
-func (r *Router) afterFailure(f *flight, verdict retrier.Verdict, passed int64) {
+func (r *Router) afterFailure(f *flight, happened event.AttemptFailed, verdict retrier.Verdict) {
 	switch verdict {
 	case retrier.Elsewhere:
 		r.dispatch(f)
 	case retrier.Resume:
-		r.resume(f)
+		r.resume(f, happened)
 	case retrier.NotRun:
 		r.notRun(f, action.CodeServerFailed, "no backend server could be reached")
 	case retrier.GiveUp:
-		r.giveUpAfter(f, passed)
+		r.giveUpAfter(f, happened.Passed)
 	case retrier.UnknownOutcome:
 		r.settleInBackground(f, recorder.StateUnknown)
 		r.refuse(f, unknownOutcome())
 	}
 }
 
-// resume goes on with a broken stream on another server.
-func (r *Router) resume(f *flight) {
-	if len(r.untried(f)) == 0 {
+// resume goes on with a broken stream: after a cut once at the same server, which
+// may still have it, then at another one.
+func (r *Router) resume(f *flight, failed event.AttemptFailed) {
+	server, listed := r.known.Server(f.server)
+	if failed.Failure == retrier.Cut && listed && !f.resumed {
+		f.resumed = true
+		r.emitDispatch(f, server, failed.LastEvent)
+		return
+	}
+	if f.from != nil || len(r.untried(f)) == 0 {
 		r.endStream(f)
 		return
 	}
--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -5,6 +5,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -44,6 +45,12 @@
 	server   string
 	attempts int
 	tried    map[string]bool
+	// sent tells that an attempt may have reached its server.
+	sent bool
+	// resumed tells that the current attempt was gone on with after a cut.
+	resumed bool
+	// from is where a caller's lost stream goes on; nil for a new request.
+	from *stamper.Place
 }
 
 // id returns the request's identifier.
@@ -55,8 +62,12 @@
 	return f.route.Kind == config.KindModel
 }
 
-// cost returns what the request may use, in tokens.
+// cost returns what the request may use, in tokens. A stream that goes on was
+// paid for when it began.
 func (f *flight) cost() int64 {
+	if f.from != nil {
+		return 0
+	}
 	if f.isModel() {
 		return f.request.PromptTokens + f.request.MaxTokens
 	}
--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -144,6 +144,7 @@
 // not.
 type caller struct {
 	fleet    *testkit.Fleet
+	arrival  event.RequestArrived
 	requests []*testkit.Request
 	next     int
 	sentAt   clock.Millis
@@ -165,7 +166,7 @@
 	node := nodes[c.next%len(nodes)]
 	c.next++
 	c.sentAt = c.fleet.Now
-	c.requests = append(c.requests, c.fleet.Send(node, testkit.Order("k")))
+	c.requests = append(c.requests, c.fleet.Send(node, c.arrival))
 	c.look()
 }
 
@@ -194,6 +195,8 @@
 	faults     []string
 	steps      []int
 	repeatable bool
+	// verdicts makes the requests model requests instead of orders.
+	verdicts bool
 }
 
 func (r row) String() string {
@@ -212,7 +215,10 @@
 			}
 		}
 	}
-	c := &caller{fleet: fleet}
+	c := &caller{fleet: fleet, arrival: testkit.Order("k")}
+	if r.verdicts {
+		c.arrival = testkit.Verdict(promptTokens, maxTokens)
+	}
 	c.send()
 	for !c.finished {
 		fleet.RunFor(clock.Second)
@@ -225,10 +231,10 @@
 // arrival to a little after its answer.
 const orderSteps = 40
 
-// checkOrder checks what must always hold for an order and its repeats.
-func checkOrder(fleet *testkit.Fleet, c *caller) error {
-	runs := fleet.TotalRuns("order k")
-	if runs > 1 {
+// check checks what must always hold for a request and its repeats.
+func (r row) check(fleet *testkit.Fleet, c *caller) error {
+	runs := fleet.TotalRuns(c.arrival.Fingerprint)
+	if runs > 1 && !r.verdicts {
 		return fmt.Errorf("the order ran %d times", runs)
 	}
 	for _, request := range c.requests {
@@ -237,7 +243,7 @@
 		switch {
 		case !request.Ended:
 			return fmt.Errorf("request %s has no final answer", id)
-		case request.Answered() && runs != 1:
+		case request.Answered() && runs == 0:
 			return fmt.Errorf("request %s is acknowledged, but the order ran %d times", id, runs)
 		case request.Answered() && !strings.HasPrefix(string(request.Answer.Body), "ran "):
 			return fmt.Errorf("request %s got the answer %q of another request", id, request.Answer.Body)
@@ -259,7 +265,7 @@
 
 func judge(r row) verdict {
 	fleet, c := r.run()
-	return verdict{row: r, err: checkOrder(fleet, c), trace: fleet.Trace, end: c.end(), runs: fleet.TotalRuns("order k")}
+	return verdict{row: r, err: r.check(fleet, c), trace: fleet.Trace, end: c.end(), runs: fleet.TotalRuns(c.arrival.Fingerprint)}
 }
 
 // end tells how the caller's last request ended.
@@ -316,27 +322,54 @@
 	t.Logf("%d rows; what the callers met last: %v", len(verdicts), ends)
 }
 
-func singleRows(repeatable bool) []row {
+// singleRows returns a row like the given one for every fault at every step.
+func singleRows(like row) []row {
 	var rows []row
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
 		for step := range orderSteps {
-			rows = append(rows, row{seed: 1, faults: []string{name}, steps: []int{step}, repeatable: repeatable})
+			single := like
+			single.seed = 1
+			single.faults = []string{name}
+			single.steps = []int{step}
+			rows = append(rows, single)
 		}
 	}
 	return rows
 }
 
+// drawnPairs returns rows like the given one with two faults, drawn with a fixed
+// seed.
+func drawnPairs(like row) []row {
+	source := rand.New(rand.NewPCG(1, 2))
+	names := slices.Sorted(maps.Keys(faults))
+	rows := make([]row, *pairRows)
+	for i := range rows {
+		rows[i] = like
+		rows[i].seed = source.Uint64()
+		rows[i].faults = []string{names[source.IntN(len(names))], names[source.IntN(len(names))]}
+		rows[i].steps = []int{source.IntN(orderSteps), source.IntN(3 * orderSteps)}
+	}
+	return rows
+}
+
+// TestVerdictUnderFaults runs a model request under every fault at every step,
+// and under pairs of faults.
+func TestVerdictUnderFaults(t *testing.T) {
+	report(t, judgeRows(singleRows(row{verdicts: true})))
+	report(t, judgeRows(drawnPairs(row{verdicts: true})))
+}
+
 // TestOrderUnderEachFaultAtEachStep runs an order under every fault at every
 // step of its life.
 func TestOrderUnderEachFaultAtEachStep(t *testing.T) {
-	report(t, judgeRows(singleRows(false)))
+	report(t, judgeRows(singleRows(row{})))
 }
 
 // TestOrderDoublesWithoutRecord shows that the matrix finds doubled orders when
 // the calls are not recorded.
 func TestOrderDoublesWithoutRecord(t *testing.T) {
 	doubled := 0
-	verdicts := judgeRows(singleRows(true))
+	verdicts := judgeRows(singleRows(row{repeatable: true}))
 	for _, v := range verdicts {
 		if v.runs > 1 {
 			doubled++
@@ -352,15 +385,5 @@
 // TestOrderUnderPairsOfFaults runs an order under pairs of faults, drawn with a
 // fixed seed.
 func TestOrderUnderPairsOfFaults(t *testing.T) {
-	source := rand.New(rand.NewPCG(1, 2))
-	names := slices.Sorted(maps.Keys(faults))
-	rows := make([]row, *pairRows)
-	for i := range rows {
-		rows[i] = row{
-			seed:   source.Uint64(),
-			faults: []string{names[source.IntN(len(names))], names[source.IntN(len(names))]},
-			steps:  []int{source.IntN(orderSteps), source.IntN(3 * orderSteps)},
-		}
-	}
-	report(t, judgeRows(rows))
+	report(t, judgeRows(drawnPairs(row{})))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
 	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/randomizer"
+	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
 	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -50,6 +51,8 @@
 	Domain      string
 	Address     string // Address is where peers reach the instance.
 	Incarnation string // Incarnation differs for each start.
+	// Credential is the fleet's; it signs the identifiers of streams' events.
+	Credential secret.Secret
 	// Seeds are addresses of peers to ask at the start.
 	Seeds []string
 	// MaxInFlight bounds the requests at one time.
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
@@ -55,29 +56,67 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.run(w, r, asked, faults)
+	attempt := r.Header.Get("X-Attempt-Id")
+	stream := &stream{server: s, writer: w, attempt: attempt, cutAfter: -1}
+	if faults.Crossed > 0 {
+		stream.attempt = "another"
+	}
+	if faults.Cuts > 0 || faults.Drops > 0 {
+		stream.cutAfter = faults.CutAfter
+		stream.crash = faults.Cuts > 0
+	}
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		s.resume(stream, r, last)
+		return
+	}
+	g := newGeneration()
+	s.keep(attempt, g)
+	go s.generate(g, asked, kindOf(r), attempt, time.Duration(faults.StallMillis)*time.Millisecond)
+	stream.write(r, g, 0)
 }
 
-func (s *Server) run(w http.ResponseWriter, r *http.Request, asked request, faults Faults) {
-	text := asked.text()
-	if !s.enter(r.Context()) {
-		s.cancelled()
+// resume goes on with a stream after the event with the given identifier.
+func (s *Server) resume(stream *stream, r *http.Request, last string) {
+	attempt, number, _ := strings.Cut(last, ":")
+	after, err := strconv.Atoi(number)
+	g, ok := s.kept(attempt)
+	if err != nil || !ok || after < 0 {
+		stream.writer.WriteHeader(http.StatusGone)
 		return
 	}
-	defer s.leave()
-	if !s.process(r.Context(), asked.CacheSalt, text) || !sleep(r.Context(), time.Duration(faults.StallMillis)*time.Millisecond) {
-		s.cancelled()
+	s.mu.Lock()
+	s.counts.Resumed++
+	s.mu.Unlock()
+	stream.write(r, g, after)
+}
+
+// keep remembers a stream until some time after its end.
+func (s *Server) keep(attempt string, g *generation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generations[attempt] = g
+	time.AfterFunc(generationMemory, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.generations, attempt)
+	})
+}
+
+func (s *Server) kept(attempt string) (*generation, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, ok := s.generations[attempt]
+	return g, ok
+}
+
+// cancelAttempt ends a stream at its reader's word.
+func (s *Server) cancelAttempt(w http.ResponseWriter, r *http.Request) {
+	g, ok := s.kept(r.PathValue("attempt"))
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	stream := &stream{server: s, writer: w, kind: kindOf(r), model: asked.Model, attempt: r.Header.Get("X-Attempt-Id")}
-	if faults.Crossed > 0 {
-		stream.attempt = "another"
-	}
-	cutAfter := int64(-1)
-	if faults.Cuts > 0 {
-		cutAfter = int64(faults.CutAfter)
-	}
-	stream.write(r, newGenerator(text), asked.MaxTokens, cutAfter)
+	g.cancel()
 }
 
 func (s *Server) cancelled() {
@@ -99,48 +138,42 @@
 	return completer.KindText
 }
 
-// stream is one streamed answer.
+// stream is one connection that reads a generation.
 type stream struct {
 	server  *Server
 	writer  http.ResponseWriter
-	kind    completer.Kind
-	model   string
 	attempt string
-	number  int64
+	// cutAfter is after how many events the connection is cut; -1 for never. With
+	// crash, the generation ends too.
+	cutAfter int
+	crash    bool
 }
 
-// write writes tokens until the text ends, the caller goes, or cutAfter tokens
-// when that is not negative.
-func (s *stream) write(r *http.Request, generate *generator, maxTokens, cutAfter int64) {
-	s.writer.Header().Set("Content-Type", "text/event-stream")
-	for i := range maxTokens {
-		if i == cutAfter {
+// write writes the events after the first ones, until the generation ends or
+// the reader goes.
+func (s *stream) write(r *http.Request, g *generation, after int) {
+	g.attach()
+	defer g.detach()
+	for number := after; ; number++ {
+		if number-after == s.cutAfter {
+			if s.crash {
+				g.cancel()
+			}
 			panic(http.ErrAbortHandler)
 		}
-		if !sleep(r.Context(), s.server.options.DecodePerToken) {
-			s.server.cancelled()
+		data, ok := g.next(r.Context(), number)
+		if !ok {
 			return
 		}
-		token, stop := generate.next()
-		chunk := completer.Chunk{Text: token}
-		switch {
-		case stop:
-			chunk.FinishReason = "stop"
-		case i == maxTokens-1:
-			chunk.FinishReason = "length"
-		}
-		s.event(completer.EncodeChunk(s.kind, s.attempt, s.model, chunk))
-		if stop {
-			break
+		if number == after {
+			s.writer.Header().Set("Content-Type", "text/event-stream")
 		}
+		s.event(number+1, data)
 	}
-	s.event(completer.DoneData)
-	s.server.finished()
 }
 
-func (s *stream) event(data string) {
-	s.number++
-	message := &sse.Message{ID: sse.ID(s.attempt + ":" + strconv.FormatInt(s.number, 10))}
+func (s *stream) event(number int, data string) {
+	message := &sse.Message{ID: sse.ID(s.attempt + ":" + strconv.Itoa(number))}
 	message.AppendData(data)
 	_, _ = message.WriteTo(s.writer)
 	_ = http.NewResponseController(s.writer).Flush()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -45,11 +45,17 @@
 	}
 }
 
+// generationMemory is how long a stream can be resumed after its beginning.
+const generationMemory = 2 * time.Minute
+
 // Faults are the faults on demand, each for the next requests.
 type Faults struct {
 	// CutAfter cuts the streams of the next Cuts requests after so many tokens.
 	CutAfter int `json:"cutAfter"`
 	Cuts     int `json:"cuts"`
+	// Drops is how many of the next requests lose their connection after CutAfter
+	// tokens, while the engine goes on.
+	Drops int `json:"drops"`
 	// Crossed is how many of the next requests get another attempt's events.
 	Crossed int `json:"crossed"`
 	// RefuseBusy is how many of the next requests are refused for load.
@@ -63,6 +69,7 @@
 	Requests     int64 `json:"requests"`
 	Finished     int64 `json:"finished"`
 	Cancelled    int64 `json:"cancelled"`
+	Resumed      int64 `json:"resumed"`
 	PromptTokens int64 `json:"promptTokens"`
 	CachedTokens int64 `json:"cachedTokens"`
 	// SawAuthorization counts requests that carried a key.
@@ -75,15 +82,17 @@
 	batch   chan struct{}
 	prefill sync.Mutex
 
-	mu     sync.Mutex
-	cache  *cache
-	faults Faults
-	counts Counts
+	mu    sync.Mutex
+	cache *cache
+	// generations are the streams that can be resumed, by attempt.
+	generations map[string]*generation
+	faults      Faults
+	counts      Counts
 }
 
 // New returns an engine with an empty cache.
 func New(options Options) *Server {
-	return &Server{options: options, batch: make(chan struct{}, options.MaxBatch), cache: newCache(options.CacheChunks)}
+	return &Server{options: options, batch: make(chan struct{}, options.MaxBatch), cache: newCache(options.CacheChunks), generations: map[string]*generation{}}
 }
 
 // Handler returns the HTTP interface.
@@ -91,6 +100,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", s.completion)
 	mux.HandleFunc("POST /v1/chat/completions", s.completion)
+	mux.HandleFunc("DELETE /v1/attempts/{attempt}", s.cancelAttempt)
 	mux.HandleFunc("POST /faults", s.setFaults)
 	mux.HandleFunc("GET /counts", s.showCounts)
 	return mux
@@ -116,6 +126,7 @@
 	defer s.mu.Unlock()
 	taken := s.faults
 	s.faults.Cuts = max(0, s.faults.Cuts-1)
+	s.faults.Drops = max(0, s.faults.Drops-1)
 	s.faults.Crossed = max(0, s.faults.Crossed-1)
 	s.faults.RefuseBusy = max(0, s.faults.RefuseBusy-1)
 	return taken
