Convict requests that crash backend servers, and let innocents through

Cause: a request that crashes each engine that runs it was retried on all of them, and again when its caller sent it again.

Change: after a cut the engine is asked once for the rest of the stream; refused or lost means that it crashed. What ran there becomes suspect and runs again alone, never beside another suspect, by leave of one home per domain; a crash alone convicts, a good end acquits. Word goes to all peers. Two servers of a domain or three in all convict at once.

Ruled out: one home over all domains (views of far instances are too sparse at 380 instances).

Left: plain services, where a cut tells nothing of a crash.

--- a/internal/action/action.go
+++ b/internal/action/action.go
@@ -47,6 +47,9 @@
 // Cancel ends a request whose caller has gone, and its attempt if there is one.
 type Cancel struct{ Request, Attempt string }
 
+// CancelAttempt ends an attempt whose request goes on.
+type CancelAttempt struct{ Request, Attempt string }
+
 // Refuse gives a request its final answer without any from a backend server.
 type Refuse struct {
 	Request string
@@ -93,6 +96,7 @@
 
 func (Dispatch) isAction()        {}
 func (Cancel) isAction()          {}
+func (CancelAttempt) isAction()   {}
 func (Refuse) isAction()          {}
 func (Answer) isAction()          {}
 func (EndStream) isAction()       {}
--- a/internal/action/refusal.go
+++ b/internal/action/refusal.go
@@ -27,6 +27,7 @@
 	CodeDraining         Code = "draining"
 	CodeStreamIncomplete Code = "streamIncomplete"
 	CodeStreamLost       Code = "streamLost"
+	CodeCrashesServers   Code = "crashesServers"
 )
 
 // Refusal is a final answer that the system itself gives.
--- /dev/null
+++ b/internal/blamer/blamer.go
@@ -0,0 +1,169 @@
+// Package blamer remembers which requests were running when a backend server
+// crashed, by the request's fingerprint.
+//
+// After a first crash a request is a suspect; it then runs alone, never beside
+// another suspect. One that crashes a server while it is the only suspect there
+// is convicted and refused from then on; one that ends well is cleared.
+//
+// # Usage
+//
+//	blame := blamer.New(limit)
+//	blame.Suspect(now, fingerprint, blamer.Crash{Domain: "split-a", Server: "engine-1"})
+//	blame.Convict(now, fingerprint)
+//	switch blame.State(now, fingerprint) { ... }
+package blamer
+
+import (
+	"slices"
+
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// Times after which blame is forgotten.
+const (
+	suspectFor = 10 * clock.Minute
+	convictFor = 24 * clock.Hour
+)
+
+// State is what is held against a fingerprint.
+type State int
+
+// The states.
+const (
+	Clear State = iota
+	Suspect
+	Convicted
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"clear", "suspect", "convicted"}[s]
+}
+
+// entry is what is held against one fingerprint.
+type entry struct {
+	state   State
+	until   clock.Millis
+	crashes []Crash
+}
+
+// Crash is a crash during which a request ran.
+type Crash struct {
+	Domain string // Domain is the failure domain whose instances saw it.
+	Server string
+	At     clock.Millis
+}
+
+// Crashes of different servers after which a request is convicted though it ran
+// beside others.
+const (
+	crashesInDomain = 2
+	crashesInAll    = 3
+)
+
+// Blamer is a bounded memory of blame. It is not safe for concurrent use.
+type Blamer struct {
+	entries map[string]entry
+	order   []string
+	limit   int
+}
+
+// New returns a Blamer for at most the given number of fingerprints; the oldest
+// is forgotten first.
+func New(limit int) *Blamer {
+	return &Blamer{entries: map[string]entry{}, limit: limit}
+}
+
+// Suspect notes that the request ran during the crash. A clear fingerprint
+// becomes a suspect, one with too many crashes is convicted. It reports whether
+// the crash is new.
+func (b *Blamer) Suspect(now clock.Millis, fingerprint string, crash Crash) bool {
+	held := entry{state: Suspect, until: now.Add(suspectFor)}
+	switch b.State(now, fingerprint) {
+	case Convicted:
+		return false
+	case Suspect:
+		held.crashes = b.entries[fingerprint].crashes
+	}
+	same := func(c Crash) bool { return c.Server == crash.Server && c.Domain == crash.Domain }
+	if slices.ContainsFunc(held.crashes, same) {
+		return false
+	}
+	crash.At = now
+	held.crashes = append(slices.Clone(held.crashes), crash)
+	b.set(fingerprint, held)
+	if tooMany(held.crashes, crash.Domain) {
+		b.Convict(now, fingerprint)
+	}
+	return true
+}
+
+func tooMany(crashes []Crash, domain string) bool {
+	near := 0
+	for _, crash := range crashes {
+		if crash.Domain == domain {
+			near++
+		}
+	}
+	return near >= crashesInDomain || len(crashes) >= crashesInAll
+}
+
+// Crashes returns the crashes during which the request ran.
+func (b *Blamer) Crashes(fingerprint string) []Crash {
+	return b.entries[fingerprint].crashes
+}
+
+// Convict makes the fingerprint refused from now on. It reports whether that is
+// new.
+func (b *Blamer) Convict(now clock.Millis, fingerprint string) bool {
+	if b.State(now, fingerprint) == Convicted {
+		return false
+	}
+	b.set(fingerprint, entry{state: Convicted, until: now.Add(convictFor)})
+	return true
+}
+
+// Acquit clears a suspect.
+func (b *Blamer) Acquit(fingerprint string) {
+	if b.entries[fingerprint].state == Suspect {
+		b.forget(fingerprint)
+	}
+}
+
+// Pardon clears whatever is held against the fingerprint.
+func (b *Blamer) Pardon(fingerprint string) {
+	b.forget(fingerprint)
+}
+
+// State returns what is held against the fingerprint at now.
+func (b *Blamer) State(now clock.Millis, fingerprint string) State {
+	known, ok := b.entries[fingerprint]
+	if !ok || now >= known.until {
+		return Clear
+	}
+	return known.state
+}
+
+// Convicts returns the convicted fingerprints, the oldest first.
+func (b *Blamer) Convicts(now clock.Millis) []string {
+	return slices.DeleteFunc(slices.Clone(b.order), func(fingerprint string) bool {
+		return b.State(now, fingerprint) != Convicted
+	})
+}
+
+func (b *Blamer) set(fingerprint string, held entry) {
+	if _, ok := b.entries[fingerprint]; !ok {
+		for len(b.order) >= b.limit {
+			b.forget(b.order[0])
+		}
+		b.order = append(b.order, fingerprint)
+	}
+	b.entries[fingerprint] = held
+}
+
+func (b *Blamer) forget(fingerprint string) {
+	delete(b.entries, fingerprint)
+	if i := slices.Index(b.order, fingerprint); i >= 0 {
+		b.order = slices.Delete(b.order, i, i+1)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
@@ -125,9 +126,12 @@
 	if ctx.Err() != nil {
 		return Result{Gone: true}
 	}
-	if !a.connected.Load() {
+	if !a.connected.Load() && errors.Is(err, syscall.ECONNREFUSED) {
 		return Result{Reach: retrier.NotSent, Failure: retrier.Dial}
 	}
+	if !a.connected.Load() {
+		return Result{Reach: retrier.NotSent, Failure: retrier.Unreachable}
+	}
 	failure := retrier.Cut
 	var timeout net.Error
 	if a.timedOut.Load() || (errors.As(err, &timeout) && timeout.Timeout()) {
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -92,7 +92,9 @@
 	switch {
 	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		return Result{Reach: retrier.Sent, Failure: retrier.Busy}
-	case response.StatusCode >= http.StatusInternalServerError, response.StatusCode == http.StatusGone:
+	case response.StatusCode == http.StatusGone:
+		return Result{Reach: retrier.Sent, Failure: retrier.Lost}
+	case response.StatusCode >= http.StatusInternalServerError:
 		return Result{Reach: retrier.Sent, Failure: retrier.ServerError}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.answerBytes))
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -104,7 +104,13 @@
 		Passed:       c.writer.text.String(),
 		PassedTokens: c.writer.tokens,
 	})
-	result := c.gateway.dispatch.Stream(ctx, dispatch, c.request.Kind, body, c)
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.gateway.machine.Attempt(c.id, cancel)
+	result := c.gateway.dispatch.Stream(attempt, dispatch, c.request.Kind, body, c)
+	if result.Gone && ctx.Err() == nil && attempt.Err() != nil {
+		return false
+	}
 	if result.Gone {
 		c.gateway.machine.Submit(event.RequestAbandoned{Request: c.id})
 		return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
@@ -28,6 +29,8 @@
 	Submit(happened event.Event)
 	Open(request string) <-chan action.Action
 	Done(request string)
+	// Attempt registers how to end the request's current attempt.
+	Attempt(request string, cancel context.CancelFunc)
 	// Ready reports whether the instance can serve and is not stopping.
 	Ready() bool
 }
--- a/internal/journal/number.go
+++ b/internal/journal/number.go
@@ -28,6 +28,9 @@
 	LeaseTaken         Number = 2101
 	LeaseLost          Number = 2102
 	ServerSuspected    Number = 2201
+	ServerCrashed      Number = 2202
+	RunsAlone          Number = 2203
+	RequestConvicted   Number = 2204
 	InstanceStarted    Number = 3001
 	InstanceDraining   Number = 3002
 	InstanceStopped    Number = 3003
@@ -62,6 +65,9 @@
 	LeaseTaken:         "leaseTaken",
 	LeaseLost:          "leaseLost",
 	ServerSuspected:    "serverSuspected",
+	ServerCrashed:      "serverCrashed",
+	RunsAlone:          "runsAlone",
+	RequestConvicted:   "requestConvicted",
 	InstanceStarted:    "instanceStarted",
 	InstanceDraining:   "instanceDraining",
 	InstanceStopped:    "instanceStopped",
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -28,7 +28,7 @@
 
 // The failures.
 const (
-	// Dial means that no connection could be made.
+	// Dial means that the server's instance refused the connection.
 	Dial Failure = iota + 1
 	// Cut means that the connection broke.
 	Cut
@@ -38,13 +38,17 @@
 	Busy
 	// ServerError means that the server answered with an error of its own.
 	ServerError
+	// Unreachable means that the server's instance gave no answer to the dialling.
+	Unreachable
+	// Lost means that the server runs, but no longer has the attempt.
+	Lost
 	// Malformed means that the answer belongs to another attempt or is damaged.
 	Malformed
 )
 
 // String returns the failure's name.
 func (f Failure) String() string {
-	return [...]string{"", "dial", "cut", "timeout", "busy", "serverError", "malformed"}[f]
+	return [...]string{"", "dial", "cut", "timeout", "busy", "serverError", "unreachable", "lost", "malformed"}[f]
 }
 
 // Attempt is an attempt that has failed.
@@ -77,7 +81,7 @@
 )
 
 // MaxAttempts bounds the attempts of one request.
-const MaxAttempts = 4
+const MaxAttempts = 3
 
 // Decide returns what follows the failed attempt.
 func Decide(attempt Attempt) Verdict {
--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/authenticator"
+	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
@@ -92,6 +93,9 @@
 	if !f.route.Repeatable && f.request.IdempotencyKey == "" {
 		return nil, action.Refused(action.StatusBadRequest, action.CodeKeyMissing, "this call may not be repeated; send an Idempotency-Key header with it")
 	}
+	if r.blame.State(r.now, f.request.Fingerprint) == blamer.Convicted {
+		return nil, convicted()
+	}
 	if err := r.checkResume(f); err != nil {
 		return nil, action.Refused(action.StatusBadRequest, action.CodeInvalidRequest, "the Last-Event-ID is not of this request; send the request without it")
 	}
@@ -123,7 +127,7 @@
 	f.abandoned = true
 	r.log(journal.New(journal.RequestAbandoned, f.id()).With("stage", f.stage))
 	switch f.stage {
-	case stageDrawing:
+	case stageDrawing, stageIsolating:
 		r.refundAll(f)
 		r.cancel(f)
 	case stageRunning:
@@ -138,6 +142,7 @@
 		return
 	}
 	r.known.Ended(r.now, f.server, true)
+	r.endFailedAlone(f)
 	r.cancel(f)
 }
 
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -7,6 +7,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
 	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
@@ -25,7 +26,13 @@
 		r.noServer(f)
 		return
 	}
+	r.dispatchTo(f, server)
+}
+
+// dispatchTo begins an attempt at the server.
+func (r *Router) dispatchTo(f *flight, server tracker.Server) {
 	f.attempt = r.ids.ID("a")
+	f.attempts++
 	f.resumed = false
 	r.emitDispatch(f, server, -1)
 }
@@ -40,6 +47,7 @@
 		return
 	}
 	f.attempt = f.from.Attempt
+	f.attempts++
 	r.emitDispatch(f, server, f.from.Event)
 }
 
@@ -47,7 +55,6 @@
 // after the numbered event.
 func (r *Router) emitDispatch(f *flight, server tracker.Server, resumeAfter int64) {
 	f.stage = stageRunning
-	f.attempts++
 	f.server = server.Name
 	f.tried[server.Name] = true
 	r.known.Placed(server.Name)
@@ -180,7 +187,39 @@
 		EarlierSent: f.sent,
 	})
 	f.sent = f.sent || happened.Reach != retrier.NotSent
-	r.afterFailure(f, happened, verdict)
+	f.passed = f.passed || happened.Passed > 0
+	switch {
+	case f.crashOf(happened):
+		r.crashed(f)
+	case r.canResume(f, happened):
+		f.resumed = true
+		server, _ := r.known.Server(f.server)
+		r.emitDispatch(f, server, happened.LastEvent)
+	default:
+		r.endFailedAlone(f)
+		r.afterFailure(f, happened, verdict)
+	}
+}
+
+// canResume reports whether the same server may still have the cut attempt. It
+// is asked once; its answer also tells whether the server crashed.
+func (r *Router) canResume(f *flight, failed event.AttemptFailed) bool {
+	_, listed := r.known.Server(f.server)
+	return f.isModel() && failed.Failure == retrier.Cut && listed && !f.resumed
+}
+
+// crashOf reports whether the failure tells of a crash: after a cut the server's
+// instance refuses connections, or the server has lost the attempt.
+func (f *flight) crashOf(failed event.AttemptFailed) bool {
+	gone := failed.Failure == retrier.Dial || failed.Failure == retrier.Lost
+	return f.resumed && f.from == nil && gone
+}
+
+// endFailedAlone ends a lone run that failed without a crash.
+func (r *Router) endFailedAlone(f *flight) {
+	if f.isolation.alone {
+		r.endAlone(f, peerv1.Blame_SUSPECT)
+	}
 }
 
 func (r *Router) afterFailure(f *flight, happened event.AttemptFailed, verdict retrier.Verdict) {
@@ -188,7 +227,7 @@
 	case retrier.Elsewhere:
 		r.dispatch(f)
 	case retrier.Resume:
-		r.resume(f, happened)
+		r.goOn(f)
 	case retrier.NotRun:
 		r.notRun(f, action.CodeServerFailed, "no backend server could be reached")
 	case retrier.GiveUp:
@@ -199,15 +238,8 @@
 	}
 }
 
-// resume goes on with a broken stream: after a cut once at the same server, which
-// may still have it, then at another one.
-func (r *Router) resume(f *flight, failed event.AttemptFailed) {
-	server, listed := r.known.Server(f.server)
-	if failed.Failure == retrier.Cut && listed && !f.resumed {
-		f.resumed = true
-		r.emitDispatch(f, server, failed.LastEvent)
-		return
-	}
+// goOn goes on with a broken stream at another server.
+func (r *Router) goOn(f *flight) {
 	if f.from != nil || len(r.untried(f)) == 0 {
 		r.endStream(f)
 		return
@@ -226,7 +258,10 @@
 // endStream ends a stream of which the caller has a part.
 func (r *Router) endStream(f *flight) {
 	refusal := action.Refused(action.StatusBadGateway, action.CodeStreamIncomplete, "the backend servers failed before the end of the stream")
-	refusal = refusal.WithPossiblyRun().WithRetryAfter(comeBack)
+	r.endStreamWith(f, refusal.WithPossiblyRun().WithRetryAfter(comeBack))
+}
+
+func (r *Router) endStreamWith(f *flight, refusal action.Refusal) {
 	r.log(journal.New(journal.RequestRefused, f.id()).With("code", refusal.Code).With("status", refusal.Status))
 	r.emit(action.EndStream{Request: f.id(), Refusal: refusal})
 	r.end(f)
@@ -251,6 +286,9 @@
 		return
 	}
 	r.endAttempt(f, true)
+	if f.isolation.alone {
+		r.endAlone(f, peerv1.Blame_CLEAR)
+	}
 	f.answer = recorder.Answer{Status: happened.Status, ContentType: happened.ContentType, Body: happened.Body}
 	if f.isModel() {
 		r.refund(f, max(f.cost()-happened.UsedTokens, 0))
--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -17,11 +17,12 @@
 	stageRecording
 	stageRunning
 	stageSettling
+	stageIsolating
 )
 
 // String returns the stage's name.
 func (s stage) String() string {
-	return [...]string{"drawing", "recording", "running", "settling"}[s]
+	return [...]string{"drawing", "recording", "running", "settling", "isolating"}[s]
 }
 
 // flight is one request from its arrival to its end.
@@ -49,6 +50,9 @@
 	sent bool
 	// resumed tells that the current attempt was gone on with after a cut.
 	resumed bool
+	// passed tells that the caller has a part of the stream.
+	passed    bool
+	isolation isolation
 	// from is where a caller's lost stream goes on; nil for a new request.
 	from *stamper.Place
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,10 +22,12 @@
 
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/explainer"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/isolator"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
 	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
@@ -42,6 +44,8 @@
 	maxExplained  = 2000 // maxExplained bounds the requests that are explained.
 	maxSettling   = 1024 // maxSettling bounds the call records being settled.
 	maxHoldings   = 1024 // maxHoldings bounds the holders known, of all domains.
+	maxBlamed     = 4096 // maxBlamed bounds the fingerprints that are blamed.
+	maxIsolated   = 1024 // maxIsolated bounds the suspects that wait to run.
 	maxOperations = 64   // maxOperations bounds the operators' operations.
 )
 
@@ -80,6 +84,8 @@
 	heldTerms  [limiter.Shards]int64
 	holdings   map[holdingKey]*peerv1.Holding
 	explained  *explainer.Explainer
+	blame      *blamer.Blamer
+	isolation  *isolator.Isolator
 
 	manifest      sharder.Manifest
 	configuration config.Config
@@ -118,6 +124,8 @@
 		rights:     limiter.New(maxDraws),
 		holdings:   map[holdingKey]*peerv1.Holding{},
 		explained:  explainer.New(maxExplained),
+		blame:      blamer.New(maxBlamed),
+		isolation:  isolator.New(maxIsolated),
 		values:     map[string][]byte{},
 		flights:    map[string]*flight{},
 		drawers:    map[string]string{},
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -19,6 +19,8 @@
 	settleDue     struct{ attempt string }
 	operationDue  struct{ operation string }
 	explainingDue struct{ operation string }
+	isolationDue  struct{ request string }
+	grantDue      struct{}
 )
 
 // leaseDue is void when the lease has taken another turn.
@@ -36,6 +38,8 @@
 func (d recordDue) run(r *Router)     { r.recordResumed(d.request) }
 func (d settleDue) run(r *Router)     { r.settleResumed(d.attempt) }
 func (d operationDue) run(r *Router)  { r.operationResumed(d.operation) }
+func (d isolationDue) run(r *Router)  { r.isolationAgain(d.request) }
+func (grantDue) run(r *Router)        { r.grantIsolation() }
 func (d explainingDue) run(r *Router) { r.explainingTimedOut(d.operation) }
 
 // timer is one entry of the queue; number keeps equal instants in order.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,6 +56,7 @@
 	mu         sync.Mutex
 	machine    *router.Router
 	requests   map[string]chan action.Action
+	attempts   map[string]context.CancelFunc
 	operations map[string]chan action.Result
 	timer      *time.Timer
 }
@@ -73,6 +74,7 @@
 		began:      time.Now(),
 		machine:    machine,
 		requests:   map[string]chan action.Action{},
+		attempts:   map[string]context.CancelFunc{},
 		operations: map[string]chan action.Result{},
 	}
 	r.timer = time.AfterFunc(time.Hour, func() { r.Submit(event.Tick{}) })
@@ -109,11 +111,19 @@
 	return actions
 }
 
+// Attempt registers how to end the request's current attempt.
+func (r *Runner) Attempt(request string, cancel context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[request] = cancel
+}
+
 // Done forgets a request.
 func (r *Runner) Done(request string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.requests, request)
+	delete(r.attempts, request)
 }
 
 // Operate submits an operator's event and waits for the result of its
@@ -167,6 +177,8 @@
 		r.pass(next.Request, next)
 	case action.Cancel:
 		r.pass(next.Request, next)
+	case action.CancelAttempt:
+		r.cancelAttempt(next.Request)
 	case action.Refuse:
 		r.pass(next.Request, next)
 	case action.Answer:
@@ -195,6 +207,12 @@
 	results <- finished.Result
 }
 
+func (r *Runner) cancelAttempt(request string) {
+	if cancel, ok := r.attempts[request]; ok {
+		cancel()
+	}
+}
+
 func (r *Runner) pass(request string, next action.Action) {
 	actions, ok := r.requests[request]
 	if !ok {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -60,6 +60,9 @@
 	Crossed int `json:"crossed"`
 	// RefuseBusy is how many of the next requests are refused for load.
 	RefuseBusy int `json:"refuseBusy"`
+	// CrashOn is a text in a prompt that makes the engine crash: it loses all
+	// streams and its cache. It stays set.
+	CrashOn string `json:"crashOn"`
 	// StallMillis delays the first token of every request.
 	StallMillis int64 `json:"stallMillis"`
 }
@@ -70,6 +73,7 @@
 	Finished     int64 `json:"finished"`
 	Cancelled    int64 `json:"cancelled"`
 	Resumed      int64 `json:"resumed"`
+	Crashes      int64 `json:"crashes"`
 	PromptTokens int64 `json:"promptTokens"`
 	CachedTokens int64 `json:"cachedTokens"`
 	// SawAuthorization counts requests that carried a key.
@@ -159,6 +163,18 @@
 	return sleep(ctx, time.Duration(tokens-cached)*s.options.PrefillPerToken)
 }
 
+// crash loses all streams and the cache.
+func (s *Server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Crashes++
+	for _, g := range s.generations {
+		g.cancel()
+	}
+	s.generations = map[string]*generation{}
+	s.cache = newCache(s.options.CacheChunks)
+}
+
 func (s *Server) leave() {
 	<-s.batch
 }
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -93,6 +94,12 @@
 	}
 }
 
+func (s *Server) crashOn() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CrashOn
+}
+
 // generate makes the stream: the time of the prompt, then token by token.
 func (s *Server) generate(g *generation, asked request, kind completer.Kind, attempt string, stall time.Duration) {
 	defer g.end()
@@ -106,6 +113,10 @@
 		s.cancelled()
 		return
 	}
+	if crashOn := s.crashOn(); crashOn != "" && strings.Contains(text, crashOn) {
+		s.crash()
+		return
+	}
 	tokens := newGenerator(text)
 	for i := range asked.MaxTokens {
 		if !sleep(g.ctx, s.options.DecodePerToken) {
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -180,6 +180,8 @@
 		n.end(next.Request, func(r *Request) { r.Answer, r.Replayed = next.Answer, next.Replayed })
 	case action.Cancel:
 		n.end(next.Request, func(r *Request) { r.Lost = true })
+	case action.CancelAttempt:
+		n.fleet.cancelAttempt(next.Attempt)
 	case action.Stop:
 		n.Stopped = true
 	}
