Let a team's share of each domain follow its demand

Cause: a domain had a fixed third of each team's rate; cut off with all of the team's demand, it refused 36 of 400 requests inside the rate.

Change: the division of a team is one object in the platform, in which each domain's holder changes its own number only: who gives applies less first and writes then, who takes writes first and applies then. Every 2 s a domain asks the others for what its demand needs more; 30% stay with the others as a reserve. The second of a domain watches each lease as well, so it takes over sooner.

Ruled out: no reserve (71 of 400 refused when the holder of the whole share died: its successor starts empty after 3.3 s); loans of rate between holders (they end by a clock during a long cut).

--- a/internal/journal/number.go
+++ b/internal/journal/number.go
@@ -27,6 +27,7 @@
 	ConfigConflict     Number = 2004
 	LeaseTaken         Number = 2101
 	LeaseLost          Number = 2102
+	ShareChanged       Number = 2103
 	ServerSuspected    Number = 2201
 	ServerCrashed      Number = 2202
 	RunsAlone          Number = 2203
@@ -64,6 +65,7 @@
 	ConfigConflict:     "configConflict",
 	LeaseTaken:         "leaseTaken",
 	LeaseLost:          "leaseLost",
+	ShareChanged:       "shareChanged",
 	ServerSuspected:    "serverSuspected",
 	ServerCrashed:      "serverCrashed",
 	RunsAlone:          "runsAlone",
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -56,6 +56,7 @@
 
 	busy    bool // busy while a call to the platform is under way.
 	wanted  bool
+	watched bool
 	known   bool
 	record  Record
 	version int64
@@ -99,6 +100,13 @@
 	return l
 }
 
+// WithWatched returns the lease, read regularly by self or not. Who watches a
+// lease before it is free can take it sooner.
+func (l Lease) WithWatched(watched bool) Lease {
+	l.watched = watched
+	return l
+}
+
 // Step is what to do next.
 type Step interface{ isStep() }
 
@@ -126,6 +134,9 @@
 	if l.Held(now) {
 		return l.nextOfHolder(now)
 	}
+	if !l.wanted && l.watched {
+		return l.readOrWait(now)
+	}
 	if !l.wanted {
 		return Wait{Until: now.Add(readEvery)}
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -21,6 +21,9 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
+// whole is the thousandths of a whole limit.
+const whole = 1000
+
 // Shards is into how many shards a domain's rights are split, by team.
 const Shards = 4
 
@@ -46,13 +49,9 @@
 	Burst int64 // Burst is in tokens.
 }
 
-// ShareOf returns the part of the team's limit of one of the given number of
-// failure domains. The parts sum to at most the whole.
-func ShareOf(team config.Team, domains int) Share {
-	if domains <= 0 {
-		return Share{}
-	}
-	return Share{Rate: team.Rate / int64(domains), Burst: team.Burst / int64(domains)}
+// ShareOf returns the given thousandths of the team's limit, rounded down.
+func ShareOf(team config.Team, thousandths int64) Share {
+	return Share{Rate: team.Rate * thousandths / whole, Burst: team.Burst * thousandths / whole}
 }
 
 // Granted is the answer to a draw.
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -25,6 +25,32 @@
 	operationCall struct{ operation string }
 )
 
+// divisionsCall reads the divisions of a shard held under the term.
+type divisionsCall struct {
+	shard int
+	term  int64
+}
+
+// divisionCall reads a team's division, to take more of it or, with 0, to write
+// what is applied here.
+type divisionCall struct {
+	team  string
+	more  int64
+	tries int
+}
+
+// divisionWriteCall writes the own domain's number.
+type divisionWriteCall struct {
+	divisionCall
+	share int64
+}
+
+func (c divisionsCall) answered(r *Router, answer platform.Answer) { r.divisionsRead(c, answer) }
+func (c divisionCall) answered(r *Router, answer platform.Answer)  { r.divisionRead(c, answer) }
+func (c divisionWriteCall) answered(r *Router, answer platform.Answer) {
+	r.divisionWritten(c, answer)
+}
+
 // leaseWriteCall remembers when it was asked, from which the lease counts.
 type leaseWriteCall struct {
 	shard int
--- a/internal/router/draws.go
+++ b/internal/router/draws.go
@@ -82,15 +82,12 @@
 	shard := limiter.ShardOf(f.team.Name)
 	id := r.ids.ID("d")
 	if domain == r.settings.Domain && r.holdsRights(shard) {
+		r.parts.Asked(f.team.Name, f.draws.missing)
 		granted := r.rights.Draw(r.now, id, f.team.Name, f.draws.missing, r.shareOf(f.team.Name))
 		f.draws.take(id, tracker.Peer{}, granted)
 		return false
 	}
-	holding, ok := r.holdings[holdingKey{domain: domain, shard: int32(shard)}]
-	if !ok {
-		return false
-	}
-	holder, ok := r.known.Peer(holding.GetInstance())
+	holder, ok := r.holderOf(domain, shard)
 	if !ok {
 		return false
 	}
@@ -118,7 +115,7 @@
 }
 
 func (r *Router) shareOf(team string) limiter.Share {
-	return limiter.ShareOf(r.configuration.Teams[team], len(r.configuration.Domains))
+	return limiter.ShareOf(r.configuration.Teams[team], r.parts.Applied(team, r.configuration.Domains))
 }
 
 // drawAsked answers a peer's draw.
@@ -129,6 +126,9 @@
 	}
 	granted := limiter.Granted{NotHolder: true}
 	if r.holdsRights(limiter.ShardOf(draw.GetTeam())) && slices.Contains(r.configuration.Domains, r.settings.Domain) {
+		if peer.Domain == r.settings.Domain {
+			r.parts.Asked(draw.GetTeam(), draw.GetTokens())
+		}
 		granted = r.rights.Draw(r.now, draw.GetId(), draw.GetTeam(), draw.GetTokens(), r.shareOf(draw.GetTeam()))
 	}
 	grant := &peerv1.Grant{Id: draw.GetId(), Tokens: granted.Tokens, RetryAfterMillis: int64(granted.RetryAfter), NotHolder: granted.NotHolder, Team: draw.GetTeam()}
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -110,6 +110,8 @@
 		r.explainRequested(happened.From, body.ExplainRequest)
 	case *peerv1.Message_ExplainAnswer:
 		r.explainAnswered(body.ExplainAnswer)
+	case *peerv1.Message_ShareWish:
+		r.shareWished(body.ShareWish)
 	case *peerv1.Message_IsolationAsk, *peerv1.Message_IsolationGrant, *peerv1.Message_AloneEnd, *peerv1.Message_Blame:
 		r.isolationMessage(happened.From, happened.Message)
 	default:
@@ -159,7 +161,7 @@
 	own := r.weight(key, r.settings.Name)
 	place := 0
 	for _, peer := range r.known.LivePeers(r.now, r.settings.Domain) {
-		if peer.Leaving || peer.PlatformDown {
+		if peer.Leaving || peer.PlatformDown || r.now.Since(peer.HeardAt) > witnessAge {
 			continue
 		}
 		if r.weight(key, peer.Name) > own {
--- a/internal/router/leases.go
+++ b/internal/router/leases.go
@@ -18,6 +18,9 @@
 // rightsKey keeps the ranks for rights apart from those for other roles.
 const rightsKey uint64 = 0x7269676874730000
 
+// leaseWatchers is how many instances of a domain watch a lease.
+const leaseWatchers = 2
+
 // holdingKey names one shard of one domain's rights.
 type holdingKey struct {
 	domain string
@@ -33,8 +36,10 @@
 func (r *Router) leaseStep(shard int) {
 	r.leaseTurns[shard]++
 	lease := r.leases[shard]
-	wanted := !r.draining && r.ready() && (r.rights.Holds(shard) || (r.rank(rightsKey+uint64(shard)) == 0 && !r.claimed(shard)))
-	lease = lease.WithWanted(wanted)
+	place := r.rank(rightsKey + uint64(shard))
+	serves := !r.draining && r.ready()
+	lease = lease.WithWatched(serves && place < leaseWatchers)
+	lease = lease.WithWanted(serves && (r.rights.Holds(shard) || (place == 0 && !r.claimed(shard))))
 	r.dropLapsed(shard)
 	switch step := lease.Next(r.now).(type) {
 	case leaser.Read:
@@ -97,8 +102,9 @@
 	}
 	r.rights.Hold(r.now, shard, start)
 	r.heldTerms[shard] = r.leases[shard].Term()
+	r.loaded[shard] = false
+	r.loadDivisions(shard, "")
 	r.log(journal.New(journal.LeaseTaken, "").With("lease", r.leases[shard].Name()).With("term", r.heldTerms[shard]))
-	r.beat()
 }
 
 // dropLapsed drops rights whose lease has run out, unless nobody can take them
@@ -178,8 +184,19 @@
 	return holdings
 }
 
-// holdsRights reports whether the rights of the shard are held here right now.
+// holdsRights reports whether the rights of the shard are held here right now,
+// and their divisions are known.
 func (r *Router) holdsRights(shard int) bool {
 	r.dropLapsed(shard)
-	return r.rights.Holds(shard)
+	return r.rights.Holds(shard) && r.loaded[shard]
+}
+
+// holderOf returns the peer that holds the shard of the domain's rights, as far
+// as it is known.
+func (r *Router) holderOf(domain string, shard int) (tracker.Peer, bool) {
+	holding, ok := r.holdings[holdingKey{domain: domain, shard: int32(shard)}]
+	if !ok {
+		return tracker.Peer{}, false
+	}
+	return r.known.Peer(holding.GetInstance())
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/divider"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/explainer"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
@@ -78,7 +79,12 @@
 
 	known  *tracker.Tracker
 	rights *limiter.Limiter
-	leases [limiter.Shards]leaser.Lease
+	parts  *divider.Divider
+	// loaded tells of which shards the divisions have been read since they are
+	// held; dividing has the teams whose division is being changed.
+	loaded   [limiter.Shards]bool
+	dividing map[string]bool
+	leases   [limiter.Shards]leaser.Lease
 	// leaseTurns count the steps of the leases.
 	leaseTurns [limiter.Shards]uint64
 	heldTerms  [limiter.Shards]int64
@@ -122,6 +128,8 @@
 		ids:        randomizer.New(settings.Seed),
 		known:      tracker.New(settings.Name, settings.Domain),
 		rights:     limiter.New(maxDraws),
+		parts:      divider.New(settings.Domain),
+		dividing:   map[string]bool{},
 		holdings:   map[holdingKey]*peerv1.Holding{},
 		explained:  explainer.New(maxExplained),
 		blame:      blamer.New(maxBlamed),
@@ -188,6 +196,7 @@
 	r.listInstances()
 	r.after(0, heartbeatDue{})
 	r.leaseSteps()
+	r.after(divisionPeriod, periodDue{})
 }
 
 func (r *Router) identity() string {
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -20,7 +20,16 @@
 	operationDue  struct{ operation string }
 	explainingDue struct{ operation string }
 	isolationDue  struct{ request string }
-	grantDue      struct{}
+	periodDue     struct{}
+	divisionsDue  struct {
+		shard int
+		term  int64
+	}
+	takeDue struct {
+		team string
+		more int64
+	}
+	grantDue struct{}
 )
 
 // leaseDue is void when the lease has taken another turn.
@@ -40,6 +49,9 @@
 func (d operationDue) run(r *Router)  { r.operationResumed(d.operation) }
 func (d isolationDue) run(r *Router)  { r.isolationAgain(d.request) }
 func (grantDue) run(r *Router)        { r.grantIsolation() }
+func (periodDue) run(r *Router)       { r.dividePeriod() }
+func (d divisionsDue) run(r *Router)  { r.reloadDivisions(d) }
+func (d takeDue) run(r *Router)       { r.takeShare(d) }
 func (d explainingDue) run(r *Router) { r.explainingTimedOut(d.operation) }
 
 // timer is one entry of the queue; number keeps equal instants in order.
