--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -50,6 +50,8 @@
 	Holder string       `json:"holder"`
 	Term   int64        `json:"term"`
 	Until  clock.Millis `json:"untilMillis"`
+	// Grants tells that this instance grants tokens of the shard now.
+	Grants bool `json:"grants"`
 }
 
 // TeamStatus is a team's limit and what of it is held here, in tokens.
@@ -105,8 +107,9 @@
 
 func (r *Router) leaseStatus() []LeaseStatus {
 	status := []LeaseStatus{}
-	for _, lease := range r.leases {
-		status = append(status, LeaseStatus{Lease: lease.Name(), Holder: lease.Holder(), Term: lease.Term(), Until: max(0, lease.HeldUntil().Since(r.now))})
+	for shard, lease := range r.leases {
+		grants := r.rights.Holds(shard) && r.loaded[shard] && (lease.Held(r.now) || r.outage())
+		status = append(status, LeaseStatus{Grants: grants, Lease: lease.Name(), Holder: lease.Holder(), Term: lease.Term(), Until: max(0, lease.HeldUntil().Since(r.now))})
 	}
 	return status
 }
