--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -130,6 +130,8 @@
 	case stageDrawing, stageIsolating:
 		r.refundAll(f)
 		r.cancel(f)
+	case stageListing:
+		r.abandonListing(f)
 	case stageRunning:
 		r.abandonRunning(f)
 	}
@@ -146,6 +148,15 @@
 	r.cancel(f)
 }
 
+// abandonListing ends a flight that waits for the instance list.
+func (r *Router) abandonListing(f *flight) {
+	r.refundAll(f)
+	if !f.route.Repeatable {
+		r.settleNotRun(f)
+	}
+	r.cancel(f)
+}
+
 // cancel ends a flight whose caller has gone.
 func (r *Router) cancel(f *flight) {
 	r.emit(action.Cancel{Request: f.id(), Attempt: f.attempt})
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -17,6 +17,10 @@
 
 // dispatch chooses a server and begins an attempt there.
 func (r *Router) dispatch(f *flight) {
+	if r.listStale {
+		f.stage = stageListing
+		return
+	}
 	if f.from != nil {
 		r.resumeLost(f)
 		return
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -19,6 +19,7 @@
 	watchCall     struct{}
 	shardCall     struct{ digest string }
 	instancesCall struct{}
+	relistCall    struct{ number int }
 	leaseReadCall struct{ shard int }
 	recordCall    struct{ request string }
 	settleCall    struct{ attempt string }
@@ -62,6 +63,7 @@
 func (watchCall) answered(r *Router, answer platform.Answer)       { r.watched(answer) }
 func (c shardCall) answered(r *Router, answer platform.Answer)     { r.shardRead(c.digest, answer) }
 func (instancesCall) answered(r *Router, answer platform.Answer)   { r.instancesListed(answer) }
+func (c relistCall) answered(r *Router, answer platform.Answer)    { r.relisted(c, answer) }
 func (c leaseReadCall) answered(r *Router, answer platform.Answer) { r.leaseRead(c.shard, answer) }
 func (c leaseWriteCall) answered(r *Router, answer platform.Answer) {
 	r.leaseWritten(c, answer)
--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -18,11 +18,12 @@
 	stageRunning
 	stageSettling
 	stageIsolating
+	stageListing
 )
 
 // String returns the stage's name.
 func (s stage) String() string {
-	return [...]string{"drawing", "recording", "running", "settling", "isolating"}[s]
+	return [...]string{"drawing", "recording", "running", "settling", "isolating", "listing"}[s]
 }
 
 // flight is one request from its arrival to its end.
--- a/internal/router/instances.go
+++ b/internal/router/instances.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
@@ -23,6 +25,29 @@
 	r.after(listEvery, instancesDue{})
 }
 
+// relist reads the list after a pause of the process. Until the answer is here,
+// nothing is dispatched: a server may have left meanwhile.
+func (r *Router) relist() {
+	r.relists++
+	r.listStale = true
+	r.call(relistCall{number: r.relists}, platform.ListInstances{Since: r.known.ListRevision()})
+}
+
+func (r *Router) relisted(call relistCall, answer platform.Answer) {
+	if answer.Outcome == platform.Done {
+		r.takeListing(answer.Version, answer.Instances)
+	}
+	if call.number != r.relists {
+		return
+	}
+	r.listStale = false
+	for _, id := range slices.Sorted(maps.Keys(r.flights)) {
+		if f := r.flights[id]; f.stage == stageListing {
+			r.dispatch(f)
+		}
+	}
+}
+
 // takeListing takes in entries of the instance list. After the first ones, the
 // peers are greeted at once.
 func (r *Router) takeListing(revision int64, entries []platform.Instance) {
--- a/internal/router/outages.go
+++ b/internal/router/outages.go
@@ -31,6 +31,7 @@
 func (r *Router) noteStep() {
 	if r.lastStep != 0 && r.now.Since(r.lastStep) > pauseGap {
 		r.paused = true
+		r.relist()
 	}
 	r.lastStep = r.now
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -114,11 +114,15 @@
 	// paused tells that the process was paused since the last renewal of a lease.
 	paused   bool
 	lastStep clock.Millis
-	claims   [limiter.Shards]claim
-	watching bool
-	beats    int // beats counts heartbeats, to take turns among far peers.
-	draining bool
-	stopped  bool
+	// listStale tells that the list has not been read since a pause; relists
+	// counts the reads for that.
+	listStale bool
+	relists   int
+	claims    [limiter.Shards]claim
+	watching  bool
+	beats     int // beats counts heartbeats, to take turns among far peers.
+	draining  bool
+	stopped   bool
 }
 
 // New returns the state of an instance that has not started.
