Choose among the sixteen engines of a cell

Change: a domain's engines of a model form cells of at most 16, kept until the list changes; the request's prefix tells the cell. Benchmarks for a request, heartbeats, configuration and memory.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -92,7 +92,7 @@
 
 // choose returns the server for the next attempt, one that was not tried yet.
 func (r *Router) choose(f *flight) (tracker.Server, bool) {
-	servers := r.known.Prefer(r.now, r.untried(f))
+	servers := r.candidates(f)
 	candidates := make([]chooser.Candidate, len(servers))
 	for i, server := range servers {
 		candidates[i] = chooser.Candidate{Name: server.Name, InFlight: server.InFlight}
@@ -112,6 +112,20 @@
 // maxLogged bounds the candidates in a log line.
 const maxLogged = 4
 
+// candidates returns the servers to choose from: of the prefix's cell those that
+// were not tried and are not suspect, else of all servers the nearest ones.
+func (r *Router) candidates(f *flight) []tracker.Server {
+	if f.isModel() {
+		cell := slices.DeleteFunc(r.known.Cell(f.route.Model, f.prefix()), func(s tracker.Server) bool {
+			return f.tried[s.Name] || s.Suspect(r.now)
+		})
+		if len(cell) > 0 {
+			return cell
+		}
+	}
+	return r.known.Prefer(r.now, r.untried(f))
+}
+
 // untried returns the live servers that the flight has not tried.
 func (r *Router) untried(f *flight) []tracker.Server {
 	servers := r.known.Services(f.route.Service)
--- /dev/null
+++ b/internal/router/bench_test.go
@@ -0,0 +1,180 @@
+package router_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
+	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// sized returns a machine that knows the given numbers of peers in its domain,
+// engines, and teams, with one key a team.
+func sized(peers, engines, teams int) *router.Router {
+	machine := router.New(router.Settings{Name: "n-0", Domain: "a", Address: "n-0", Incarnation: "1", MaxInFlight: 1000, AnswerTimeout: 30 * clock.Second, RecordTimeout: 2 * clock.Second})
+	machine.Step(clock.Second, event.Started{})
+	for _, happened := range sizedEvents(peers, engines, teams) {
+		machine.Step(clock.Second, happened)
+	}
+	return machine
+}
+
+// sizedEvents returns the configuration, the instance list and the heartbeats.
+// The first three calls of a machine to the platform are for the manifest, the
+// list and a lease.
+func sizedEvents(peers, engines, teams int) []event.Event {
+	configuration := testkit.Sample(3_000_000, 30_000_000, "a")
+	for i := range teams {
+		name := fmt.Sprintf("team-%d", i)
+		configuration.Teams[name] = config.Team{Name: name, Rate: 3_000_000, Burst: 30_000_000}
+		configuration.Keys[name] = config.Key{ID: name, Digest: name, Team: name}
+	}
+	shards, err := sharder.Split(configuration)
+	if err != nil {
+		panic(err)
+	}
+	manifest := sharder.Manifest{Salt: "s"}.WithWrite("w", shards).WithConfigChanged()
+	events := []event.Event{heartbeatFrom(1, manifest.Revision)}
+	events = append(events, event.PeerMessage{From: "n-1", Message: &peerv1.Message{Body: &peerv1.Message_ConfigOffer{ConfigOffer: &peerv1.ConfigOffer{Manifest: manifest.Encode()}}}})
+	offer := &peerv1.ShardOffer{}
+	for _, value := range shards.ByDigest() {
+		offer.Values = append(offer.Values, value)
+	}
+	events = append(events, event.PeerMessage{From: "n-1", Message: &peerv1.Message{Body: &peerv1.Message_ShardOffer{ShardOffer: offer}}})
+	var list []platform.Instance
+	for i := range engines {
+		list = append(list, platform.Instance{Name: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Domain: "a", State: platform.StateLive, Models: []string{"verdict"}, Weights: "v1"})
+	}
+	for i := 1; i < peers; i++ {
+		name := fmt.Sprintf("n-%d", i)
+		list = append(list, platform.Instance{Name: name, Role: platform.RoleEntry, Domain: "a", Address: name, State: platform.StateLive})
+	}
+	events = append(events, event.PlatformAnswered{Call: 2, Answer: platform.Answer{Outcome: platform.Done, Version: 1, Instances: list}})
+	for i := 1; i < peers; i++ {
+		events = append(events, heartbeatFrom(i, manifest.Revision))
+	}
+	return events
+}
+
+func heartbeatFrom(number int, revision int64) event.Event {
+	name := fmt.Sprintf("n-%d", number)
+	beat := &peerv1.Heartbeat{Domain: "a", Address: name, Incarnation: "1", Revision: revision, Sequence: 1}
+	for shard := range int32(4) {
+		beat.Holdings = append(beat.Holdings, &peerv1.Holding{Shard: shard, Instance: name, Term: 1})
+	}
+	return event.PeerMessage{From: name, Message: &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: beat}}}
+}
+
+// BenchmarkHeartbeat measures one heartbeat received, by the size of the domain.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, peers := range []int{3, 10, 32, 100} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			machine := sized(peers, 10, 100)
+			beat := heartbeatFrom(1, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				machine.Step(clock.Second, beat)
+			}
+			body := beat.(event.PeerMessage).Message
+			b.ReportMetric(float64(proto.Size(body)), "bytes/message")
+		})
+	}
+}
+
+// BenchmarkBeat measures one round of heartbeats sent.
+func BenchmarkBeat(b *testing.B) {
+	for _, peers := range []int{3, 10, 32, 100} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			machine := sized(peers, 10, 100)
+			now := clock.Second
+			b.ReportAllocs()
+			for b.Loop() {
+				now += clock.Second
+				machine.Step(now, event.Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkRequest measures a whole model request: arrival, tokens, choice, first
+// token and end, by the number of engines of the model.
+func BenchmarkRequest(b *testing.B) {
+	for _, engines := range []int{3, 25, 525} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			fleet := testkit.NewFleet(1)
+			fleet.AddNode("a-1", "a")
+			for i := range engines {
+				fleet.AddEngine(fmt.Sprintf("engine-%d", i), "a", "verdict")
+			}
+			fleet.RunFor(clock.Second)
+			fleet.Configure("a-1", testkit.Sample(1_000_000_000, 1_000_000_000, "a"))
+			machine := fleet.Nodes["a-1"].Machine
+			now := fleet.Now
+			number := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				number++
+				request := testkit.Verdict(100, 20)
+				request.Request = fmt.Sprintf("r%d", number)
+				attempt := ""
+				for _, next := range machine.Step(now, request) {
+					if dispatch, ok := next.(action.Dispatch); ok {
+						attempt = dispatch.Attempt
+					}
+				}
+				machine.Step(now, event.FirstToken{Request: request.Request, Attempt: attempt})
+				machine.Step(now, event.AttemptAnswered{Request: request.Request, Attempt: attempt, Status: 200, UsedTokens: 110})
+			}
+		})
+	}
+}
+
+// BenchmarkConfig measures taking up a whole configuration, by the number of
+// teams.
+func BenchmarkConfig(b *testing.B) {
+	for _, teams := range []int{100, 1000, 5500} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			events := sizedEvents(2, 1, teams)
+			b.ReportAllocs()
+			for b.Loop() {
+				machine := router.New(router.Settings{Name: "n-0", Domain: "a", Address: "n-0", Incarnation: "1"})
+				machine.Step(clock.Second, event.Started{})
+				for _, happened := range events {
+					machine.Step(clock.Second, happened)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkState measures the memory of a machine's state, by the number of
+// teams, engines and peers.
+func BenchmarkState(b *testing.B) {
+	for _, size := range []struct{ peers, engines, teams int }{{3, 9, 5}, {32, 525, 100}, {32, 525, 1000}, {32, 525, 5500}, {380, 6300, 5500}} {
+		b.Run(fmt.Sprintf("peers=%d,engines=%d,teams=%d", size.peers, size.engines, size.teams), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			machines := make([]*router.Router, 0, 4)
+			for range 4 {
+				machines = append(machines, sized(size.peers, size.engines, size.teams))
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				runtime.KeepAlive(machines)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/4/1024, "KiB/state")
+		})
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -20,6 +20,9 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
+// cellSize is the most engines in a cell.
+const cellSize = 16
+
 // Suspicion of backend servers.
 const (
 	// suspectAfter is the failures in a row that make a server suspect.
@@ -38,11 +41,14 @@
 	servers      map[string]Server
 	peers        map[string]Peer
 	listRevision int64
+	// cells has the cells of the own domain's engines by model, until the list
+	// changes.
+	cells map[string][][]string
 }
 
 // New returns the Tracker of the named instance in the failure domain.
 func New(self, domain string) *Tracker {
-	return &Tracker{self: self, domain: domain, servers: map[string]Server{}, peers: map[string]Peer{}}
+	return &Tracker{self: self, domain: domain, servers: map[string]Server{}, peers: map[string]Peer{}, cells: map[string][][]string{}}
 }
 
 // ListRevision returns the revision of the instance list that was last read.
@@ -55,6 +61,7 @@
 		return
 	}
 	t.listRevision = revision
+	clear(t.cells)
 	for _, instance := range changed {
 		if instance.Role == platform.RoleEntry {
 			t.listPeer(instance)
@@ -177,6 +184,40 @@
 	return t.live(func(s Server) bool { return s.serves(model) })
 }
 
+// Cell returns the live servers of the own domain's cell that has the key, for
+// the model. The engines of a model in a domain form cells of at most cellSize.
+func (t *Tracker) Cell(model string, key uint64) []Server {
+	cells, ok := t.cells[model]
+	if !ok {
+		cells = t.makeCells(model)
+		t.cells[model] = cells
+	}
+	if len(cells) == 0 {
+		return nil
+	}
+	names := cells[key%uint64(len(cells))]
+	servers := make([]Server, len(names))
+	for i, name := range names {
+		servers[i] = t.servers[name]
+	}
+	return servers
+}
+
+func (t *Tracker) makeCells(model string) [][]string {
+	var names []string
+	for _, server := range t.Engines(model) {
+		if server.Domain == t.domain {
+			names = append(names, server.Name)
+		}
+	}
+	count := (len(names) + cellSize - 1) / cellSize
+	cells := make([][]string, count)
+	for i := range cells {
+		cells[i] = names[i*len(names)/count : (i+1)*len(names)/count]
+	}
+	return cells
+}
+
 // Services returns the live servers of the plain service.
 func (t *Tracker) Services(service string) []Server {
 	return t.live(func(s Server) bool { return s.Role == platform.RoleService && s.Service == service })
