Decode only the shards of a configuration that changed

Change: the decoded shards are kept by digest.

Measured, one changed team of 5,500: 29 ms before, 4.1 ms after (0.15% of a core at the target); 12.4 KB a change for manifest and shard, 4.6 KB a second.

--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -157,6 +157,52 @@
 	}
 }
 
+// BenchmarkConfigChange measures taking up a change of one team, by the number of
+// teams: manifest and changed shard.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, teams := range []int{100, 1000, 5500} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			machine := sized(2, 1, teams)
+			configuration, revision, _ := machine.Configuration()
+			manifest := sharder.Manifest{Revision: revision, Salt: "s"}
+			rate := int64(1000)
+			sent := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				rate++
+				configuration.Teams["press"] = config.Team{Name: "press", Rate: rate, Burst: 10}
+				shards, err := sharder.Split(configuration)
+				if err != nil {
+					b.Fatal(err)
+				}
+				manifest = manifest.WithWrite("w", shards)
+				values := shards.ByDigest()
+				b.StartTimer()
+				encoded := manifest.Encode()
+				offer := &peerv1.Message{Body: &peerv1.Message_ConfigOffer{ConfigOffer: &peerv1.ConfigOffer{Manifest: encoded}}}
+				sent += len(encoded)
+				for _, next := range machine.Step(clock.Second, event.PeerMessage{From: "n-1", Message: offer}) {
+					send, ok := next.(action.Send)
+					if !ok || send.Message.GetShardRequest() == nil {
+						continue
+					}
+					answer := &peerv1.ShardOffer{}
+					for _, digest := range send.Message.GetShardRequest().GetDigests() {
+						answer.Values = append(answer.Values, values[digest])
+						sent += len(values[digest])
+					}
+					machine.Step(clock.Second, event.PeerMessage{From: "n-1", Message: &peerv1.Message{Body: &peerv1.Message_ShardOffer{ShardOffer: answer}}})
+				}
+			}
+			if _, now, _ := machine.Configuration(); now != manifest.Revision {
+				b.Fatalf("revision %d is in force, not %d", now, manifest.Revision)
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "bytes/change")
+		})
+	}
+}
+
 // BenchmarkState measures the memory of a machine's state, by the number of
 // teams, engines and peers.
 func BenchmarkState(b *testing.B) {
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -113,7 +113,7 @@
 	}
 	pending := r.pending
 	r.pending = nil
-	configuration, err := sharder.Join(pending.manifest, pending.values)
+	configuration, err := r.joiner.Join(pending.manifest, pending.values)
 	if err != nil {
 		r.rejectConfig(err)
 		return true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,6 +95,7 @@
 
 	manifest      sharder.Manifest
 	configuration config.Config
+	joiner        *sharder.Joiner
 	values        map[string][]byte // values are the shards in force, by digest.
 	pending       *pendingConfig
 	// seenVersion is the version of the manifest's object that was last read.
@@ -139,6 +140,7 @@
 		blame:      blamer.New(maxBlamed),
 		isolation:  isolator.New(maxIsolated),
 		values:     map[string][]byte{},
+		joiner:     sharder.NewJoiner(),
 		flights:    map[string]*flight{},
 		drawers:    map[string]string{},
 		settling:   map[string]*settling{},
--- a/internal/sharder/shards.go
+++ b/internal/sharder/shards.go
@@ -81,16 +81,30 @@
 // Join returns the configuration whose shards the manifest names. Values are
 // by digest; a missing or unreadable one is an error.
 func Join(manifest Manifest, values map[string][]byte) (config.Config, error) {
+	return NewJoiner().Join(manifest, values)
+}
+
+// Joiner joins one configuration after the other, and decodes only the shards
+// that are new since the last one. It is not safe for concurrent use.
+type Joiner struct {
+	decoded map[string]part // decoded are the last configuration's, by digest.
+}
+
+// NewJoiner returns a Joiner that has decoded nothing.
+func NewJoiner() *Joiner {
+	return &Joiner{}
+}
+
+// Join returns the configuration whose shards the manifest names.
+func (j *Joiner) Join(manifest Manifest, values map[string][]byte) (config.Config, error) {
+	decoded, err := j.decode(manifest, values)
+	if err != nil {
+		return config.Config{}, err
+	}
+	j.decoded = decoded
 	configuration := config.Defaults()
-	for _, name := range slices.Sorted(maps.Keys(manifest.Shards)) {
-		value, ok := values[manifest.Shards[name]]
-		if !ok {
-			return config.Config{}, errors.Errorf("sharder.Join: shard %s is missing", name)
-		}
-		var shard part
-		if err := json.Unmarshal(value, &shard); err != nil {
-			return config.Config{}, errors.Wrap(err, "sharder.Join: "+name)
-		}
+	for name, digest := range manifest.Shards {
+		shard := decoded[digest]
 		if name == fleetShard {
 			configuration.Domains = shard.Domains
 		}
@@ -102,6 +116,27 @@
 	return configuration, nil
 }
 
+func (j *Joiner) decode(manifest Manifest, values map[string][]byte) (map[string]part, error) {
+	decoded := make(map[string]part, len(manifest.Shards))
+	for _, name := range slices.Sorted(maps.Keys(manifest.Shards)) {
+		digest := manifest.Shards[name]
+		if known, ok := j.decoded[digest]; ok {
+			decoded[digest] = known
+			continue
+		}
+		value, ok := values[digest]
+		if !ok {
+			return nil, errors.Errorf("sharder.Join: shard %s is missing", name)
+		}
+		var shard part
+		if err := json.Unmarshal(value, &shard); err != nil {
+			return nil, errors.Wrap(err, "sharder.Join: "+name)
+		}
+		decoded[digest] = shard
+	}
+	return decoded, nil
+}
+
 // ByDigest returns the shards' values by their digests.
 func (s Shards) ByDigest() map[string][]byte {
 	values := make(map[string][]byte, len(s))
