Let peers speak HTTP/2

Cause: one heartbeat took 612 bytes on the connection, most of them headers; 42 a second at the target size are 26 KB of the node's 21 KB a second.

Change: HTTP/2 without TLS between peers, whose headers are compressed.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -171,7 +171,10 @@
 	})
 	for n, handler := range []http.Handler{i.endConnections(callers), operators, peers} {
 		i.servers[n] = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		go func() { _ = i.servers[n].Serve(i.listeners[n]) }()
+	}
+	i.servers[2].Protocols = peer.Protocols()
+	for n, server := range i.servers {
+		go func() { _ = server.Serve(i.listeners[n]) }()
 	}
 	return nil
 }
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -25,7 +25,7 @@
 
 // NewSender returns the Sender of the named instance.
 func NewSender(self string, credential secret.Secret) *Sender {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{IdleConnTimeout: time.Minute, Protocols: Protocols()}
 	return &Sender{self: self, credential: credential, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,6 +26,14 @@
 	credentialField = "Authorization"
 )
 
+// Protocols returns the HTTP version that peers speak: HTTP/2 on one connection
+// for each pair, whose compressed headers make small messages small.
+func Protocols() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
 // Receive takes a message from the named peer.
 type Receive func(from string, message *peerv1.Message)
 
