Hear HTTP/1 at the peers' address as well

Cause: since HTTP/2 the test of malformed deliveries failed: its client speaks HTTP/1, and so do tools.

Change: the server takes both, senders speak HTTP/2.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -172,7 +172,7 @@
 	for n, handler := range []http.Handler{i.endConnections(callers), operators, peers} {
 		i.servers[n] = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	}
-	i.servers[2].Protocols = peer.Protocols()
+	i.servers[2].Protocols = peer.ServerProtocols()
 	for n, server := range i.servers {
 		go func() { _ = server.Serve(i.listeners[n]) }()
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,7 +49,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	counting := &countingListener{Listener: listener}
-	server := &http.Server{Handler: peer.NewHandler(secret.New("a-credential-of-the-fleet"), receive), Protocols: peer.Protocols()}
+	server := &http.Server{Handler: peer.NewHandler(secret.New("a-credential-of-the-fleet"), receive), Protocols: peer.ServerProtocols()}
 	go func() { _ = server.Serve(counting) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return counting
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -25,7 +25,7 @@
 
 // NewSender returns the Sender of the named instance.
 func NewSender(self string, credential secret.Secret) *Sender {
-	transport := &http.Transport{IdleConnTimeout: time.Minute, Protocols: Protocols()}
+	transport := &http.Transport{IdleConnTimeout: time.Minute, Protocols: SenderProtocols()}
 	return &Sender{self: self, credential: credential, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,14 +26,22 @@
 	credentialField = "Authorization"
 )
 
-// Protocols returns the HTTP version that peers speak: HTTP/2 on one connection
-// for each pair, whose compressed headers make small messages small.
-func Protocols() *http.Protocols {
+// SenderProtocols returns the HTTP version that peers speak: HTTP/2 on one
+// connection for each pair, whose compressed headers make small messages small.
+func SenderProtocols() *http.Protocols {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return protocols
 }
 
+// ServerProtocols returns the HTTP versions at which peers are heard. HTTP/1 is
+// for tools.
+func ServerProtocols() *http.Protocols {
+	protocols := SenderProtocols()
+	protocols.SetHTTP1(true)
+	return protocols
+}
+
 // Receive takes a message from the named peer.
 type Receive func(from string, message *peerv1.Message)
 
--- a/internal/router/divisions.go
+++ b/internal/router/divisions.go
@@ -37,7 +37,7 @@
 		return
 	}
 	if answer.Failed() {
-		r.after(loadRetry, divisionsDue{shard: call.shard, term: call.term})
+		r.after(loadRetry, divisionsDue(call))
 		return
 	}
 	last := ""
