Fuzz peers' messages, the platform's answers and callers' bodies

Change: any message from a known or unknown peer, any value of the platform, any completion body; identifiers of events that were changed, of other teams and requests.

--- /dev/null
+++ b/internal/completer/completer_test.go
@@ -0,0 +1,41 @@
+package completer_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/completer"
+)
+
+// FuzzDecode holds that what is decoded can be sent to an engine, streamed and
+// salted, whatever else the caller wrote.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"p","stream":false,"cache_salt":"stolen","priority":-9}`), true)
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":3}`), false)
+	f.Add([]byte(`{"model":"m","model":"n","prompt":"p","n":null}`), true)
+	f.Fuzz(func(t *testing.T, body []byte, text bool) {
+		kind := completer.KindChat
+		if text {
+			kind = completer.KindText
+		}
+		request, err := completer.Decode(kind, body)
+		if err != nil {
+			return
+		}
+		require.Positive(t, request.MaxTokens)
+		var sent struct {
+			Model     string `json:"model"`
+			Stream    bool   `json:"stream"`
+			CacheSalt string `json:"cache_salt"`
+			Priority  int    `json:"priority"`
+		}
+		encoded := request.ForEngine(completer.Dispatch{Salt: "s", Priority: 7, Passed: "so far", PassedTokens: 1})
+		require.NoError(t, json.Unmarshal(encoded, &sent))
+		require.Equal(t, request.Model, sent.Model)
+		require.True(t, sent.Stream)
+		require.Equal(t, "s", sent.CacheSalt)
+		require.Equal(t, 7, sent.Priority)
+	})
+}
--- /dev/null
+++ b/internal/router/fuzz_test.go
@@ -0,0 +1,84 @@
+package router_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// FuzzPeerMessage gives an instance any message from a peer that it knows, and
+// from one that it does not know, then lets it serve: nothing may break it.
+func FuzzPeerMessage(f *testing.F) {
+	seeds := []*peerv1.Message{
+		{Body: &peerv1.Message_Heartbeat{Heartbeat: &peerv1.Heartbeat{Domain: "a", Revision: 1 << 60, Holdings: []*peerv1.Holding{{Shard: -1, Term: -1}, {Shard: 1 << 30}}}}},
+		{Body: &peerv1.Message_ConfigOffer{ConfigOffer: &peerv1.ConfigOffer{Manifest: []byte(`{"revision":99,"shards":{"x":"y"}}`)}}},
+		{Body: &peerv1.Message_ShardOffer{ShardOffer: &peerv1.ShardOffer{Values: [][]byte{nil}}}},
+		{Body: &peerv1.Message_Draw{Draw: &peerv1.Draw{Id: "d", Team: "press", Tokens: -1 << 63}}},
+		{Body: &peerv1.Message_Draw{Draw: &peerv1.Draw{Id: "d", Team: "nobody", Tokens: 1 << 62}}},
+		{Body: &peerv1.Message_Grant{Grant: &peerv1.Grant{Id: "d", Tokens: 1 << 62, RetryAfterMillis: -1}}},
+		{Body: &peerv1.Message_Refund{Refund: &peerv1.Refund{Id: "d", Team: "press", Tokens: 1 << 62}}},
+		{Body: &peerv1.Message_InstancesOffer{InstancesOffer: &peerv1.InstancesOffer{Revision: 1 << 60, Instances: []byte(`[{"name":"x","role":"engine","models":["verdict"],"state":"live"}]`)}}},
+		{Body: &peerv1.Message_IsolationAsk{IsolationAsk: &peerv1.IsolationAsk{Request: "r", Fingerprint: "f", Crashed: "engine-a"}}},
+		{Body: &peerv1.Message_IsolationGrant{IsolationGrant: &peerv1.IsolationGrant{Request: "r", Alone: true}}},
+		{Body: &peerv1.Message_AloneEnd{AloneEnd: &peerv1.AloneEnd{Request: "r", State: 7}}},
+		{Body: &peerv1.Message_ShareWish{ShareWish: &peerv1.ShareWish{Team: "press", More: 1 << 62}}},
+		{Body: &peerv1.Message_ExplainAnswer{ExplainAnswer: &peerv1.ExplainAnswer{Operation: "o", Explanation: []byte("[")}}},
+		{},
+	}
+	for _, seed := range seeds {
+		encoded, err := proto.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		message := &peerv1.Message{}
+		if proto.Unmarshal(encoded, message) != nil {
+			return
+		}
+		fleet := newFuzzedFleet()
+		for _, from := range []string{"b-1", "stranger", ""} {
+			fleet.Operate("a-1", event.PeerMessage{From: from, Message: message})
+		}
+		fleet.Send("a-1", testkit.Verdict(100, 20))
+		fleet.RunFor(3 * clock.Second)
+		for _, request := range fleet.Requests {
+			if !request.Ended {
+				t.Fatalf("request %s has no final answer", request.Arrival.Request)
+			}
+		}
+	})
+}
+
+func newFuzzedFleet() *testkit.Fleet {
+	fleet := testkit.NewFleet(1)
+	for _, domain := range []string{"a", "b"} {
+		fleet.AddNode(domain+"-1", domain)
+		fleet.AddEngine("engine-"+domain, domain, "verdict")
+	}
+	fleet.RunFor(clock.Second)
+	fleet.Configure("a-1", testkit.Sample(3000, 30000, "a", "b"))
+	return fleet
+}
+
+// FuzzPlatformAnswer gives an instance any value as manifest, lease and list.
+func FuzzPlatformAnswer(f *testing.F) {
+	f.Add([]byte(`{"revision":-1}`), int64(5), uint8(1))
+	f.Add([]byte(`{"holder":"a-1#1","term":9223372036854775807}`), int64(-1), uint8(1))
+	f.Add([]byte(`{"shares":{"a":1001}}`), int64(1), uint8(3))
+	f.Fuzz(func(t *testing.T, value []byte, version int64, outcome uint8) {
+		fleet := newFuzzedFleet()
+		answer := platform.Answer{Outcome: platform.Outcome(outcome%5) + 1, Version: version, Value: value}
+		for call := range uint64(60) {
+			fleet.Operate("a-1", event.PlatformAnswered{Call: call, Answer: answer})
+		}
+		fleet.RunFor(3 * clock.Second)
+	})
+}
