Take a lease at once after a restart at the same place

Cause: after a restart of all instances at once every request was refused for the time of a lease: the new processes waited for the leases of their own predecessors.

Change: an identity has a place, name and address; a process that listens there knows that the one before has ended, and takes its lease at once, empty. Tests for a herd and for a whole domain that restarts while the platform is down.

Conclusion: this rests on one process for each name and address, which the listening socket and the platform's addressing give.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	lease := leaser.New("leases/rights/split-a/0", "split-a-1#2f")
+//	lease := leaser.New("leases/rights/split-a/0", "split-a-1@10.0.0.1:8082#2f")
 //	switch step := lease.Next(now).(type) {
 //	case leaser.Read: ...
 //	case leaser.Write: ...
@@ -19,6 +19,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -71,7 +72,9 @@
 	heldUntil clock.Millis
 }
 
-// New returns the Lease with the object's name, as seen by the identity self.
+// New returns the Lease with the object's name, as seen by the identity self: a
+// place, a number sign, and one start of the process at that place. Two processes
+// never run at one place at one moment.
 func New(name, self string) Lease {
 	return Lease{name: name, self: self}
 }
@@ -160,7 +163,7 @@
 	if !l.known || now >= l.readDue {
 		return l.readOrWait(now)
 	}
-	free := l.version == platform.IfAbsent || l.record.Holder == "" || l.record.Holder == l.self
+	free := l.version == platform.IfAbsent || l.record.Holder == "" || placeOf(l.record.Holder) == placeOf(l.self)
 	due := l.seenAt.Add(takeAfter)
 	if free {
 		due = l.seenAt
@@ -172,6 +175,13 @@
 	return Write{Record: l.taken(), IfVersion: l.version}
 }
 
+// placeOf returns an identity without its start: two starts of one place follow
+// each other, so the later one need not wait for the earlier one's time.
+func placeOf(identity string) string {
+	place, _, _ := strings.Cut(identity, "#")
+	return place
+}
+
 // taken returns the record that takes the lease. A lapsed lease that nobody else
 // has taken goes on under the same term.
 func (l Lease) taken() Record {
--- a/internal/router/changes_test.go
+++ b/internal/router/changes_test.go
@@ -204,3 +204,25 @@
 	fleet.RunFor(inForceWithin)
 	require.Equal(t, int64(newBurst), burstAt(fleet.Nodes["a-1"]))
 }
+
+// TestDomainRestartsWithoutPlatform restarts a whole failure domain while the
+// platform is down: it serves from the state and the rates of the others.
+func TestDomainRestartsWithoutPlatform(t *testing.T) {
+	fleet := newMatrixFleet(1, false)
+	fleet.Platform.Down = true
+	fleet.RunFor(2 * clock.Second)
+	for _, name := range []string{"a-1", "a-2"} {
+		fleet.Nodes[name].Kill()
+	}
+	fleet.RunFor(clock.Second)
+	for _, name := range []string{"a-1", "a-2"} {
+		fleet.Nodes[name].Restart()
+	}
+	fleet.RunFor(clock.Second)
+	for _, name := range []string{"a-1", "a-2"} {
+		require.True(t, fleet.Nodes[name].Ready(), name)
+		request := fleet.Send(name, testkit.Verdict(promptTokens, maxTokens))
+		fleet.RunFor(clock.Second)
+		require.True(t, request.Answered(), "%s: %+v", name, request.Refusal)
+	}
+}
--- a/internal/router/leases.go
+++ b/internal/router/leases.go
@@ -31,6 +31,13 @@
 	return fmt.Sprintf("leases/rights/%s/%d", domain, shard)
 }
 
+// leaseIdentity returns the identity under which the instance holds leases. Its
+// place is name and address: a process that listens there is the only one, so a
+// process that starts there knows that the one before has ended.
+func leaseIdentity(settings Settings) string {
+	return tracker.Identity(settings.Name+"@"+settings.Address, settings.Incarnation)
+}
+
 // leaseStep takes the next step of the shard's lease and asks for the one after.
 // Timers that were set before are void.
 func (r *Router) leaseStep(shard int) {
@@ -126,7 +133,7 @@
 // noteLease remembers the holder that the lease object names.
 func (r *Router) noteLease(shard int) {
 	lease := r.leases[shard]
-	name, _, _ := strings.Cut(lease.Holder(), "#")
+	name, _, _ := strings.Cut(lease.Holder(), "@")
 	if name == "" || name == r.settings.Name {
 		return
 	}
--- a/internal/router/rates_test.go
+++ b/internal/router/rates_test.go
@@ -186,3 +186,37 @@
 		}
 	}
 }
+
+// TestHerdRestart replaces all instances at once, under load inside the rate:
+// the new ones serve at once.
+func TestHerdRestart(t *testing.T) {
+	for _, down := range []clock.Millis{100, clock.Second, 4 * clock.Second} {
+		t.Run(down.String(), func(t *testing.T) {
+			fleet := newMatrixFleet(1, false)
+			var restarted clock.Millis
+			fleet.After(faultAt, func() {
+				for _, name := range slices.Sorted(maps.Keys(fleet.Nodes)) {
+					fleet.Nodes[name].Kill()
+				}
+			})
+			fleet.After(faultAt+down, func() {
+				restarted = fleet.Now
+				for _, name := range slices.Sorted(maps.Keys(fleet.Nodes)) {
+					fleet.Nodes[name].Restart()
+				}
+			})
+			ready := clock.Millis(0)
+			fleet.BeforeStep = func(int) {
+				if restarted != 0 && ready == 0 && fleet.Nodes["a-1"].Ready() {
+					ready = fleet.Now.Since(restarted)
+				}
+			}
+			loads["balanced inside the rate"].runIn(fleet)
+			refused, total := refusedForTokens(fleet)
+			require.LessOrEqual(t, float64(refused)/float64(total), faultRefusals, "%d of %d refused", refused, total)
+			require.LessOrEqual(t, ready, clock.Second)
+			require.NoError(t, checkWindows(fleet.Admissions))
+			t.Logf("ready after %s, %d of %d refused", ready, refused, total)
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -148,7 +148,7 @@
 		calls:      map[uint64]pendingCall{},
 	}
 	for shard := range r.leases {
-		r.leases[shard] = leaser.New(leaseName(settings.Domain, shard), r.identity())
+		r.leases[shard] = leaser.New(leaseName(settings.Domain, shard), leaseIdentity(settings))
 	}
 	return r
 }
