Carry peers' messages on one stream for each pair

Change: Deliver takes a stream of messages; one link for each peer sends what waits together, bounded, without waiting; after a failure it opens a new stream and drops what has become old. The credential is checked before a message is read.

--- a/cmd/hyssopdoor/badinput_test.go
+++ b/cmd/hyssopdoor/badinput_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1/peerv1connect"
 	"github.com/hyssopdoor/hyssopdoor/internal/operator"
 	"github.com/hyssopdoor/hyssopdoor/internal/peer"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 )
 
 func startTestTrial(t *testing.T) *trial {
@@ -136,10 +136,14 @@
 			require.Equal(t, http.StatusUnauthorized, response.StatusCode, "%s with credential: %s", path, name)
 		}
 	}
-	stranger := peer.NewSender("stranger", secret.New("not-the-fleet-credential"))
-	defer stranger.Close()
-	err := stranger.Send(context.Background(), addresses.Peers, &peerv1.Message{})
-	require.ErrorContains(t, err, "unauthenticated")
+	for _, credential := range []string{"", "Bearer not-the-fleet-credential", "Bearer " + trial.token} {
+		client := peerv1connect.NewPeerServiceClient(&http.Client{Transport: &http.Transport{Protocols: peer.SenderProtocols()}}, "http://"+addresses.Peers)
+		stream := client.Deliver(context.Background())
+		stream.RequestHeader().Set("Authorization", credential)
+		_ = stream.Send(&peerv1.DeliverRequest{From: "stranger", Messages: []*peerv1.Message{{}}})
+		_, err := stream.CloseAndReceive()
+		require.ErrorContains(t, err, "unauthenticated")
+	}
 	_, answer, err := sendTo(context.Background(), addresses.Peers, http.MethodPost, "/hyssopdoor.peer.v1.PeerService/Deliver", "\x00\xff garbage", http.Header{"Content-Type": {"application/proto"}})
 	require.NoError(t, err)
 	require.NotContains(t, answer, "panic")
--- a/internal/gen/peerv1/peerv1connect/peer.connect.go
+++ b/internal/gen/peerv1/peerv1connect/peer.connect.go
@@ -42,8 +42,9 @@
 
 // PeerServiceClient is a client for the hyssopdoor.peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Deliver hands messages over. The answer only confirms their receipt.
-	Deliver(context.Context, *connect.Request[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error)
+	// Deliver hands messages over, for as long as the sender likes to. The answer
+	// only confirms the end.
+	Deliver(context.Context) *connect.ClientStreamForClient[peerv1.DeliverRequest, peerv1.DeliverResponse]
 }
 
 // NewPeerServiceClient constructs a client for the hyssopdoor.peer.v1.PeerService service. By
@@ -72,14 +73,15 @@
 }
 
 // Deliver calls hyssopdoor.peer.v1.PeerService.Deliver.
-func (c *peerServiceClient) Deliver(ctx context.Context, req *connect.Request[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error) {
-	return c.deliver.CallUnary(ctx, req)
+func (c *peerServiceClient) Deliver(ctx context.Context) *connect.ClientStreamForClient[peerv1.DeliverRequest, peerv1.DeliverResponse] {
+	return c.deliver.CallClientStream(ctx)
 }
 
 // PeerServiceHandler is an implementation of the hyssopdoor.peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Deliver hands messages over. The answer only confirms their receipt.
-	Deliver(context.Context, *connect.Request[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error)
+	// Deliver hands messages over, for as long as the sender likes to. The answer
+	// only confirms the end.
+	Deliver(context.Context, *connect.ClientStream[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -89,7 +91,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerServiceMethods := peerv1.File_hyssopdoor_peer_v1_peer_proto.Services().ByName("PeerService").Methods()
-	peerServiceDeliverHandler := connect.NewUnaryHandler(
+	peerServiceDeliverHandler := connect.NewClientStreamHandler(
 		PeerServiceDeliverProcedure,
 		svc.Deliver,
 		connect.WithSchema(peerServiceMethods.ByName("Deliver")),
@@ -108,6 +110,6 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Deliver(context.Context, *connect.Request[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error) {
+func (UnimplementedPeerServiceHandler) Deliver(context.Context, *connect.ClientStream[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopdoor.peer.v1.PeerService.Deliver is not implemented"))
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,12 +1,12 @@
 package peer_test
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -15,6 +15,8 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 )
 
+const credential = "a-credential-of-the-fleet"
+
 // countingListener counts the bytes of its connections, both ways.
 type countingListener struct {
 	net.Listener
@@ -49,7 +51,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	counting := &countingListener{Listener: listener}
-	server := &http.Server{Handler: peer.NewHandler(secret.New("a-credential-of-the-fleet"), receive), Protocols: peer.ServerProtocols()}
+	server := &http.Server{Handler: peer.NewHandler(secret.New(credential), receive), Protocols: peer.ServerProtocols()}
 	go func() { _ = server.Serve(counting) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return counting
@@ -63,35 +65,68 @@
 	return &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: beat}}
 }
 
-func TestMessagesArrive(t *testing.T) {
+func TestMessagesArriveInOrder(t *testing.T) {
+	const count = 100
 	var mu sync.Mutex
-	var got []*peerv1.Message
+	var got []int64
 	listener := start(t, func(from string, message *peerv1.Message) {
 		mu.Lock()
 		defer mu.Unlock()
-		require.Equal(t, "split-a-1", from)
-		got = append(got, message)
+		if from == "split-a-1" {
+			got = append(got, message.GetHeartbeat().GetSequence())
+		}
 	})
-	sender := peer.NewSender("split-a-1", secret.New("a-credential-of-the-fleet"))
+	sender := peer.NewSender("split-a-1", secret.New(credential))
+	defer sender.Close()
+	var want []int64
+	for i := range int64(count) {
+		next := message()
+		next.GetHeartbeat().Sequence = i
+		require.True(t, sender.Send(listener.Addr().String(), next))
+		want = append(want, i)
+	}
+	require.Eventually(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(got) == count
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, want, got)
+}
+
+// TestSenderFindsPeerAgain ends a peer and starts it anew at the same address.
+func TestSenderFindsPeerAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	sender := peer.NewSender("split-a-1", secret.New(credential))
 	defer sender.Close()
-	require.NoError(t, sender.Send(context.Background(), listener.Addr().String(), message()))
-	mu.Lock()
-	defer mu.Unlock()
-	require.Len(t, got, 1)
-	require.Equal(t, "10.0.0.1:8082", got[0].GetHeartbeat().GetAddress())
+	for range 3 {
+		var got atomic.Int64
+		handler := peer.NewHandler(secret.New(credential), func(string, *peerv1.Message) { got.Add(1) })
+		server := &http.Server{Handler: handler, Protocols: peer.ServerProtocols()}
+		go func() { _ = server.Serve(listener) }()
+		require.Eventually(t, func() bool {
+			sender.Send(address, message())
+			return got.Load() > 0
+		}, 5*time.Second, 20*time.Millisecond)
+		require.NoError(t, server.Close())
+		listener, err = net.Listen("tcp", address)
+		require.NoError(t, err)
+	}
+	require.NoError(t, listener.Close())
 }
 
 // BenchmarkDeliver measures one heartbeat between two instances, both sides
 // together, and its bytes on the connection, both ways.
 func BenchmarkDeliver(b *testing.B) {
-	listener := start(b, func(string, *peerv1.Message) {})
-	sender := peer.NewSender("split-a-1", secret.New("a-credential-of-the-fleet"))
+	arrived := make(chan struct{}, 1)
+	listener := start(b, func(string, *peerv1.Message) { arrived <- struct{}{} })
+	sender := peer.NewSender("split-a-1", secret.New(credential))
 	defer sender.Close()
 	b.ReportAllocs()
 	for b.Loop() {
-		if err := sender.Send(context.Background(), listener.Addr().String(), message()); err != nil {
-			b.Fatal(err)
-		}
+		sender.Send(listener.Addr().String(), message())
+		<-arrived
 	}
 	b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "bytes/delivery")
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,10 +1,11 @@
-// Package peer carries messages between the instances of a fleet by connect-go.
+// Package peer carries messages between the instances of a fleet by connect-go:
+// one stream of messages for each pair and direction.
 //
 // # Usage
 //
 //	handler := peer.NewHandler(credential, receive)
 //	sender := peer.NewSender("split-a-1", credential)
-//	err := sender.Send(ctx, "10.0.0.3:8082", message)
+//	sender.Send("10.0.0.3:8082", message)
 package peer
 
 import (
@@ -21,13 +22,22 @@
 )
 
 const (
-	// maxMessageBytes bounds one delivery.
+	// maxMessageBytes bounds one message on the wire.
 	maxMessageBytes = 4 << 20
 	credentialField = "Authorization"
 )
 
+// Receive takes a message from the named peer.
+type Receive func(from string, message *peerv1.Message)
+
+// server implements the generated service.
+type server struct {
+	credential []byte
+	receive    Receive
+}
+
 // SenderProtocols returns the HTTP version that peers speak: HTTP/2 on one
-// connection for each pair, whose compressed headers make small messages small.
+// connection for each pair.
 func SenderProtocols() *http.Protocols {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
@@ -42,20 +52,11 @@
 	return protocols
 }
 
-// Receive takes a message from the named peer.
-type Receive func(from string, message *peerv1.Message)
-
-// server implements the generated service.
-type server struct {
-	receive Receive
-}
-
 // NewHandler returns the HTTP handler at which peers deliver messages. Whoever
-// lacks the fleet's credential is refused.
+// lacks the fleet's credential is refused before any message is read.
 func NewHandler(credential secret.Secret, receive Receive) http.Handler {
 	path, handler := peerv1connect.NewPeerServiceHandler(
-		&server{receive: receive},
-		connect.WithInterceptors(checkCredential(credential)),
+		&server{credential: []byte(bearer(credential)), receive: receive},
 		connect.WithReadMaxBytes(maxMessageBytes),
 	)
 	mux := http.NewServeMux()
@@ -63,26 +64,26 @@
 	return mux
 }
 
-// Deliver hands the messages over.
-func (s *server) Deliver(_ context.Context, request *connect.Request[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error) {
-	if request.Msg.GetFrom() == "" {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("peer.Deliver: the sender is missing"))
-	}
-	for _, message := range request.Msg.GetMessages() {
-		s.receive(request.Msg.GetFrom(), message)
-	}
-	return connect.NewResponse(&peerv1.DeliverResponse{}), nil
+func bearer(credential secret.Secret) string {
+	return "Bearer " + credential.Reveal()
 }
 
-func checkCredential(credential secret.Secret) connect.UnaryInterceptorFunc {
-	wanted := []byte("Bearer " + credential.Reveal())
-	return func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
-			given := []byte(request.Header().Get(credentialField))
-			if subtle.ConstantTimeCompare(given, wanted) != 1 {
-				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("peer.Deliver: the fleet's credential is missing or wrong"))
-			}
-			return next(ctx, request)
+// Deliver takes messages until the sender ends the stream.
+func (s *server) Deliver(_ context.Context, stream *connect.ClientStream[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error) {
+	given := []byte(stream.RequestHeader().Get(credentialField))
+	if subtle.ConstantTimeCompare(given, s.credential) != 1 {
+		return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("peer.Deliver: the fleet's credential is missing or wrong"))
+	}
+	for stream.Receive() {
+		if stream.Msg().GetFrom() == "" {
+			return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("peer.Deliver: the sender is missing"))
+		}
+		for _, message := range stream.Msg().GetMessages() {
+			s.receive(stream.Msg().GetFrom(), message)
 		}
 	}
+	if err := stream.Err(); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerv1.DeliverResponse{}), nil
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,9 +28,9 @@
 	Call(ctx context.Context, op platform.Op) platform.Answer
 }
 
-// Peers sends messages to peers.
+// Peers sends messages to peers, without waiting.
 type Peers interface {
-	Send(ctx context.Context, address string, message *peerv1.Message) error
+	Send(address string, message *peerv1.Message) bool
 }
 
 // Performers are where the actions go.
@@ -166,7 +166,7 @@
 	case action.CallPlatform:
 		go r.callPlatform(next)
 	case action.Send:
-		go r.send(next)
+		r.performers.Peers.Send(next.Address, next.Message)
 	case action.Log:
 		r.performers.Log(next.Entry)
 	case action.FinishOperation:
@@ -193,11 +193,6 @@
 	r.Submit(event.PlatformAnswered{Call: call.Call, Answer: answer})
 }
 
-// send ignores a failure: a lost message is the machine's business.
-func (r *Runner) send(message action.Send) {
-	_ = r.performers.Peers.Send(r.ctx, message.Address, message.Message)
-}
-
 func (r *Runner) finishOperation(finished action.FinishOperation) {
 	results, ok := r.operations[finished.Operation]
 	if !ok {
