Tell the own domain's peers only what the sender holds

Cause: each heartbeat repeated all holders of the domain, 70 of its 155 bytes, to peers that hear the holders themselves.

Change: near peers get the sender's own holdings, far ones all of the domain.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -57,9 +58,9 @@
 	return counting
 }
 
-func message() *peerv1.Message {
+func message(holdings int32) *peerv1.Message {
 	beat := &peerv1.Heartbeat{Domain: "split-a", Address: "10.0.0.1:8082", Incarnation: "0123456789ab", Revision: 120000, Sequence: 86400}
-	for shard := range int32(4) {
+	for shard := range holdings {
 		beat.Holdings = append(beat.Holdings, &peerv1.Holding{Shard: shard, Instance: "split-a-12", Term: 100})
 	}
 	return &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: beat}}
@@ -80,7 +81,7 @@
 	defer sender.Close()
 	var want []int64
 	for i := range int64(count) {
-		next := message()
+		next := message(1)
 		next.GetHeartbeat().Sequence = i
 		require.True(t, sender.Send(listener.Addr().String(), next))
 		want = append(want, i)
@@ -106,7 +107,7 @@
 		server := &http.Server{Handler: handler, Protocols: peer.ServerProtocols()}
 		go func() { _ = server.Serve(listener) }()
 		require.Eventually(t, func() bool {
-			sender.Send(address, message())
+			sender.Send(address, message(1))
 			return got.Load() > 0
 		}, 5*time.Second, 20*time.Millisecond)
 		require.NoError(t, server.Close())
@@ -117,16 +118,20 @@
 }
 
 // BenchmarkDeliver measures one heartbeat between two instances, both sides
-// together, and its bytes on the connection, both ways.
+// together, and its bytes on the connection, both ways, by the holdings in it.
 func BenchmarkDeliver(b *testing.B) {
-	arrived := make(chan struct{}, 1)
-	listener := start(b, func(string, *peerv1.Message) { arrived <- struct{}{} })
-	sender := peer.NewSender("split-a-1", secret.New(credential))
-	defer sender.Close()
-	b.ReportAllocs()
-	for b.Loop() {
-		sender.Send(listener.Addr().String(), message())
-		<-arrived
+	for _, holdings := range []int32{0, 4} {
+		b.Run(fmt.Sprintf("holdings=%d", holdings), func(b *testing.B) {
+			arrived := make(chan struct{}, 1)
+			listener := start(b, func(string, *peerv1.Message) { arrived <- struct{}{} })
+			sender := peer.NewSender("split-a-1", secret.New(credential))
+			defer sender.Close()
+			b.ReportAllocs()
+			for b.Loop() {
+				sender.Send(listener.Addr().String(), message(holdings))
+				<-arrived
+			}
+			b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "bytes/delivery")
+		})
 	}
-	b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "bytes/delivery")
 }
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -32,7 +32,8 @@
 // this instance lives and what it knows.
 func (r *Router) beat() {
 	r.beats++
-	message := &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: r.heartbeatBody()}}
+	message := heartbeatMessage(r.heartbeatBody(r.ownClaims()))
+	abroad := heartbeatMessage(r.heartbeatBody(r.ownHoldings()))
 	far := map[string][]tracker.Peer{}
 	near := 0
 	for _, peer := range r.known.Peers() {
@@ -44,10 +45,10 @@
 		far[peer.Domain] = append(far[peer.Domain], peer)
 	}
 	for _, domain := range slices.Sorted(maps.Keys(far)) {
-		r.send(far[domain][r.beats%len(far[domain])], message)
+		r.send(far[domain][r.beats%len(far[domain])], abroad)
 	}
 	if near == 0 || !r.ready() {
-		r.beatSeeds(message)
+		r.beatSeeds(abroad)
 	}
 }
 
@@ -59,7 +60,13 @@
 	}
 }
 
-func (r *Router) heartbeatBody() *peerv1.Heartbeat {
+func heartbeatMessage(body *peerv1.Heartbeat) *peerv1.Message {
+	return &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: body}}
+}
+
+// heartbeatBody returns a heartbeat with the holdings: to the own domain those of
+// this instance, to others all of the domain's.
+func (r *Router) heartbeatBody(holdings []*peerv1.Holding) *peerv1.Heartbeat {
 	return &peerv1.Heartbeat{
 		Domain:       r.settings.Domain,
 		Address:      r.settings.Address,
@@ -67,21 +74,21 @@
 		Revision:     r.manifest.Revision,
 		Leaving:      r.draining,
 		PlatformDown: r.platformDown,
-		Holdings:     r.ownHoldings(),
+		Holdings:     holdings,
 		Sequence:     int64(r.beats),
 	}
 }
 
 // welcome is the answer to a peer that has just started: all known holders.
 func (r *Router) welcome() *peerv1.Message {
-	body := r.heartbeatBody()
+	body := r.heartbeatBody(r.ownHoldings())
 	for _, key := range r.sortedHoldings() {
 		if key.domain != r.settings.Domain {
 			holding := r.holdings[key]
 			body.Holdings = append(body.Holdings, &peerv1.Holding{Domain: key.domain, Shard: key.shard, Instance: holding.GetInstance(), Term: holding.GetTerm()})
 		}
 	}
-	return &peerv1.Message{Body: &peerv1.Message_Heartbeat{Heartbeat: body}}
+	return heartbeatMessage(body)
 }
 
 func (r *Router) peerMessage(happened event.PeerMessage) {
--- a/internal/router/leases.go
+++ b/internal/router/leases.go
@@ -176,12 +176,22 @@
 	})
 }
 
-// ownHoldings returns what is known of the holders of the own domain.
-func (r *Router) ownHoldings() []*peerv1.Holding {
+// ownClaims returns the shards that this instance holds.
+func (r *Router) ownClaims() []*peerv1.Holding {
 	var holdings []*peerv1.Holding
 	for shard := range int32(limiter.Shards) {
 		if r.holdsRights(int(shard)) {
 			holdings = append(holdings, &peerv1.Holding{Shard: shard, Instance: r.settings.Name, Term: r.heldTerms[shard]})
+		}
+	}
+	return holdings
+}
+
+// ownHoldings returns what is known of the holders of the own domain.
+func (r *Router) ownHoldings() []*peerv1.Holding {
+	holdings := r.ownClaims()
+	for shard := range int32(limiter.Shards) {
+		if r.holdsRights(int(shard)) {
 			continue
 		}
 		if holding, ok := r.holdings[holdingKey{domain: r.settings.Domain, shard: shard}]; ok {
