Measure policies of choice under open-loop load

Change: hyssopdoor-load run EXPERIMENT.ini: nested prefixes with hot ones that shift, teams of different sizes, arrivals at due instants, a fleet in this process with stand-in engines, each policy with the same requests; first-token times, hit rate, wasted recomputation, worst-served team, refusals. The baselines random, round robin, least in flight and plain prefix are policies of the chooser that no settings file can name.

Left: separate processes, faults at given times, plots, an all-seeing chooser.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	choice, ok := chooser.Choose(prefix, candidates)
+//	choice, ok := chooser.Choose(chooser.BoundedPrefix, prefix, turn, candidates)
 package chooser
 
 import (
@@ -53,15 +53,15 @@
 	Ranked []Scored
 }
 
-// Choose returns the candidate with the highest hash for the prefix that is
-// not full. It reports false when there is no candidate.
-func Choose(prefix uint64, candidates []Candidate) (Choice, bool) {
+// Choose returns the candidate that the policy takes for the prefix. The turn
+// counts the choices. It reports false when there is no candidate.
+func Choose(policy Policy, prefix, turn uint64, candidates []Candidate) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	ranked := rank(prefix, candidates)
-	i := slices.IndexFunc(ranked, func(s Scored) bool { return !s.Full })
-	return Choice{Chosen: ranked[max(i, 0)].Candidate, Ranked: ranked}, true
+	i := policy.index(turn, ranked)
+	return Choice{Chosen: ranked[i].Candidate, Ranked: ranked}, true
 }
 
 func rank(prefix uint64, candidates []Candidate) []Scored {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -141,6 +141,7 @@
 		Domain:        set.Domain,
 		Address:       set.Listen.Peers,
 		Incarnation:   hex.EncodeToString(incarnation),
+		Policy:        set.Policy,
 		Credential:    set.Fleet.Credential,
 		Seeds:         set.Fleet.Seeds,
 		MaxInFlight:   int(set.Limits.MaxInFlight),
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -23,6 +23,7 @@
 var shell = []string{
 	"internal/client",
 	"internal/dispatcher",
+	"internal/experimenter",
 	"internal/gateway",
 	"internal/gen",
 	"internal/inireader",
@@ -38,6 +39,7 @@
 	"internal/standin/launcher",
 	"internal/standin/objectserver",
 	"internal/standin/service",
+	"internal/workload",
 	"pkg/clock",
 }
 
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -97,7 +97,8 @@
 	for i, server := range servers {
 		candidates[i] = chooser.Candidate{Name: server.Name, InFlight: server.InFlight}
 	}
-	choice, ok := chooser.Choose(f.prefix(), candidates)
+	r.turns++
+	choice, ok := chooser.Choose(r.settings.Policy, f.prefix(), r.turns, candidates)
 	if !ok {
 		return tracker.Server{}, false
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
 	"github.com/hyssopdoor/hyssopdoor/internal/divider"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
@@ -66,6 +67,8 @@
 	AnswerTimeout clock.Millis
 	// RecordTimeout bounds the recording of a call before its dispatch.
 	RecordTimeout clock.Millis
+	// Policy is how backend servers are chosen; empty for the system's own way.
+	Policy chooser.Policy
 	// Seed is the seed of the random identifiers.
 	Seed [32]byte
 }
@@ -121,7 +124,8 @@
 	relists   int
 	claims    [limiter.Shards]claim
 	watching  bool
-	beats     int // beats counts heartbeats, to take turns among far peers.
+	beats     int    // beats counts heartbeats, to take turns among far peers.
+	turns     uint64 // turns counts choices, for the baselines of experiments.
 	draining  bool
 	stopped   bool
 }
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -14,6 +14,7 @@
 	Domain         string         `json:"domain"`
 	Revision       int64          `json:"revision"`
 	ConfigRevision int64          `json:"configRevision"`
+	Ready          bool           `json:"ready"`
 	PlatformDown   bool           `json:"platformDown"`
 	Draining       bool           `json:"draining"`
 	InFlight       int            `json:"inFlight"`
@@ -71,6 +72,7 @@
 		Domain:         r.settings.Domain,
 		Revision:       r.manifest.Revision,
 		ConfigRevision: r.manifest.ConfigRevision,
+		Ready:          r.Ready(),
 		PlatformDown:   r.platformDown,
 		Draining:       r.draining,
 		InFlight:       len(r.flights),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/inireader"
 	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -31,6 +32,10 @@
 	Limits   Limits
 	Timeouts Timeouts
 
+	// Policy is how backend servers are chosen. A settings file can't name it: the
+	// baselines are for experiments.
+	Policy chooser.Policy
+
 	// OperatorToken is the credential of operators.
 	OperatorToken secret.Secret
 }
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -59,7 +59,12 @@
 
 // Engine starts an engine in the failure domain and lists it.
 func Engine(ctx context.Context, platformURL, address, domain string, options engine.Options) (*Running, error) {
-	return listed(ctx, platformURL, address, engine.New(options).Handler(), platform.Instance{
+	return EngineServer(ctx, platformURL, address, domain, options, engine.New(options))
+}
+
+// EngineServer starts the given engine in the failure domain and lists it.
+func EngineServer(ctx context.Context, platformURL, address, domain string, options engine.Options, server *engine.Server) (*Running, error) {
+	return listed(ctx, platformURL, address, server.Handler(), platform.Instance{
 		Name:    options.Name,
 		Role:    platform.RoleEngine,
 		Domain:  domain,
