Choose by the estimated work until the first token

Cause: bounded prefix hashing had a worse tail than plain prefix hashing, and both ignore how much of a prompt an engine has and how much waits there.

Change: each choice takes the engine with the least prompt tokens queued and missed. What an engine has is estimated from what was sent there, as many chunks as it seems to hold, and held to the cached tokens that it reports at the end; a crashed engine's chunks are forgotten.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -23,11 +23,23 @@
 	loadUnit   = 100
 )
 
+// inFlightTokens is what one request in flight counts for in the cost, in tokens.
+const inFlightTokens = 32
+
 // Candidate is a server that could run the request.
 type Candidate struct {
 	Name string
 	// InFlight is the number of requests placed here and not seen to end.
 	InFlight int
+	// Queued is the prompt tokens placed here whose first token has not come, and
+	// Missed those of this request that are not cached here; both are estimates.
+	Queued int64
+	Missed int64
+}
+
+// cost returns the estimated tokens to process until the first token.
+func (c Candidate) cost() int64 {
+	return c.Queued + c.Missed + int64(c.InFlight)*inFlightTokens
 }
 
 // Scored is a candidate with its rank for the request's prefix.
@@ -37,12 +49,12 @@
 	Full      bool
 }
 
-// String returns the candidate as "name/requests in flight", with "full" when it
-// is.
+// String returns the candidate as "name/in flight/queued/missed".
 func (s Scored) String() string {
-	text := s.Candidate.Name + "/" + strconv.Itoa(s.Candidate.InFlight)
-	if s.Full {
-		text += "/full"
+	numbers := []int64{int64(s.Candidate.InFlight), s.Candidate.Queued, s.Candidate.Missed}
+	text := s.Candidate.Name
+	for _, number := range numbers {
+		text += "/" + strconv.FormatInt(number, 10)
 	}
 	return text
 }
--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -5,12 +5,15 @@
 	"slices"
 )
 
-// Policy is a way to choose. BoundedPrefix is the system's; the others are
-// baselines for experiments.
+// Policy is a way to choose. Predicted is the system's; the others are baselines
+// for experiments.
 type Policy string
 
 // The policies.
 const (
+	// Predicted takes the candidate with the least estimated work until the first
+	// token; of equal ones the one with the highest hash.
+	Predicted Policy = "predicted"
 	// BoundedPrefix takes the candidate with the highest hash that is not full.
 	BoundedPrefix Policy = "boundedPrefix"
 	// PlainPrefix takes the candidate with the highest hash, however full.
@@ -25,7 +28,7 @@
 
 // Policies returns all policies.
 func Policies() []Policy {
-	return []Policy{BoundedPrefix, PlainPrefix, LeastInFlight, RoundRobin, Random}
+	return []Policy{Predicted, BoundedPrefix, PlainPrefix, LeastInFlight, RoundRobin, Random}
 }
 
 // index returns the place of the candidate that the policy takes.
@@ -39,11 +42,18 @@
 		return byName(ranked, turn)
 	case Random:
 		return byName(ranked, Rendezvous(turn, "random"))
-	default:
+	case BoundedPrefix:
 		return max(0, slices.IndexFunc(ranked, func(s Scored) bool { return !s.Full }))
+	default:
+		return cheapest(ranked)
 	}
 }
 
+func cheapest(ranked []Scored) int {
+	best := slices.MinFunc(ranked, func(a, b Scored) int { return cmp.Compare(a.Candidate.cost(), b.Candidate.cost()) })
+	return slices.Index(ranked, best)
+}
+
 func least(ranked []Scored) int {
 	best := slices.MinFunc(ranked, func(a, b Scored) int { return cmp.Compare(a.Candidate.InFlight, b.Candidate.InFlight) })
 	return slices.Index(ranked, best)
--- a/internal/completer/chunk.go
+++ b/internal/completer/chunk.go
@@ -14,6 +14,9 @@
 	Text string
 	// FinishReason tells why the answer ends with this chunk; empty before.
 	FinishReason string
+	// CachedTokens is what of the prompt the engine had cached; -1 when the chunk
+	// does not say.
+	CachedTokens int64
 }
 
 // Usage counts the tokens of a request.
@@ -21,6 +24,13 @@
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
 	TotalTokens      int64 `json:"total_tokens"`
+	// Details are set by engines that say what they had cached.
+	Details *UsageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// UsageDetails tell more of the prompt's tokens.
+type UsageDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
 }
 
 // NewUsage returns the Usage of the counts.
@@ -55,7 +65,10 @@
 		return Chunk{}, errors.New("completer.DecodeChunk: there is not exactly one choice")
 	}
 	choice := read.Choices[0]
-	chunk := Chunk{}
+	chunk := Chunk{CachedTokens: -1}
+	if read.Usage != nil && read.Usage.Details != nil {
+		chunk.CachedTokens = read.Usage.Details.CachedTokens
+	}
 	switch {
 	case kind == KindText && choice.Text != nil:
 		chunk.Text = *choice.Text
@@ -68,8 +81,8 @@
 	return chunk, nil
 }
 
-// EncodeChunk returns the data of one event.
-func EncodeChunk(kind Kind, id, model string, chunk Chunk) string {
+// EncodeChunk returns the data of one event. A chunk without usage has none.
+func EncodeChunk(kind Kind, id, model string, chunk Chunk, usage *Usage) string {
 	choice := wireChoice{FinishReason: optional(chunk.FinishReason)}
 	object := "text_completion"
 	if kind == KindChat {
@@ -78,7 +91,7 @@
 	} else {
 		choice.Text = &chunk.Text
 	}
-	return encode(wire{ID: id, Object: object, Model: model, Choices: []wireChoice{choice}})
+	return encode(wire{ID: id, Object: object, Model: model, Choices: []wireChoice{choice}, Usage: usage})
 }
 
 // EncodeWhole returns the body of an answer that is not streamed.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,8 +76,10 @@
 	Status      int
 	ContentType string
 	Body        []byte
-	// UsedTokens is what the request used, in tokens.
-	UsedTokens int64
+	// UsedTokens is what the request used, in tokens, and CachedTokens what of its
+	// prompt the engine had cached; -1 when it did not say.
+	UsedTokens   int64
+	CachedTokens int64
 }
 
 // PlatformAnswered is the answer to a call to the platform.
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -56,7 +56,9 @@
 	writer  *streamWriter
 	// dispatched is the current attempt.
 	dispatched action.Dispatch
-	began      bool // began tells that the current attempt's first token came.
+	// cached is what of the prompt the engine had cached; -1 when it did not say.
+	cached int64
+	began  bool // began tells that the current attempt's first token came.
 }
 
 func (c *completion) arrival(read input) event.RequestArrived {
@@ -98,6 +100,7 @@
 func (c *completion) dispatch(ctx context.Context, dispatch action.Dispatch) bool {
 	c.dispatched = dispatch
 	c.began = false
+	c.cached = -1
 	body := c.request.ForEngine(completer.Dispatch{
 		Salt:         strconv.FormatUint(dispatch.Salt, 16),
 		Priority:     dispatch.Priority,
@@ -128,6 +131,8 @@
 			ContentType: result.ContentType,
 			Body:        result.Body,
 			UsedTokens:  c.writer.promptTokens() + c.writer.tokens,
+
+			CachedTokens: c.cached,
 		}
 	}
 	reach := result.Reach
@@ -150,5 +155,6 @@
 		c.began = true
 		c.gateway.machine.Submit(event.FirstToken{Request: c.id, Attempt: c.dispatched.Attempt})
 	}
+	c.cached = max(c.cached, chunk.CachedTokens)
 	return c.writer.pass(chunk, c.dispatched.Stamp.ID(number))
 }
--- a/internal/gateway/streamwriter.go
+++ b/internal/gateway/streamwriter.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	message := &sse.Message{ID: sse.ID(id)}
-	message.AppendData(completer.EncodeChunk(s.request.Kind, s.id, s.request.Model, chunk))
+	message.AppendData(completer.EncodeChunk(s.request.Kind, s.id, s.request.Model, chunk, nil))
 	return s.event(message)
 }
 
--- /dev/null
+++ b/internal/indexer/indexer_test.go
@@ -0,0 +1,74 @@
+package indexer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/indexer"
+)
+
+func TestHitCountsTheBeginning(t *testing.T) {
+	index := indexer.New()
+	index.Placed("e", []uint64{1, 2, 3})
+	tests := map[string]struct {
+		engine string
+		chain  []uint64
+		chunks int64
+	}{
+		"whole":          {"e", []uint64{1, 2, 3}, 3},
+		"longer":         {"e", []uint64{1, 2, 3, 4}, 3},
+		"branches off":   {"e", []uint64{1, 9, 3}, 1},
+		"other prefix":   {"e", []uint64{9, 2, 3}, 0},
+		"other engine":   {"f", []uint64{1, 2, 3}, 0},
+		"without chunks": {"e", nil, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.chunks*chunker.ChunkTokens, index.Hit(test.engine, test.chain))
+		})
+	}
+	index.Forget("e")
+	require.Zero(t, index.Hit("e", []uint64{1, 2, 3}), "an engine that came back is empty")
+}
+
+// TestCorrectionShrinksTheEstimate holds that an engine which often has less than
+// was estimated is soon taken to hold less, and the oldest chunks go first.
+func TestCorrectionShrinksTheEstimate(t *testing.T) {
+	index := indexer.New()
+	for chunk := range uint64(200) {
+		index.Placed("e", []uint64{chunk})
+	}
+	for range 5 {
+		index.Corrected("e", chunker.ChunkTokens, 0)
+	}
+	require.Zero(t, index.Hit("e", []uint64{0}))
+	require.NotZero(t, index.Hit("e", []uint64{199}))
+}
+
+// TestStateIsBounded places any chains and holds that what was placed last is
+// known, and nothing that was not placed.
+func TestStateIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		index := indexer.New()
+		placed := map[uint64]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			chain := rapid.SliceOfN(rapid.Uint64Range(0, 50), 1, 6).Draw(t, "chain")
+			index.Placed("e", chain)
+			for _, chunk := range chain {
+				placed[chunk] = true
+			}
+			require.NotZero(t, index.Hit("e", chain[:1]))
+			if rapid.Bool().Draw(t, "correct") {
+				index.Corrected("e", int64(len(chain))*chunker.ChunkTokens, 0)
+			}
+		}
+		for chunk := range uint64(60) {
+			if !placed[chunk] {
+				require.Zero(t, index.Hit("e", []uint64{chunk}))
+			}
+		}
+	})
+}
--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -143,7 +143,7 @@
 	if !f.route.Repeatable {
 		return
 	}
-	r.known.Ended(r.now, f.server, true)
+	r.endAttempt(f, true)
 	r.endFailedAlone(f)
 	r.cancel(f)
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -58,6 +58,9 @@
 // emitDispatch begins the flight's attempt at the server, or goes on with it
 // after the numbered event.
 func (r *Router) emitDispatch(f *flight, server tracker.Server, resumeAfter int64) {
+	if resumeAfter < 0 {
+		r.expect(f, server)
+	}
 	f.stage = stageRunning
 	f.server = server.Name
 	f.tried[server.Name] = true
@@ -95,7 +98,7 @@
 	servers := r.candidates(f)
 	candidates := make([]chooser.Candidate, len(servers))
 	for i, server := range servers {
-		candidates[i] = chooser.Candidate{Name: server.Name, InFlight: server.InFlight}
+		candidates[i] = r.candidate(f, server)
 	}
 	r.turns++
 	choice, ok := chooser.Choose(r.settings.Policy, f.prefix(), r.turns, candidates)
@@ -176,6 +179,7 @@
 	if !ok {
 		return
 	}
+	r.settleWork(f)
 	r.log(journal.New(journal.AttemptFirstToken, f.id()).With("attempt", f.attempt).With("after", r.now.Since(f.arrived)))
 }
 
@@ -287,6 +291,7 @@
 }
 
 func (r *Router) endAttempt(f *flight, reached bool) {
+	r.settleWork(f)
 	before, _ := r.known.Server(f.server)
 	r.known.Ended(r.now, f.server, reached)
 	after, _ := r.known.Server(f.server)
@@ -310,6 +315,7 @@
 	}
 	f.answer = recorder.Answer{Status: happened.Status, ContentType: happened.ContentType, Body: happened.Body}
 	if f.isModel() {
+		r.correctIndex(f, happened)
 		r.refund(f, max(f.cost()-happened.UsedTokens, 0))
 	}
 	if f.route.Repeatable {
--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -53,6 +53,7 @@
 	resumed bool
 	// passed tells that the caller has a part of the stream.
 	passed    bool
+	work      work
 	isolation isolation
 	// from is where a caller's lost stream goes on; nil for a new request.
 	from *stamper.Place
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -37,6 +37,7 @@
 
 // crashed takes in that the flight's server crashed while it ran there.
 func (r *Router) crashed(f *flight) {
+	r.index.Forget(f.server)
 	r.log(journal.New(journal.ServerCrashed, f.id()).With("server", f.server).With("alone", f.isolation.alone))
 	if f.isolation.alone {
 		r.endAlone(f, peerv1.Blame_CONVICTED)
@@ -234,7 +235,7 @@
 // withdraw ends the flight's attempt, and asks for a lone run.
 func (r *Router) withdraw(f *flight) {
 	r.emit(action.CancelAttempt{Request: f.id(), Attempt: f.attempt})
-	r.known.Ended(r.now, f.server, true)
+	r.endAttempt(f, true)
 	f.attempt = ""
 	f.sent = true
 	f.isolation.crashed = ""
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/explainer"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/indexer"
 	"github.com/hyssopdoor/hyssopdoor/internal/isolator"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
@@ -93,6 +94,8 @@
 	heldTerms  [limiter.Shards]int64
 	holdings   map[holdingKey]*peerv1.Holding
 	explained  *explainer.Explainer
+	index      *indexer.Indexer
+	queued     map[string]int64 // queued are the prompt tokens not yet processed, by server.
 	blame      *blamer.Blamer
 	isolation  *isolator.Isolator
 
@@ -141,6 +144,8 @@
 		dividing:   map[string]bool{},
 		holdings:   map[holdingKey]*peerv1.Holding{},
 		explained:  explainer.New(maxExplained),
+		index:      indexer.New(),
+		queued:     map[string]int64{},
 		blame:      blamer.New(maxBlamed),
 		isolation:  isolator.New(maxIsolated),
 		values:     map[string][]byte{},
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -148,19 +148,19 @@
 }
 
 // process spends the time that the prompt takes, one prompt after the other. It
-// reports false when the request is gone.
-func (s *Server) process(ctx context.Context, salt, prompt string) bool {
+// returns the tokens that were cached, and false when the request is gone.
+func (s *Server) process(ctx context.Context, salt, prompt string) (cached int64, processed bool) {
 	chain := chunker.Chain(salt + "\x00" + prompt)
 	tokens := chunker.Tokens(len(prompt))
 	s.prefill.Lock()
 	defer s.prefill.Unlock()
 	s.mu.Lock()
-	cached := min(tokens, s.cache.hit(chain)*chunker.ChunkTokens)
+	cached = min(tokens, s.cache.hit(chain)*chunker.ChunkTokens)
 	s.cache.add(chain[:len(chain)-1])
 	s.counts.PromptTokens += tokens
 	s.counts.CachedTokens += cached
 	s.mu.Unlock()
-	return sleep(ctx, time.Duration(tokens-cached)*s.options.PrefillPerToken)
+	return cached, sleep(ctx, time.Duration(tokens-cached)*s.options.PrefillPerToken)
 }
 
 // crash loses all streams and the cache.
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
 	"github.com/hyssopdoor/hyssopdoor/internal/completer"
 )
 
@@ -109,7 +110,8 @@
 		return
 	}
 	defer s.leave()
-	if !s.process(g.ctx, asked.CacheSalt, text) || !sleep(g.ctx, stall) {
+	cached, processed := s.process(g.ctx, asked.CacheSalt, text)
+	if !processed || !sleep(g.ctx, stall) {
 		s.cancelled()
 		return
 	}
@@ -131,7 +133,13 @@
 		case i == asked.MaxTokens-1:
 			chunk.FinishReason = "length"
 		}
-		g.add(completer.EncodeChunk(kind, attempt, asked.Model, chunk))
+		var usage *completer.Usage
+		if chunk.FinishReason != "" {
+			counted := completer.NewUsage(chunker.Tokens(len(text)), i+1)
+			counted.Details = &completer.UsageDetails{CachedTokens: cached}
+			usage = &counted
+		}
+		g.add(completer.EncodeChunk(kind, attempt, asked.Model, chunk, usage))
 		if stop {
 			break
 		}
--- a/internal/testkit/server.go
+++ b/internal/testkit/server.go
@@ -210,7 +210,7 @@
 		s.cut(a)
 		return
 	}
-	outcome := event.AttemptAnswered{UsedTokens: s.usedTokens(a.dispatch.Request), Request: a.dispatch.Request, Attempt: a.dispatch.Attempt, Status: action.StatusOK, ContentType: "text/plain", Body: []byte("ran " + a.dispatch.Request)}
+	outcome := event.AttemptAnswered{CachedTokens: -1, UsedTokens: s.usedTokens(a.dispatch.Request), Request: a.dispatch.Request, Attempt: a.dispatch.Attempt, Status: action.StatusOK, ContentType: "text/plain", Body: []byte("ran " + a.dispatch.Request)}
 	if s.Crossed > 0 {
 		s.Crossed--
 		crossed := outcome
