Choose in the home of a cell, which sees all of its work

Cause: each gateway estimated queues and caches from its own requests only, a third of the work.

Change: the home of a cell, the live instance with the highest weight, chooses for all gateways: one message each way, 20 ms at most, then the gateway chooses itself. The home counts the work until the first token and hears at the end what was cached. A model with at most 16 engines in all domains has one cell of them all; the way to another domain counts for 150 tokens. An unreachable server makes its domain's servers suspect.

--- a/internal/blamer/blamer.go
+++ b/internal/blamer/blamer.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	blame := blamer.New(limit)
-//	blame.Suspect(now, fingerprint, blamer.Crash{Domain: "split-a", Server: "engine-1"})
+//	blame.Suspect(now, fingerprint, blamer.Crash{Server: "engine-1", Domain: "split-a", Reporter: "split-b"})
 //	blame.Convict(now, fingerprint)
 //	switch blame.State(now, fingerprint) { ... }
 package blamer
@@ -49,9 +49,11 @@
 
 // Crash is a crash during which a request ran.
 type Crash struct {
-	Domain string // Domain is the failure domain whose instances saw it.
 	Server string
-	At     clock.Millis
+	Domain string // Domain is the server's failure domain.
+	// Reporter is the failure domain whose instances saw the crash.
+	Reporter string
+	At       clock.Millis
 }
 
 // Crashes of different servers after which a request is convicted though it ran
@@ -85,7 +87,7 @@
 	case Suspect:
 		held.crashes = b.entries[fingerprint].crashes
 	}
-	same := func(c Crash) bool { return c.Server == crash.Server && c.Domain == crash.Domain }
+	same := func(c Crash) bool { return c.Server == crash.Server && c.Reporter == crash.Reporter }
 	if slices.ContainsFunc(held.crashes, same) {
 		return false
 	}
@@ -98,14 +100,18 @@
 	return true
 }
 
+// tooMany reports whether too many different servers crashed, of the domain or
+// in all.
 func tooMany(crashes []Crash, domain string) bool {
-	near := 0
+	near := map[string]bool{}
+	all := map[string]bool{}
 	for _, crash := range crashes {
+		all[crash.Server] = true
 		if crash.Domain == domain {
-			near++
+			near[crash.Server] = true
 		}
 	}
-	return near >= crashesInDomain || len(crashes) >= crashesInAll
+	return len(near) >= crashesInDomain || len(all) >= crashesInAll
 }
 
 // Crashes returns the crashes during which the request ran.
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -74,15 +74,15 @@
 }
 
 // Grants returns the wishes that can be granted now, the oldest first. MayRun
-// reports whether it is the wish's time; servers returns the names of the servers that may run the model, the best first.
-func (i *Isolator) Grants(now clock.Millis, mayRun func(Ask) bool, servers func(model string) []string) []Grant {
+// reports whether it is the wish's time; servers returns the names of the servers that may run it, the best first.
+func (i *Isolator) Grants(now clock.Millis, mayRun func(Ask) bool, servers func(Ask) []string) []Grant {
 	i.expire(now)
 	var grants []Grant
 	i.waiting = slices.DeleteFunc(i.waiting, func(ask Ask) bool {
 		if !mayRun(ask) {
 			return false
 		}
-		server, ok := i.free(ask, servers(ask.Model))
+		server, ok := i.free(ask, servers(ask))
 		if !ok {
 			return false
 		}
--- a/internal/router/arrivals.go
+++ b/internal/router/arrivals.go
@@ -127,7 +127,7 @@
 	f.abandoned = true
 	r.log(journal.New(journal.RequestAbandoned, f.id()).With("stage", f.stage))
 	switch f.stage {
-	case stageDrawing, stageIsolating:
+	case stageDrawing, stageIsolating, stageChoosing:
 		r.refundAll(f)
 		r.cancel(f)
 	case stageListing:
@@ -144,6 +144,7 @@
 		return
 	}
 	r.endAttempt(f, true)
+	r.endWork(f, -1)
 	r.endFailedAlone(f)
 	r.cancel(f)
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -1,11 +1,8 @@
 package router
 
 import (
-	"slices"
-
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
@@ -25,6 +22,18 @@
 		r.resumeLost(f)
 		return
 	}
+	if f.isModel() && r.blame.State(r.now, f.request.Fingerprint) == blamer.Suspect {
+		r.isolate(f)
+		return
+	}
+	if r.askHome(f) {
+		return
+	}
+	r.dispatchByOwnChoice(f)
+}
+
+// dispatchByOwnChoice begins an attempt at the server that this instance chooses.
+func (r *Router) dispatchByOwnChoice(f *flight) {
 	server, ok := r.choose(f)
 	if !ok {
 		r.noServer(f)
@@ -88,66 +97,6 @@
 	return f.call.Record().Attempt
 }
 
-// scope returns within what the request may use cached blocks of the server.
-func (f *flight) scope(server tracker.Server) chunker.Scope {
-	return chunker.Scope{Team: f.team.Name, Model: f.route.Model, Weights: server.Weights}
-}
-
-// choose returns the server for the next attempt, one that was not tried yet.
-func (r *Router) choose(f *flight) (tracker.Server, bool) {
-	servers := r.candidates(f)
-	candidates := make([]chooser.Candidate, len(servers))
-	for i, server := range servers {
-		candidates[i] = r.candidate(f, server)
-	}
-	r.turns++
-	choice, ok := chooser.Choose(r.settings.Policy, f.prefix(), r.turns, candidates)
-	if !ok {
-		return tracker.Server{}, false
-	}
-	entry := journal.New(journal.RouteChosen, f.id()).With("server", choice.Chosen.Name).With("attempt", f.attempts+1)
-	for _, scored := range choice.Ranked[:min(len(choice.Ranked), maxLogged)] {
-		entry = entry.With("candidate", scored)
-	}
-	r.log(entry)
-	return r.known.Server(choice.Chosen.Name)
-}
-
-// maxLogged bounds the candidates in a log line.
-const maxLogged = 4
-
-// candidates returns the servers to choose from: of the prefix's cell those that
-// were not tried and are not suspect, else of all servers the nearest ones.
-func (r *Router) candidates(f *flight) []tracker.Server {
-	if f.isModel() {
-		cell := slices.DeleteFunc(r.known.Cell(f.route.Model, f.prefix()), func(s tracker.Server) bool {
-			return f.tried[s.Name] || s.Suspect(r.now)
-		})
-		if len(cell) > 0 {
-			return cell
-		}
-	}
-	return r.known.Prefer(r.now, r.untried(f))
-}
-
-// untried returns the live servers that the flight has not tried.
-func (r *Router) untried(f *flight) []tracker.Server {
-	servers := r.known.Services(f.route.Service)
-	if f.isModel() {
-		servers = r.known.Engines(f.route.Model)
-	}
-	return slices.DeleteFunc(servers, func(s tracker.Server) bool { return f.tried[s.Name] })
-}
-
-// prefix returns the hash of the request's first level, for its choice.
-func (f *flight) prefix() uint64 {
-	scope := chunker.Scope{Team: f.team.Name, Model: f.route.Model}
-	if len(f.request.Chain) == 0 {
-		return scope.Salt()
-	}
-	return chunker.Scoped(scope, f.request.Chain[:1])[0]
-}
-
 // noServer ends a request for which no server is left.
 func (r *Router) noServer(f *flight) {
 	if f.sent && f.route.Repeatable {
@@ -180,6 +129,7 @@
 		return
 	}
 	r.settleWork(f)
+	r.tellHome(f, &peerv1.WorkEnd{Request: f.id(), CachedTokens: -1})
 	r.log(journal.New(journal.AttemptFirstToken, f.id()).With("attempt", f.attempt).With("after", r.now.Since(f.arrived)))
 }
 
@@ -202,6 +152,10 @@
 	entry := journal.New(journal.AttemptFailed, f.id()).With("server", f.server).With("attempt", f.attempt)
 	r.log(entry.With("reach", happened.Reach).With("failure", happened.Failure).With("passed", happened.Passed))
 	r.endAttempt(f, happened.Failure == retrier.Busy)
+	r.endWork(f, -1)
+	if happened.Failure == retrier.Unreachable {
+		r.known.Unreachable(r.now, f.server)
+	}
 	verdict := retrier.Decide(retrier.Attempt{
 		Repeatable:  f.route.Repeatable,
 		Reach:       happened.Reach,
@@ -315,6 +269,7 @@
 	}
 	f.answer = recorder.Answer{Status: happened.Status, ContentType: happened.ContentType, Body: happened.Body}
 	if f.isModel() {
+		r.endWork(f, happened.CachedTokens)
 		r.correctIndex(f, happened)
 		r.refund(f, max(f.cost()-happened.UsedTokens, 0))
 	}
--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
 	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
+	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -19,11 +20,12 @@
 	stageSettling
 	stageIsolating
 	stageListing
+	stageChoosing
 )
 
 // String returns the stage's name.
 func (s stage) String() string {
-	return [...]string{"drawing", "recording", "running", "settling", "isolating", "listing"}[s]
+	return [...]string{"drawing", "recording", "running", "settling", "isolating", "listing", "choosing"}[s]
 }
 
 // flight is one request from its arrival to its end.
@@ -52,8 +54,11 @@
 	// resumed tells that the current attempt was gone on with after a cut.
 	resumed bool
 	// passed tells that the caller has a part of the stream.
-	passed    bool
-	work      work
+	passed bool
+	work   work
+	// home is the instance that chose the current attempt's server; empty for this
+	// one.
+	home      tracker.Peer
 	isolation isolation
 	// from is where a caller's lost stream goes on; nil for a new request.
 	from *stamper.Place
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -117,6 +117,12 @@
 		r.explainRequested(happened.From, body.ExplainRequest)
 	case *peerv1.Message_ExplainAnswer:
 		r.explainAnswered(body.ExplainAnswer)
+	case *peerv1.Message_ChooseAsk:
+		r.chooseAsked(happened.From, body.ChooseAsk)
+	case *peerv1.Message_ChooseAnswer:
+		r.chooseAnswered(happened.From, body.ChooseAnswer)
+	case *peerv1.Message_WorkEnd:
+		r.workEnded(body.WorkEnd)
 	case *peerv1.Message_ShareWish:
 		r.shareWished(body.ShareWish)
 	case *peerv1.Message_IsolationAsk, *peerv1.Message_IsolationGrant, *peerv1.Message_AloneEnd, *peerv1.Message_Blame:
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -110,7 +111,7 @@
 	}
 	own := slices.Index(r.configuration.Domains, r.settings.Domain)
 	for _, crash := range r.blame.Crashes(ask.Fingerprint) {
-		earlier := slices.Index(r.configuration.Domains, crash.Domain) < own
+		earlier := slices.Index(r.configuration.Domains, crash.Reporter) < own
 		if r.now.Since(crash.At) < collectFor || (earlier && r.now.Since(crash.At) < deferFor) {
 			return false
 		}
@@ -130,14 +131,32 @@
 	}
 }
 
-func (r *Router) enginesFor(model string) []string {
-	var names []string
-	for _, server := range r.known.Prefer(r.now, r.known.Engines(model)) {
-		names = append(names, server.Name)
+// enginesFor returns the engines that may run the suspect: first those of the
+// failure domains in which the fewest have crashed under it, then the near ones.
+func (r *Router) enginesFor(ask isolator.Ask) []string {
+	crashes := map[string]int{}
+	for _, crash := range r.blame.Crashes(ask.Fingerprint) {
+		crashes[crash.Domain]++
+	}
+	servers := slices.DeleteFunc(r.known.Engines(ask.Model), func(s tracker.Server) bool { return s.Suspect(r.now) })
+	slices.SortStableFunc(servers, func(a, b tracker.Server) int {
+		return cmp.Or(cmp.Compare(crashes[a.Domain], crashes[b.Domain]), cmp.Compare(r.distance(a), r.distance(b)))
+	})
+	names := make([]string, len(servers))
+	for i, server := range servers {
+		names[i] = server.Name
 	}
 	return names
 }
 
+// distance returns 0 for a server of the own failure domain, else 1.
+func (r *Router) distance(server tracker.Server) int {
+	if r.known.Far(server) {
+		return 1
+	}
+	return 0
+}
+
 func (r *Router) sendGrant(to string, grant *peerv1.IsolationGrant) {
 	message := &peerv1.Message{Body: &peerv1.Message_IsolationGrant{IsolationGrant: grant}}
 	if peer, ok := r.known.Peer(to); ok {
@@ -218,7 +237,9 @@
 // that run beside others are ended, and asked for anew as lone runs.
 func (r *Router) suspect(blame *peerv1.Blame) {
 	fingerprint := blame.GetFingerprint()
-	if !r.blame.Suspect(r.now, fingerprint, blamer.Crash{Domain: blame.GetDomain(), Server: blame.GetServer()}) {
+	server, _ := r.known.Server(blame.GetServer())
+	crash := blamer.Crash{Server: blame.GetServer(), Domain: server.Domain, Reporter: blame.GetDomain()}
+	if !r.blame.Suspect(r.now, fingerprint, crash) {
 		return
 	}
 	if r.blame.State(r.now, fingerprint) == blamer.Convicted {
@@ -236,6 +257,7 @@
 func (r *Router) withdraw(f *flight) {
 	r.emit(action.CancelAttempt{Request: f.id(), Attempt: f.attempt})
 	r.endAttempt(f, true)
+	r.endWork(f, -1)
 	f.attempt = ""
 	f.sent = true
 	f.isolation.crashed = ""
--- a/internal/router/records.go
+++ b/internal/router/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
 	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
@@ -22,10 +21,6 @@
 // tokensTaken goes on after the draws: with the record of a call that may not
 // be repeated, else with the choice of a server.
 func (r *Router) tokensTaken(f *flight) {
-	if f.isModel() && f.from == nil && r.blame.State(r.now, f.request.Fingerprint) == blamer.Suspect {
-		r.isolate(f)
-		return
-	}
 	if f.route.Repeatable {
 		r.dispatch(f)
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,7 @@
 	maxHoldings   = 1024 // maxHoldings bounds the holders known, of all domains.
 	maxBlamed     = 4096 // maxBlamed bounds the fingerprints that are blamed.
 	maxIsolated   = 1024 // maxIsolated bounds the suspects that wait to run.
+	maxGuests     = 8192 // maxGuests bounds the requests of others, chosen for here.
 	maxOperations = 64   // maxOperations bounds the operators' operations.
 )
 
@@ -110,6 +111,7 @@
 	flights    map[string]*flight
 	drawers    map[string]string // drawers are requests by their open draw.
 	settling   map[string]*settling
+	guests     map[string]*flight // guests are other instances' requests, chosen for here.
 	operations map[string]*operation
 
 	calls        map[uint64]pendingCall
@@ -151,6 +153,7 @@
 		values:     map[string][]byte{},
 		joiner:     sharder.NewJoiner(),
 		flights:    map[string]*flight{},
+		guests:     map[string]*flight{},
 		drawers:    map[string]string{},
 		settling:   map[string]*settling{},
 		operations: map[string]*operation{},
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -21,7 +21,12 @@
 	explainingDue struct{ operation string }
 	isolationDue  struct{ request string }
 	periodDue     struct{}
-	divisionsDue  struct {
+	chooseDue     struct {
+		request  string
+		attempts int
+	}
+	guestDue     struct{ guest *flight }
+	divisionsDue struct {
 		shard int
 		term  int64
 	}
@@ -52,6 +57,8 @@
 func (periodDue) run(r *Router)       { r.dividePeriod() }
 func (d divisionsDue) run(r *Router)  { r.reloadDivisions(d) }
 func (d takeDue) run(r *Router)       { r.takeShare(d) }
+func (d chooseDue) run(r *Router)     { r.chooseTimedOut(d) }
+func (d guestDue) run(r *Router)      { r.guestTimedOut(d.guest) }
 func (d explainingDue) run(r *Router) { r.explainingTimedOut(d.operation) }
 
 // timer is one entry of the queue; number keeps equal instants in order.
--- a/internal/router/work.go
+++ b/internal/router/work.go
@@ -7,6 +7,9 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 )
 
+// farTokens is what the way to another failure domain counts for, in tokens.
+const farTokens = 150
+
 // work is what an attempt is expected to cost its engine until the first token.
 type work struct {
 	server string
@@ -29,12 +32,16 @@
 // candidate returns the server as the chooser sees it.
 func (r *Router) candidate(f *flight, server tracker.Server) chooser.Candidate {
 	cached := r.index.Hit(server.Name, f.chainAt(server))
-	return chooser.Candidate{
+	candidate := chooser.Candidate{
 		Name:     server.Name,
 		InFlight: server.InFlight,
 		Queued:   r.queued[server.Name],
 		Missed:   max(0, f.request.PromptTokens-cached),
 	}
+	if r.known.Far(server) {
+		candidate.Missed += farTokens
+	}
+	return candidate
 }
 
 // expect counts the work of an attempt at the server, and notes the prompt's
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -41,14 +41,20 @@
 	servers      map[string]Server
 	peers        map[string]Peer
 	listRevision int64
-	// cells has the cells of the own domain's engines by model, until the list
-	// changes.
-	cells map[string][][]string
+	// cells has the cells by model, until the list changes.
+	cells map[string]cells
+}
+
+// cells are the cells of one model that are near: names of engines.
+type cells struct {
+	names [][]string
+	// spans tells that the one cell has the engines of all failure domains.
+	spans bool
 }
 
 // New returns the Tracker of the named instance in the failure domain.
 func New(self, domain string) *Tracker {
-	return &Tracker{self: self, domain: domain, servers: map[string]Server{}, peers: map[string]Peer{}, cells: map[string][][]string{}}
+	return &Tracker{self: self, domain: domain, servers: map[string]Server{}, peers: map[string]Peer{}, cells: map[string]cells{}}
 }
 
 // ListRevision returns the revision of the instance list that was last read.
@@ -184,38 +190,78 @@
 	return t.live(func(s Server) bool { return s.serves(model) })
 }
 
-// Cell returns the live servers of the own domain's cell that has the key, for
-// the model. The engines of a model in a domain form cells of at most cellSize.
-func (t *Tracker) Cell(model string, key uint64) []Server {
-	cells, ok := t.cells[model]
+// Cell is some engines of a model among which one is chosen.
+type Cell struct {
+	Servers []Server
+	// Number is the cell's place among those of the model.
+	Number uint64
+	// Spans tells that the cell has the engines of all failure domains.
+	Spans bool
+}
+
+// Cell returns the cell that has the key. A model's engines in a domain form
+// cells of at most cellSize; if all domains together have no more, they form one.
+func (t *Tracker) Cell(model string, key uint64) Cell {
+	known, ok := t.cells[model]
 	if !ok {
-		cells = t.makeCells(model)
-		t.cells[model] = cells
+		known = t.makeCells(model)
+		t.cells[model] = known
 	}
-	if len(cells) == 0 {
-		return nil
+	if len(known.names) == 0 {
+		return Cell{}
 	}
-	names := cells[key%uint64(len(cells))]
-	servers := make([]Server, len(names))
-	for i, name := range names {
-		servers[i] = t.servers[name]
+	cell := Cell{Number: key % uint64(len(known.names)), Spans: known.spans}
+	for _, name := range known.names[cell.Number] {
+		cell.Servers = append(cell.Servers, t.servers[name])
 	}
-	return servers
+	return cell
 }
 
-func (t *Tracker) makeCells(model string) [][]string {
-	var names []string
+func (t *Tracker) makeCells(model string) cells {
+	var all, near []string
 	for _, server := range t.Engines(model) {
+		all = append(all, server.Name)
 		if server.Domain == t.domain {
-			names = append(names, server.Name)
+			near = append(near, server.Name)
+		}
+	}
+	if len(all) > 0 && len(all) <= cellSize {
+		return cells{names: [][]string{all}, spans: true}
+	}
+	count := (len(near) + cellSize - 1) / cellSize
+	made := cells{names: make([][]string, count)}
+	for i := range made.names {
+		made.names[i] = near[i*len(near)/count : (i+1)*len(near)/count]
+	}
+	return made
+}
+
+// Far reports whether the server is in another failure domain.
+func (t *Tracker) Far(server Server) bool {
+	return server.Domain != t.domain
+}
+
+// Unreachable makes all servers of the named one's failure domain suspect, when
+// that is another domain: it can't be reached.
+func (t *Tracker) Unreachable(now clock.Millis, name string) {
+	lost, ok := t.servers[name]
+	if !ok || !t.Far(lost) {
+		return
+	}
+	for other, server := range t.servers {
+		if server.Domain == lost.Domain {
+			server.suspectUntil = max(server.suspectUntil, now.Add(suspectFor))
+			t.servers[other] = server
 		}
 	}
-	count := (len(names) + cellSize - 1) / cellSize
-	cells := make([][]string, count)
-	for i := range cells {
-		cells[i] = names[i*len(names)/count : (i+1)*len(names)/count]
+}
+
+// Left counts that an attempt of another instance has left the named server.
+func (t *Tracker) Left(name string) {
+	if server, ok := t.servers[name]; ok {
+		server.InFlight = max(server.InFlight-1, 0)
+		t.servers[name] = server
 	}
-	return cells
 }
 
 // Services returns the live servers of the plain service.
