--- a/cmd/hyssopdoor-load/main.go
+++ b/cmd/hyssopdoor-load/main.go
@@ -7,20 +7,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
-)
-
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 )
 
 func main() {
@@ -29,24 +20,5 @@
 		panic("hyssopdoor-load: " + err.Error())
 	}
 	_, err := parser.Parse()
-	os.Exit(report(err))
-}
-
-// report prints the error and returns the exit code that stands for it.
-func report(err error) int {
-	var flagError *flags.Error
-	var findings *collector.Collector
-	switch {
-	case err == nil:
-		return exitDone
-	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
-		fmt.Println(flagError.Message)
-		return exitDone
-	case errors.As(err, &flagError), errors.As(err, &findings):
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	default:
-		fmt.Fprintln(os.Stderr, "hyssopdoor-load:", err)
-		return exitFailed
-	}
+	os.Exit(exiter.Report("hyssopdoor-load", err))
 }
--- a/cmd/hyssopdoor/badinput_test.go
+++ b/cmd/hyssopdoor/badinput_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1/peerv1connect"
 	"github.com/hyssopdoor/hyssopdoor/internal/operator"
@@ -196,17 +197,17 @@
 		args []string
 		code int
 	}{
-		"help":               {[]string{"--help"}, exitDone},
-		"help of a command":  {[]string{"config", "apply", "--help"}, exitDone},
-		"no command":         {nil, exitUsage},
-		"unknown command":    {[]string{"srve"}, exitUsage},
-		"missing option":     {[]string{"serve"}, exitUsage},
-		"missing file":       {[]string{"serve", "--settings", "/nonexistent.ini"}, exitFailed},
-		"findings":           {[]string{"check", "testdata/bad.ini"}, exitUsage},
-		"good configuration": {[]string{"check", "try.ini"}, exitDone},
-		"no token":           {[]string{"status"}, exitUsage},
-		"nobody answers":     {[]string{"status", "--token", "x", "--operator", "127.0.0.1:1"}, exitFailed},
-		"both words":         {[]string{"calls", "resolve", "x", "--ran", "--not-run", "--token", "x"}, exitUsage},
+		"help":               {[]string{"--help"}, exiter.Done},
+		"help of a command":  {[]string{"config", "apply", "--help"}, exiter.Done},
+		"no command":         {nil, exiter.Usage},
+		"unknown command":    {[]string{"srve"}, exiter.Usage},
+		"missing option":     {[]string{"serve"}, exiter.Usage},
+		"missing file":       {[]string{"serve", "--settings", "/nonexistent.ini"}, exiter.Failed},
+		"findings":           {[]string{"check", "testdata/bad.ini"}, exiter.Usage},
+		"good configuration": {[]string{"check", "try.ini"}, exiter.Done},
+		"no token":           {[]string{"status"}, exiter.Usage},
+		"nobody answers":     {[]string{"status", "--token", "x", "--operator", "127.0.0.1:1"}, exiter.Failed},
+		"both words":         {[]string{"calls", "resolve", "x", "--ran", "--not-run", "--token", "x"}, exiter.Usage},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/cmd/hyssopdoor/calls.go
+++ b/cmd/hyssopdoor/calls.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/operator"
 )
 
@@ -50,7 +51,7 @@
 // Execute runs the command.
 func (c *callsResolveCommand) Execute([]string) error {
 	if c.Ran == c.NotRun {
-		return usageError{"say one of --ran and --not-run"}
+		return exiter.UsageError{Message: "say one of --ran and --not-run"}
 	}
 	return ask(&c.remote, func(ctx context.Context, client *operator.Client) (operator.Message, error) {
 		return client.ResolveCall(ctx, operator.CallResolution{Object: c.Args.Object, Ran: c.Ran})
--- a/cmd/hyssopdoor/main.go
+++ b/cmd/hyssopdoor/main.go
@@ -15,20 +15,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
-)
-
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 )
 
 func main() {
@@ -39,7 +30,7 @@
 func run(args []string) int {
 	parser := newParser()
 	_, err := parser.ParseArgs(args)
-	return report(err)
+	return exiter.Report("hyssopdoor", err)
 }
 
 func newParser() *flags.Parser {
@@ -76,29 +67,3 @@
 	}
 	return command
 }
-
-// usageError is a mistake on the command line that the parser does not find.
-type usageError struct{ message string }
-
-func (u usageError) Error() string { return u.message }
-
-// report prints the error and returns the exit code that stands for it.
-func report(err error) int {
-	if err == nil {
-		return exitDone
-	}
-	var flagError *flags.Error
-	var findings *collector.Collector
-	var usage usageError
-	switch {
-	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
-		fmt.Println(flagError.Message)
-		return exitDone
-	case errors.As(err, &flagError), errors.As(err, &findings), errors.As(err, &usage):
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	default:
-		fmt.Fprintln(os.Stderr, "hyssopdoor:", err)
-		return exitFailed
-	}
-}
--- a/cmd/hyssopdoor/path_test.go
+++ b/cmd/hyssopdoor/path_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/engine"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/service"
 )
@@ -86,5 +87,5 @@
 }
 
 func TestTryOnce(t *testing.T) {
-	require.Equal(t, exitDone, run([]string{"try", "--once"}))
+	require.Equal(t, exiter.Done, run([]string{"try", "--once"}))
 }
--- a/cmd/hyssopdoor/remote.go
+++ b/cmd/hyssopdoor/remote.go
@@ -8,6 +8,7 @@
 	"os"
 	"text/tabwriter"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/operator"
 	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 )
@@ -21,7 +22,7 @@
 
 func (r *remote) client() (*operator.Client, error) {
 	if r.Token == "" {
-		return nil, usageError{"the operators' token is missing; set HYSSOPDOOR_TOKEN, or give --token"}
+		return nil, exiter.UsageError{Message: "the operators' token is missing; set HYSSOPDOOR_TOKEN, or give --token"}
 	}
 	return operator.NewClient(r.Operator, secret.New(r.Token)), nil
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/engine"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/launcher"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/objectserver"
@@ -27,7 +28,7 @@
 const leaveTime = 3 * time.Second
 
 func main() {
-	parser := flags.NewNamedParser("standin", flags.Default)
+	parser := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
 	for _, command := range []struct {
 		name, short string
 		data        any
@@ -40,19 +41,8 @@
 			panic("standin: " + err.Error())
 		}
 	}
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(exitCode(err))
-	}
-}
-
-func exitCode(err error) int {
-	if flagError, ok := err.(*flags.Error); ok {
-		if flagError.Type == flags.ErrHelp {
-			return 0
-		}
-		return 2
-	}
-	return 1
+	_, err := parser.Parse()
+	os.Exit(exiter.Report("standin", err))
 }
 
 // listening is the option of all stand-ins.
--- a/internal/indexer/indexer.go
+++ b/internal/indexer/indexer.go
@@ -14,11 +14,15 @@
 
 import "github.com/hyssopdoor/hyssopdoor/internal/chunker"
 
-// Bounds of the chunks that one engine is taken to hold.
+// Bounds of the estimate, in chunks.
 const (
+	// firstCapacity is what an engine is taken to hold at first; by its answers
+	// that moves between the other two.
 	firstCapacity    = 1024
-	greatestCapacity = 8192
+	greatestCapacity = 2048
 	leastCapacity    = 16
+	// maxChunks bounds the chunks of all engines together.
+	maxChunks = 500_000
 )
 
 // Indexer is the estimate for many engines. It is not safe for concurrent use.
@@ -70,7 +74,12 @@
 	for i := len(chain) - 1; i >= 0; i-- {
 		known.use(chain[i])
 	}
-	known.evict()
+	known.evict(x.share())
+}
+
+// share returns the most chunks that one engine may have here.
+func (x *Indexer) share() int {
+	return maxChunks / max(1, len(x.engines))
 }
 
 // Corrected notes how many tokens of a prompt the engine really had, where more
@@ -85,7 +94,7 @@
 	} else {
 		known.capacity = min(greatestCapacity, known.capacity+1)
 	}
-	known.evict()
+	known.evict(x.share())
 }
 
 // Forget drops the engine's chunks: it has come back empty, or is gone.
@@ -99,13 +108,14 @@
 	e.queue = append(e.queue, use{chunk: chunk, at: e.clock})
 }
 
-// evict drops the least recently used chunks above the capacity, and the queue's
-// uses that later ones have replaced.
-func (e *engine) evict() {
+// evict drops the least recently used chunks above the capacity and the most that
+// the engine may have, and the queue's uses that later ones have replaced.
+func (e *engine) evict(most int) {
+	limit := min(e.capacity, most)
 	for len(e.queue) > 0 {
 		oldest := e.queue[0]
 		current := e.used[oldest.chunk] == oldest.at
-		if current && len(e.used) <= e.capacity && len(e.queue) <= 4*greatestCapacity {
+		if current && len(e.used) <= limit && len(e.queue) <= 4*limit {
 			return
 		}
 		if current {
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -23,6 +23,7 @@
 var shell = []string{
 	"internal/client",
 	"internal/dispatcher",
+	"internal/exiter",
 	"internal/experimenter",
 	"internal/gateway",
 	"internal/gen",
@@ -38,6 +39,7 @@
 	"internal/standin/engine",
 	"internal/standin/launcher",
 	"internal/standin/objectserver",
+	"internal/standin/replier",
 	"internal/standin/service",
 	"internal/workload",
 	"pkg/clock",
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -85,12 +85,12 @@
 
 // Decide returns what follows the failed attempt.
 func Decide(attempt Attempt) Verdict {
+	if !attempt.Repeatable && (attempt.Reach != NotSent || attempt.EarlierSent) {
+		return UnknownOutcome
+	}
 	if attempt.Reach == NotSent {
 		return decideNotSent(attempt)
 	}
-	if !attempt.Repeatable {
-		return UnknownOutcome
-	}
 	if attempt.Number >= MaxAttempts {
 		return GiveUp
 	}
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -162,22 +162,16 @@
 	}
 }
 
-// weight returns the weight of the named instance for the role of the key; the
-// live instance with the highest one has the role.
-func (r *Router) weight(key uint64, name string) uint64 {
-	return chooser.Rendezvous(key, name)
-}
-
 // rank returns the place of this instance for the key among the instances of
 // its failure domain that live and reach the platform; 0 is the first.
 func (r *Router) rank(key uint64) int {
-	own := r.weight(key, r.settings.Name)
+	own := chooser.Rendezvous(key, r.settings.Name)
 	place := 0
 	for _, peer := range r.known.LivePeers(r.now, r.settings.Domain) {
 		if peer.Leaving || peer.PlatformDown || r.now.Since(peer.HeardAt) > witnessAge {
 			continue
 		}
-		if r.weight(key, peer.Name) > own {
+		if chooser.Rendezvous(key, peer.Name) > own {
 			place++
 		}
 	}
--- a/internal/router/homes.go
+++ b/internal/router/homes.go
@@ -54,15 +54,23 @@
 func (r *Router) cellHome(f *flight) (tracker.Peer, bool) {
 	cell := r.known.Cell(f.route.Model, f.prefix())
 	key := chunker.Scope{Model: f.route.Model}.Salt() + cell.Number
+	return r.homeAmong(key, func(peer tracker.Peer) bool {
+		return peer.Domain == r.settings.Domain || cell.Spans
+	})
+}
+
+// homeAmong returns the home of the key: of the live instances that are eligible,
+// and this one, the one with the highest weight. It reports false when that is
+// this instance.
+func (r *Router) homeAmong(key uint64, eligible func(tracker.Peer) bool) (tracker.Peer, bool) {
 	var home tracker.Peer
-	best := r.weight(key, r.settings.Name)
+	best := chooser.Rendezvous(key, r.settings.Name)
 	found := false
 	for _, peer := range r.known.Peers() {
-		near := peer.Domain == r.settings.Domain || cell.Spans
-		if !near || peer.Leaving || !peer.Alive(r.now) {
+		if peer.Leaving || !peer.Alive(r.now) || !eligible(peer) {
 			continue
 		}
-		if weight := r.weight(key, peer.Name); weight > best {
+		if weight := chooser.Rendezvous(key, peer.Name); weight > best {
 			home, best, found = peer, weight, true
 		}
 	}
--- a/internal/router/isolation.go
+++ b/internal/router/isolation.go
@@ -1,14 +1,12 @@
 package router
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/isolator"
 	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -64,7 +62,7 @@
 
 // sendToHome sends a message to the home of the isolation, which may be here.
 func (r *Router) sendToHome(message *peerv1.Message) {
-	home, elsewhere := r.homeOf(isolationKey)
+	home, elsewhere := r.homeAmong(isolationKey, func(peer tracker.Peer) bool { return peer.Domain == r.settings.Domain })
 	if elsewhere {
 		r.send(home, message)
 		return
@@ -86,77 +84,6 @@
 	}
 }
 
-// isolationAsked queues a suspect's wish. A crash that another suspect explains
-// makes no suspect.
-func (r *Router) isolationAsked(from string, ask *peerv1.IsolationAsk) {
-	fingerprint := ask.GetFingerprint()
-	state := r.blame.State(r.now, fingerprint)
-	if state == blamer.Clear && ask.GetCrashed() != "" && r.isolation.Explains(r.now, ask.GetCrashed()) {
-		r.sendGrant(from, &peerv1.IsolationGrant{Request: ask.GetRequest()})
-		return
-	}
-	if ask.GetCrashed() != "" {
-		r.spreadBlame(&peerv1.Blame{Fingerprint: fingerprint, State: peerv1.Blame_SUSPECT, Domain: r.settings.Domain, Server: ask.GetCrashed()})
-	}
-	r.isolation.Ask(isolator.Ask{Request: ask.GetRequest(), From: from, Model: ask.GetModel(), Fingerprint: fingerprint, At: r.now})
-	r.after(collectFor, grantDue{})
-}
-
-// mayRun reports whether it is this domain's turn to run the suspect alone: the
-// word of other crashes has had time to come, and no earlier domain of the
-// configuration has the same suspect.
-func (r *Router) mayRun(ask isolator.Ask) bool {
-	if r.blame.State(r.now, ask.Fingerprint) == blamer.Convicted {
-		return true
-	}
-	own := slices.Index(r.configuration.Domains, r.settings.Domain)
-	for _, crash := range r.blame.Crashes(ask.Fingerprint) {
-		earlier := slices.Index(r.configuration.Domains, crash.Reporter) < own
-		if r.now.Since(crash.At) < collectFor || (earlier && r.now.Since(crash.At) < deferFor) {
-			return false
-		}
-	}
-	return true
-}
-
-// grantIsolation lets the suspects run that can.
-func (r *Router) grantIsolation() {
-	for _, grant := range r.isolation.Grants(r.now, r.mayRun, r.enginesFor) {
-		answer := &peerv1.IsolationGrant{Request: grant.Request, Server: grant.Server, Alone: true}
-		if r.blame.State(r.now, grant.Fingerprint) == blamer.Convicted {
-			r.isolation.End(r.now, grant.Request)
-			answer = &peerv1.IsolationGrant{Request: grant.Request, Convicted: true}
-		}
-		r.sendGrant(grant.From, answer)
-	}
-}
-
-// enginesFor returns the engines that may run the suspect: first those of the
-// failure domains in which the fewest have crashed under it, then the near ones.
-func (r *Router) enginesFor(ask isolator.Ask) []string {
-	crashes := map[string]int{}
-	for _, crash := range r.blame.Crashes(ask.Fingerprint) {
-		crashes[crash.Domain]++
-	}
-	servers := slices.DeleteFunc(r.known.Engines(ask.Model), func(s tracker.Server) bool { return s.Suspect(r.now) })
-	slices.SortStableFunc(servers, func(a, b tracker.Server) int {
-		return cmp.Or(cmp.Compare(crashes[a.Domain], crashes[b.Domain]), cmp.Compare(r.distance(a), r.distance(b)))
-	})
-	names := make([]string, len(servers))
-	for i, server := range servers {
-		names[i] = server.Name
-	}
-	return names
-}
-
-// distance returns 0 for a server of the own failure domain, else 1.
-func (r *Router) distance(server tracker.Server) int {
-	if r.known.Far(server) {
-		return 1
-	}
-	return 0
-}
-
 func (r *Router) sendGrant(to string, grant *peerv1.IsolationGrant) {
 	message := &peerv1.Message{Body: &peerv1.Message_IsolationGrant{IsolationGrant: grant}}
 	if peer, ok := r.known.Peer(to); ok {
@@ -298,17 +225,3 @@
 	}
 	r.giveUp(f, action.CodeServerFailed, "no backend server was free for a lone run")
 }
-
-// homeOf returns the peer that has the role of the key in this failure domain.
-// It reports false when that is this instance.
-func (r *Router) homeOf(key uint64) (tracker.Peer, bool) {
-	var home tracker.Peer
-	best := r.weight(key, r.settings.Name)
-	found := false
-	for _, peer := range r.known.LivePeers(r.now, r.settings.Domain) {
-		if weight := r.weight(key, peer.Name); !peer.Leaving && weight > best {
-			home, best, found = peer, weight, true
-		}
-	}
-	return home, found
-}
--- a/internal/router/rates_test.go
+++ b/internal/router/rates_test.go
@@ -92,7 +92,7 @@
 	return nil
 }
 
-// refusedFor counts the requests that were refused for want of tokens.
+// refusedForTokens counts the requests that were refused for want of tokens.
 func refusedForTokens(fleet *testkit.Fleet) (refused, total int) {
 	for _, request := range fleet.Requests {
 		total++
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,12 +11,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/standin/replier"
 )
 
 // Options are the properties of the stand-in.
@@ -192,14 +192,11 @@
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+	if replier.Read(w, r, &faults) {
+		s.SetFaults(faults)
 	}
-	s.SetFaults(faults)
 }
 
 func (s *Server) showCounts(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Counts())
+	replier.Write(w, http.StatusOK, s.Counts())
 }
--- a/internal/standin/objectserver/objectserver.go
+++ b/internal/standin/objectserver/objectserver.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/standin/replier"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/store"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -238,8 +239,7 @@
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !replier.Read(w, r, &faults) {
 		return
 	}
 	s.mu.Lock()
@@ -251,7 +251,7 @@
 	s.mu.Lock()
 	counts := s.counts
 	s.mu.Unlock()
-	reply(w, http.StatusOK, counts)
+	replier.Write(w, http.StatusOK, counts)
 }
 
 // statuses are the HTTP statuses of the outcomes.
@@ -262,16 +262,10 @@
 }
 
 func replyAnswer(w http.ResponseWriter, answer platform.Answer) {
-	reply(w, statuses[answer.Outcome], platform.Wire{
+	replier.Write(w, statuses[answer.Outcome], platform.Wire{
 		Version:   answer.Version,
 		Value:     answer.Value,
 		Instances: answer.Instances,
 		Objects:   answer.Objects,
 	})
 }
-
-func reply(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,12 +9,13 @@
 package service
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/standin/replier"
 )
 
 // Faults are the faults on demand, each for the next POSTs.
@@ -104,7 +105,7 @@
 	if faults.CommitThenDrop > 0 {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, http.StatusCreated, map[string]string{"number": strconv.Itoa(number)})
+	replier.Write(w, http.StatusCreated, map[string]string{"number": strconv.Itoa(number)})
 }
 
 func (s *Server) takeFaults() Faults {
@@ -139,24 +140,16 @@
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	s.noteKey(r)
-	reply(w, http.StatusOK, map[string]string{"path": r.URL.Path, "stock": "12"})
+	replier.Write(w, http.StatusOK, map[string]string{"path": r.URL.Path, "stock": "12"})
 }
 
 func (s *Server) showRecords(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, s.Records())
+	replier.Write(w, http.StatusOK, s.Records())
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+	if replier.Read(w, r, &faults) {
+		s.SetFaults(faults)
 	}
-	s.SetFaults(faults)
-}
-
-func reply(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
 }
