--- a/cmd/hyssopdoor-load/run.go
+++ b/cmd/hyssopdoor-load/run.go
@@ -62,7 +62,7 @@
 // printTable prints the median of each figure over the seeds.
 func printTable(w io.Writer, policies []chooser.Policy, results []experimenter.Result) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "policy\tanswered\trefused\tfailed\tp50 ms\tp95 ms\tp99 ms\thit rate\twasted\tworst/best\t")
+	fmt.Fprintln(table, "policy\tanswered\trefused\twrongly\tfailed\tp50 ms\tp95 ms\tp99 ms\thit rate\twasted\tworst/best\t")
 	for _, policy := range policies {
 		var own []experimenter.Result
 		for _, result := range results {
@@ -70,9 +70,10 @@
 				own = append(own, result)
 			}
 		}
-		fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t%.2f\t\n", policy,
+		fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t%.2f\t\n", policy,
 			median(own, func(r experimenter.Result) float64 { return float64(r.Answered) }),
 			median(own, func(r experimenter.Result) float64 { return float64(r.Refused) }),
+			median(own, func(r experimenter.Result) float64 { return float64(r.WronglyRefused) }),
 			median(own, func(r experimenter.Result) float64 { return float64(r.Failed) }),
 			median(own, func(r experimenter.Result) float64 { return r.P50Millis }),
 			median(own, func(r experimenter.Result) float64 { return r.P95Millis }),
--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -45,6 +45,9 @@
 	Answered int `json:"answered"`
 	Refused  int `json:"refused"`
 	Failed   int `json:"failed"`
+	// WronglyRefused are the refused ones of teams that stayed inside their rate
+	// over the whole run.
+	WronglyRefused int `json:"wronglyRefused"`
 
 	P50Millis float64 `json:"p50Millis"`
 	P95Millis float64 `json:"p95Millis"`
@@ -83,6 +86,8 @@
 	result Result
 	all    *hdrhistogram.Histogram
 	teams  map[string]*hdrhistogram.Histogram
+	// refused counts the requests refused for want of tokens, by team.
+	refused map[string]int
 }
 
 func runOnce(ctx context.Context, options Options, policy chooser.Policy, seed uint64, requests []workload.Request) (Result, error) {
@@ -97,6 +102,8 @@
 		result: Result{Policy: policy, Seed: seed, Requests: len(requests)},
 		all:    hdrhistogram.New(1, longestMicros, digits),
 		teams:  map[string]*hdrhistogram.Histogram{},
+
+		refused: map[string]int{},
 	}
 	var waiting sync.WaitGroup
 	for i, request := range requests {
@@ -108,7 +115,7 @@
 		waiting.Go(func() { r.send(ctx, i, request) })
 	}
 	waiting.Wait()
-	r.finish(requests)
+	r.finish(options, requests)
 	return r.result, nil
 }
 
@@ -167,6 +174,7 @@
 		r.result.Answered++
 	case http.StatusTooManyRequests:
 		r.result.Refused++
+		r.refused[request.Team]++
 		return
 	default:
 		r.result.Failed++
@@ -182,7 +190,8 @@
 }
 
 // finish works out the result from the histograms and the engines' counts.
-func (r *run) finish(requests []workload.Request) {
+func (r *run) finish(options Options, requests []workload.Request) {
+	r.result.WronglyRefused = r.wronglyRefused(options, requests)
 	r.result.P50Millis = millis(r.all, 50)
 	r.result.P95Millis = millis(r.all, 95)
 	r.result.P99Millis = millis(r.all, 99)
@@ -200,6 +209,23 @@
 	r.result.Wasted = max(0, float64(prompt-cached-distinctTokens(requests))/float64(prompt))
 }
 
+// wronglyRefused counts the refused requests of the teams whose demand, prompts
+// and longest answers, stayed inside their rate.
+func (r *run) wronglyRefused(options Options, requests []workload.Request) int {
+	demand := map[string]int64{}
+	for _, request := range requests {
+		demand[request.Team] += chunker.Tokens(len(request.Prompt)) + request.MaxTokens
+	}
+	given := int64(float64(options.TeamRate) * options.Workload.Duration.Seconds())
+	total := 0
+	for team, refused := range r.refused {
+		if demand[team] <= given {
+			total += refused
+		}
+	}
+	return total
+}
+
 func millis(histogram *hdrhistogram.Histogram, percentile float64) float64 {
 	return float64(histogram.ValueAtQuantile(percentile)) / 1000
 }
