Log the home's choice at the gateway too

Cause: a request whose server the home chose had no choice in its gateway's log and explanation.

Change: the gateway logs server, attempt and by whom; a test for the home's choice and for the gateway's own when the home dies.

--- a/internal/router/homes.go
+++ b/internal/router/homes.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/config"
 	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -119,6 +120,7 @@
 		r.dispatchByOwnChoice(f)
 		return
 	}
+	r.log(journal.New(journal.RouteChosen, f.id()).With("server", server.Name).With("attempt", f.attempts+1).With("by", from))
 	r.dispatchTo(f, server)
 }
 
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -58,3 +58,32 @@
 	require.Equal(t, session(1).Trace, session(1).Trace)
 	require.NotEqual(t, session(1).Trace, session(2).Trace, "the seed must matter")
 }
+
+// TestHomeChoosesAndIsReplaced sends model requests through an instance that is
+// not the home of their cell: the home chooses, and without it the instance does.
+func TestHomeChoosesAndIsReplaced(t *testing.T) {
+	fleet := newFleet(1, 3_000_000, 30_000_000)
+	home := ""
+	for _, node := range []string{"a-1", "b-1", "c-1"} {
+		fleet.Trace = nil
+		fleet.Send(node, testkit.Verdict(100, 32))
+		fleet.RunFor(clock.Second)
+		for _, line := range fleet.Trace {
+			if _, by, found := strings.Cut(line, " by="); found {
+				home = by
+			}
+		}
+	}
+	require.NotEmpty(t, home, "one of three instances is the home, the others ask it")
+	other := "a-1"
+	if home == other {
+		other = "b-1"
+	}
+	fleet.Nodes[home].Kill()
+	fleet.Trace = nil
+	request := fleet.Send(other, testkit.Verdict(100, 32))
+	fleet.RunFor(clock.Second)
+	require.True(t, request.Answered(), "%+v", request.Refusal)
+	require.Contains(t, strings.Join(fleet.Trace, "\n"), "candidate=", "the instance chose itself")
+	require.LessOrEqual(t, request.EndedAt, fleet.Now-clock.Second+100)
+}
