Report unknown policies of experiments, and read positive numbers in one place

A misspelt policy in an experiment ran as the system's own way under the wrong name.

Ruled out: what is left of the list of doubled places is imports, generated code, tables of tests, and shapes without common meaning (message cases, JSON of different records).

--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -26,15 +26,16 @@
 }
 
 func TestParseFindings(t *testing.T) {
-	_, err := experimenter.Parse("x.ini", []byte("[fleet]\n[experiment]\nseeds = one\nduration = soon\n[teams]\nweights = crew\n[workload]\nguides = -1\nguide = 2\n"))
+	_, err := experimenter.Parse("x.ini", []byte("[fleet]\n[experiment]\nseeds = one\nduration = soon\npolicies = predcited, random\n[teams]\nweights = crew\n[workload]\nguides = -1\nguide = 2\n"))
 	require.Error(t, err)
 	for _, finding := range []string{
 		"fleet.domains: names no failure domain",
 		"x.ini:3: experiment.seeds: has one, which is no number",
 		"x.ini:4: experiment.duration: is not a positive time",
-		"x.ini:6: teams.weights: has crew, which is not NAME:WEIGHT",
-		"x.ini:8: workload.guides: is not a positive number",
-		"x.ini:9: workload.guide: is an unknown key",
+		"x.ini:5: experiment.policies: names the unknown policy predcited",
+		"x.ini:7: teams.weights: has crew, which is not NAME:WEIGHT",
+		"x.ini:9: workload.guides: is not a positive number",
+		"x.ini:10: workload.guide: is an unknown key",
 	} {
 		require.ErrorContains(t, err, finding)
 	}
--- a/internal/experimenter/options.go
+++ b/internal/experimenter/options.go
@@ -1,6 +1,8 @@
 package experimenter
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,15 +51,19 @@
 	if len(o.Domains) == 0 {
 		section.Report("domains", "names no failure domain", "list the failure domains, such as: split-a, split-b")
 	}
-	o.Engines = positive(section, "engines", 3)
+	o.Engines = int(section.Positive("engines", 3))
 	o.Prefill = readTime(section, "prefill", 20*time.Microsecond)
 	o.Decode = readTime(section, "decode", 2*time.Millisecond)
-	o.CacheChunks = positive(section, "cacheChunks", 64)
+	o.CacheChunks = int(section.Positive("cacheChunks", 64))
 }
 
 func (o *Options) readRuns(section *inireader.Section) {
 	for _, name := range section.List("policies") {
-		o.Policies = append(o.Policies, chooser.Policy(name))
+		policy := chooser.Policy(name)
+		if !slices.Contains(chooser.Policies(), policy) {
+			section.Report("policies", "names the unknown policy "+name, fmt.Sprintf("list some of: %s", chooser.Policies()))
+		}
+		o.Policies = append(o.Policies, policy)
 	}
 	if len(o.Policies) == 0 {
 		o.Policies = chooser.Policies()
@@ -73,14 +79,14 @@
 		o.Seeds = []uint64{1}
 	}
 	o.Workload.Duration = readTime(section, "duration", 10*time.Second)
-	o.Workload.Rate = float64(positive(section, "requestsPerSecond", 20))
+	o.Workload.Rate = float64(section.Positive("requestsPerSecond", 20))
 	o.Target = section.Span("target", 1600*clock.Millisecond)
 }
 
 // readTeams reads the teams' parts of the requests as NAME:WEIGHT.
 func (o *Options) readTeams(section *inireader.Section) {
-	o.TeamRate = int64(positive(section, "rate", 1_000_000))
-	o.TeamBurst = int64(positive(section, "burst", 10_000_000))
+	o.TeamRate = section.Positive("rate", 1_000_000)
+	o.TeamBurst = section.Positive("burst", 10_000_000)
 	for _, text := range section.List("weights") {
 		name, weight, _ := strings.Cut(text, ":")
 		number, err := strconv.ParseFloat(weight, 64)
@@ -97,24 +103,15 @@
 
 func (o *Options) readWorkload(section *inireader.Section) {
 	w := &o.Workload
-	w.Guides = positive(section, "guides", 4)
-	w.Subjects = positive(section, "subjects", 3)
-	w.Chapters = positive(section, "chapters", 3)
-	w.GuideChunks = positive(section, "guideChunks", 2)
-	w.SubjectChunks = positive(section, "subjectChunks", 1)
-	w.ChapterChunks = positive(section, "chapterChunks", 1)
-	w.HotShare = float64(positive(section, "hotPercent", 40)) / 100
+	w.Guides = int(section.Positive("guides", 4))
+	w.Subjects = int(section.Positive("subjects", 3))
+	w.Chapters = int(section.Positive("chapters", 3))
+	w.GuideChunks = int(section.Positive("guideChunks", 2))
+	w.SubjectChunks = int(section.Positive("subjectChunks", 1))
+	w.ChapterChunks = int(section.Positive("chapterChunks", 1))
+	w.HotShare = float64(section.Positive("hotPercent", 40)) / 100
 	w.ShiftEvery = readTime(section, "shiftEvery", 5*time.Second)
-	w.MaxTokens = int64(positive(section, "maxTokens", 16))
-}
-
-func positive(section *inireader.Section, key string, fallback int64) int {
-	value := section.Int(key, fallback)
-	if value <= 0 {
-		section.Report(key, "is not a positive number", "give a number of 1 or more")
-		return int(fallback)
-	}
-	return int(value)
+	w.MaxTokens = section.Positive("maxTokens", 16)
 }
 
 // readTime reads a time that may be shorter than a millisecond.
--- a/internal/inireader/section.go
+++ b/internal/inireader/section.go
@@ -68,6 +68,17 @@
 	return value
 }
 
+// Positive returns the number of 1 or more at key, or fallback when it is absent or
+// reported.
+func (s *Section) Positive(key string, fallback int64) int64 {
+	value := s.Int(key, fallback)
+	if value <= 0 {
+		s.report(key, "is not a positive number", "give a number of 1 or more")
+		return fallback
+	}
+	return value
+}
+
 // Span returns the time at key, or fallback when it is absent.
 func (s *Section) Span(key string, fallback clock.Millis) clock.Millis {
 	text := s.Text(key, "")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -166,9 +166,9 @@
 }
 
 func (s *Settings) readLimits(section *inireader.Section) {
-	s.Limits.BodyBytes = readPositive(section, "bodyBytes", s.Limits.BodyBytes)
-	s.Limits.AnswerBytes = readPositive(section, "answerBytes", s.Limits.AnswerBytes)
-	s.Limits.MaxInFlight = readPositive(section, "maxInFlight", s.Limits.MaxInFlight)
+	s.Limits.BodyBytes = section.Positive("bodyBytes", s.Limits.BodyBytes)
+	s.Limits.AnswerBytes = section.Positive("answerBytes", s.Limits.AnswerBytes)
+	s.Limits.MaxInFlight = section.Positive("maxInFlight", s.Limits.MaxInFlight)
 }
 
 func (s *Settings) readTimeouts(section *inireader.Section) {
@@ -208,11 +208,3 @@
 	}
 	return value
 }
-
-func readPositive(section *inireader.Section, key string, fallback int64) int64 {
-	value := section.Int(key, fallback)
-	if value <= 0 {
-		section.Report(key, "is not a positive number", "give a number of 1 or more")
-	}
-	return value
-}
