--- a/cmd/hyssopdoor-edge/serve.go
+++ b/cmd/hyssopdoor-edge/serve.go
@@ -6,10 +6,10 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/edge"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/linelogger"
-	"github.com/hyssopdoor/hyssopdoor/internal/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/edge"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/linelogger"
 	"github.com/hyssopdoor/hyssopdoor/platform"
 )
 
--- a/cmd/hyssopdoor-load/run.go
+++ b/cmd/hyssopdoor-load/run.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/experimenter"
 )
 
--- a/cmd/hyssopdoor/badinput_test.go
+++ b/cmd/hyssopdoor/badinput_test.go
@@ -13,12 +13,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1/peerv1connect"
-	"github.com/hyssopdoor/hyssopdoor/internal/operator"
-	"github.com/hyssopdoor/hyssopdoor/internal/peer"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/operator"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/peer"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/exiter"
 )
 
 func startTestTrial(t *testing.T) *trial {
--- a/cmd/hyssopdoor/config.go
+++ b/cmd/hyssopdoor/config.go
@@ -9,9 +9,9 @@
 	"github.com/go-faster/errors"
 	"github.com/pmezard/go-difflib/difflib"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/encoder"
-	"github.com/hyssopdoor/hyssopdoor/internal/operator"
-	"github.com/hyssopdoor/hyssopdoor/internal/parser"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/encoder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/parser"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/operator"
 )
 
 const configUsage = `The configuration: classes of work, teams and routes. See: config apply --help.`
--- a/cmd/hyssopdoor/fleet_test.go
+++ b/cmd/hyssopdoor/fleet_test.go
@@ -18,10 +18,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/client"
-	"github.com/hyssopdoor/hyssopdoor/internal/operator"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/client"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/operator"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -207,7 +207,7 @@
 	s.entries[name] = started
 	api := client.New(s.platformURL, 2*clock.Second)
 	defer api.Close()
-	require.NoError(s.t, api.Register(context.Background(), platform.Instance{Name: name, Role: platform.RoleEntry, Domain: domain, Address: peers, State: platform.StateLive}))
+	require.NoError(s.t, api.Register(context.Background(), objectstore.Instance{Name: name, Role: objectstore.RoleEntry, Domain: domain, Address: peers, State: objectstore.StateLive}))
 	return started
 }
 
--- a/cmd/hyssopdoor/remote.go
+++ b/cmd/hyssopdoor/remote.go
@@ -8,9 +8,9 @@
 	"os"
 	"text/tabwriter"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/exiter"
-	"github.com/hyssopdoor/hyssopdoor/internal/operator"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/operator"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/exiter"
 )
 
 // remote has the options of the commands that ask an instance.
--- a/cmd/hyssopdoor/status.go
+++ b/cmd/hyssopdoor/status.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"io"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/operator"
-	"github.com/hyssopdoor/hyssopdoor/internal/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/operator"
 )
 
 const statusUsage = `Shows what an instance knows: the configuration in force, its peers and theirs,
--- a/cmd/hyssopdoor/try.go
+++ b/cmd/hyssopdoor/try.go
@@ -12,10 +12,10 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/instance"
-	"github.com/hyssopdoor/hyssopdoor/internal/operator"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
-	"github.com/hyssopdoor/hyssopdoor/internal/settings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/instance"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/operator"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/settings"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/engine"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/launcher"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/objectserver"
--- a/internal/allotter/allotter_test.go
+++ b/internal/decision/allotter/allotter_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/allotter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/allotter"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/decision/budgeter/budgeter_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/budgeter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/budgeter"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/desired/state.go
+++ b/internal/decision/desired/state.go
@@ -11,8 +11,8 @@
 import (
 	"strings"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -1,10 +1,10 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/digest"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/disturbances_test.go
+++ b/internal/decision/forwarder/disturbances_test.go
@@ -1,7 +1,7 @@
 package forwarder_test
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -1,14 +1,14 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/digest"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
-	"github.com/hyssopdoor/hyssopdoor/internal/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/site"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -145,10 +145,10 @@
 
 // LeaseRead and LeaseWritten are answers of the store.
 type (
-	LeaseRead    struct{ Answer platform.Answer }
+	LeaseRead    struct{ Answer objectstore.Answer }
 	LeaseWritten struct {
 		Record orderer.Record
-		Answer platform.Answer
+		Answer objectstore.Answer
 	}
 )
 
--- a/internal/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -1,7 +1,7 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -24,15 +24,15 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/allotter"
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
-	"github.com/hyssopdoor/hyssopdoor/internal/budgeter"
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
-	"github.com/hyssopdoor/hyssopdoor/internal/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/allotter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/budgeter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/site"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/decision/forwarder/forwarder_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/knowledge.go
+++ b/internal/decision/forwarder/knowledge.go
@@ -4,11 +4,11 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
-	"github.com/hyssopdoor/hyssopdoor/internal/budgeter"
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/budgeter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/site"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/orders.go
+++ b/internal/decision/forwarder/orders.go
@@ -1,8 +1,8 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/peers.go
+++ b/internal/decision/forwarder/peers.go
@@ -4,10 +4,10 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/allotter"
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/digest"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/allotter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/platform_test.go
+++ b/internal/decision/forwarder/platform_test.go
@@ -1,18 +1,18 @@
 package forwarder_test
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 )
 
 func (w *world) askStore(i int, step orderer.Step) {
 	if w.deaf[i] {
 		w.after(900, func() {
 			if update, ok := step.(orderer.WriteLease); ok {
-				w.step(i, forwarder.LeaseWritten{Record: update.Update.Record, Answer: platform.Answer{Outcome: platform.Unknown}})
+				w.step(i, forwarder.LeaseWritten{Record: update.Update.Record, Answer: objectstore.Answer{Outcome: objectstore.Unknown}})
 			} else {
-				w.step(i, forwarder.LeaseRead{Answer: platform.Answer{Outcome: platform.Unknown}})
+				w.step(i, forwarder.LeaseRead{Answer: objectstore.Answer{Outcome: objectstore.Unknown}})
 			}
 		})
 		return
@@ -20,17 +20,17 @@
 	w.after(5, func() {
 		switch step := step.(type) {
 		case orderer.ReadLease:
-			answer := platform.Answer{Outcome: platform.Done, Version: w.revision, Value: w.record.Encode()}
+			answer := objectstore.Answer{Outcome: objectstore.Done, Version: w.revision, Value: w.record.Encode()}
 			if w.revision == 0 {
-				answer = platform.Answer{Outcome: platform.Absent}
+				answer = objectstore.Answer{Outcome: objectstore.Absent}
 			}
 			w.step(i, forwarder.LeaseRead{Answer: answer})
 		case orderer.WriteLease:
-			answer := platform.Answer{Outcome: platform.Conflict, Version: w.revision, Value: w.record.Encode()}
+			answer := objectstore.Answer{Outcome: objectstore.Conflict, Version: w.revision, Value: w.record.Encode()}
 			if step.Update.IfRevision == w.revision {
 				w.revision++
 				w.record = step.Update.Record
-				answer = platform.Answer{Outcome: platform.Done, Version: w.revision}
+				answer = objectstore.Answer{Outcome: objectstore.Done, Version: w.revision}
 			}
 			w.step(i, forwarder.LeaseWritten{Record: step.Update.Record, Answer: answer})
 		}
--- a/internal/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/forwarder/world_test.go
+++ b/internal/decision/forwarder/world_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
-	"github.com/hyssopdoor/hyssopdoor/internal/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/site"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/journal/catalogue_test.go
+++ b/internal/decision/journal/catalogue_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 )
 
 // TestCatalogue holds the code's events and docs/EVENTS.md together, both ways.
 func TestCatalogue(t *testing.T) {
-	data, err := os.ReadFile("../../docs/EVENTS.md")
+	data, err := os.ReadFile("../../../docs/EVENTS.md")
 	require.NoError(t, err)
 	documented := map[journal.Number]string{}
 	for _, row := range regexp.MustCompile("(?m)^\\| (\\d+) \\| `(\\w+)` \\| \\S").FindAllStringSubmatch(string(data), -1) {
--- a/internal/platform/answer.go
+++ b/internal/decision/objectstore/answer.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // Outcome is how a call to the platform ended.
 type Outcome int
--- a/internal/platform/instance.go
+++ b/internal/decision/objectstore/instance.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // Role is what an instance of the instance list does.
 type Role string
--- a/internal/platform/op.go
+++ b/internal/decision/objectstore/op.go
@@ -1,14 +1,14 @@
-// Package platform has the typed calls to the platform's object API and its
-// instance list, and their answers. The calls are made by package caller of
-// the shell; decisions only see these values.
+// Package objectstore has the typed calls to a store of versioned objects and
+// to its list of instances, and their answers. The shell makes the calls;
+// decisions only see these values.
 //
 // # Usage
 //
-//	op := platform.Put{Name: "calls/x", Value: value, IfVersion: platform.IfAbsent}
+//	op := objectstore.Put{Name: "calls/x", Value: value, IfVersion: objectstore.IfAbsent}
 //	switch answer.Outcome {
-//	case platform.Done: ...
+//	case objectstore.Done: ...
 //	}
-package platform
+package objectstore
 
 // IfAbsent as the expected version of a Put means that no object exists.
 const IfAbsent int64 = 0
--- a/internal/platform/wire.go
+++ b/internal/decision/objectstore/wire.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // Wire is the JSON body of the platform's answers.
 type Wire struct {
--- a/internal/orderer/lease.go
+++ b/internal/decision/orderer/lease.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -134,16 +134,16 @@
 }
 
 // read takes in the answer to a read.
-func (l *lease) read(now clock.Millis, answer platform.Answer) {
+func (l *lease) read(now clock.Millis, answer objectstore.Answer) {
 	l.busy = false
 	l.readDue = now.Add(readEvery)
 	switch answer.Outcome {
-	case platform.Absent:
+	case objectstore.Absent:
 		if !l.known {
 			l.known = true
 			l.seenAt = now
 		}
-	case platform.Done:
+	case objectstore.Done:
 		l.saw(now, sightOf(answer))
 	}
 }
@@ -160,15 +160,15 @@
 
 // written takes in the answer to an update. A conflict may tell that the same update
 // took effect before, of which the answer was lost.
-func (l *lease) written(now clock.Millis, record Record, answer platform.Answer) {
+func (l *lease) written(now clock.Millis, record Record, answer objectstore.Answer) {
 	if answer.Failed() && record != l.pending.Record {
 		return
 	}
 	l.busy = false
 	switch answer.Outcome {
-	case platform.Done:
+	case objectstore.Done:
 		l.saw(now, Sight{Revision: answer.Version, Holder: record.Holder, Writes: record.Writes})
-	case platform.Conflict:
+	case objectstore.Conflict:
 		l.saw(now, sightOf(answer))
 		l.writeDue = now.Add(retryWrite)
 	default:
@@ -176,7 +176,7 @@
 	}
 }
 
-func sightOf(answer platform.Answer) Sight {
+func sightOf(answer objectstore.Answer) Sight {
 	record := DecodeRecord(answer.Value)
 	return Sight{Revision: answer.Version, Holder: record.Holder, Writes: record.Writes}
 }
--- a/internal/orderer/orderer.go
+++ b/internal/decision/orderer/orderer.go
@@ -23,8 +23,8 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -106,17 +106,17 @@
 func (o *Orderer) Holding(now clock.Millis) bool { return o.lease.held(now) }
 
 // LeaseRead takes in the answer to a ReadLease.
-func (o *Orderer) LeaseRead(now clock.Millis, answer platform.Answer) {
+func (o *Orderer) LeaseRead(now clock.Millis, answer objectstore.Answer) {
 	o.lease.read(now, answer)
 }
 
 // LeaseWritten takes in the answer to a WriteLease, the own or a peer's.
-func (o *Orderer) LeaseWritten(now clock.Millis, record Record, answer platform.Answer) {
+func (o *Orderer) LeaseWritten(now clock.Millis, record Record, answer objectstore.Answer) {
 	if record.Holder == o.lease.self {
 		o.lease.written(now, record, answer)
 		return
 	}
-	if answer.Outcome == platform.Done {
+	if answer.Outcome == objectstore.Done {
 		o.lease.saw(now, Sight{Revision: answer.Version, Holder: record.Holder, Writes: record.Writes})
 	}
 }
--- a/internal/orderer/orderer_test.go
+++ b/internal/decision/orderer/orderer_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/orderer/world_test.go
+++ b/internal/decision/orderer/world_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -92,13 +92,13 @@
 }
 
 // put is the store: it takes an update whose revision is the object's.
-func (w *world) put(update orderer.Update) platform.Answer {
+func (w *world) put(update orderer.Update) objectstore.Answer {
 	if update.IfRevision != w.revision {
-		return platform.Answer{Outcome: platform.Conflict, Version: w.revision, Value: w.record.Encode()}
+		return objectstore.Answer{Outcome: objectstore.Conflict, Version: w.revision, Value: w.record.Encode()}
 	}
 	w.revision += 1 + int64(w.source.IntN(5))
 	w.record = update.Record
-	return platform.Answer{Outcome: platform.Done, Version: w.revision}
+	return objectstore.Answer{Outcome: objectstore.Done, Version: w.revision}
 }
 
 func (w *world) perform(i int, steps []orderer.Step) {
@@ -107,12 +107,12 @@
 		switch step := step.(type) {
 		case orderer.ReadLease:
 			w.after(4, func() {
-				answer := platform.Answer{Outcome: platform.Done, Version: w.revision, Value: w.record.Encode()}
+				answer := objectstore.Answer{Outcome: objectstore.Done, Version: w.revision, Value: w.record.Encode()}
 				if w.revision == 0 {
-					answer = platform.Answer{Outcome: platform.Absent}
+					answer = objectstore.Answer{Outcome: objectstore.Absent}
 				}
 				if w.deaf[i] {
-					answer = platform.Answer{Outcome: platform.Unknown}
+					answer = objectstore.Answer{Outcome: objectstore.Unknown}
 				}
 				orders.LeaseRead(w.now, answer)
 			})
@@ -128,13 +128,15 @@
 
 func (w *world) write(i int, update orderer.Update) {
 	if w.deaf[i] {
-		w.after(900, func() { w.orders[i].LeaseWritten(w.now, update.Record, platform.Answer{Outcome: platform.Unknown}) })
+		w.after(900, func() {
+			w.orders[i].LeaseWritten(w.now, update.Record, objectstore.Answer{Outcome: objectstore.Unknown})
+		})
 		return
 	}
 	w.after(clock.Millis(2+w.source.IntN(20)), func() {
 		answer := w.put(update)
 		if w.source.IntN(100) < w.lost {
-			answer = platform.Answer{Outcome: platform.Unknown}
+			answer = objectstore.Answer{Outcome: objectstore.Unknown}
 			w.after(900, func() { w.orders[i].LeaseWritten(w.now, update.Record, answer) })
 			return
 		}
--- a/internal/placer/choice.go
+++ b/internal/decision/placer/choice.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/placer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/roster/roster_test.go
+++ b/internal/decision/roster/roster_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/roster"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/roster"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -24,9 +24,9 @@
 	"github.com/go-faster/errors"
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
-	"github.com/hyssopdoor/hyssopdoor/internal/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/completer"
 	"github.com/hyssopdoor/hyssopdoor/internal/workload"
 )
 
--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/experimenter"
 )
 
--- a/internal/experimenter/options.go
+++ b/internal/experimenter/options.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/inireader"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/inireader"
 	"github.com/hyssopdoor/hyssopdoor/internal/workload"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -21,32 +21,16 @@
 // shell are the folders that may do I/O, run goroutines and read clocks. All
 // other code below internal and pkg decides, and is held to the rules.
 var shell = []string{
-	"internal/bootclock",
-	"internal/client",
-	"internal/dispatcher",
-	"internal/edge",
-	"internal/exchanger",
-	"internal/exiter",
 	"internal/experimenter",
-	"internal/front",
-	"internal/gateway",
 	"internal/gen",
-	"internal/inireader",
-	"internal/instance",
 	"internal/layers",
-	"internal/linelogger",
-	"internal/logger",
-	"internal/meter",
-	"internal/operator",
-	"internal/peer",
-	"internal/runner",
-	"internal/settings",
+	"internal/own/shell",
+	"internal/shell",
 	"internal/standin/engine",
 	"internal/standin/launcher",
 	"internal/standin/objectserver",
 	"internal/standin/replier",
 	"internal/standin/service",
-	"internal/watcher",
 	"internal/workload",
 	"pkg/clock",
 }
@@ -56,7 +40,7 @@
 	"cmp", "container/heap", "crypto/hmac", "crypto/sha256", "encoding/binary", "encoding/hex", "encoding/json", "fmt", "maps",
 	"math", "math/bits", "math/rand/v2", "slices", "strconv", "strings",
 	"github.com/cespare/xxhash/v2", "github.com/go-faster/errors",
-	module + "internal/gen/peerv1", module + "internal/inireader", module + "pkg/clock",
+	module + "internal/gen/peerv1", module + "internal/own/shell/inireader", module + "pkg/clock",
 }
 
 // globalRandom are the functions of math/rand/v2 that use a global source.
--- a/internal/action/action.go
+++ b/internal/own/decision/action/action.go
@@ -11,11 +11,11 @@
 package action
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
-	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/stamper"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
 )
@@ -72,7 +72,7 @@
 // CallPlatform makes a call to the platform.
 type CallPlatform struct {
 	Call uint64
-	Op   platform.Op
+	Op   objectstore.Op
 }
 
 // Send sends a message to a peer.
--- a/internal/applier/applier.go
+++ b/internal/own/decision/applier/applier.go
@@ -14,9 +14,9 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/sharder"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -80,7 +80,7 @@
 }
 
 // Answered returns the step after the answer to an Ask.
-func (a *Applier) Answered(now clock.Millis, answer platform.Answer) Step {
+func (a *Applier) Answered(now clock.Millis, answer objectstore.Answer) Step {
 	switch a.phase {
 	case phaseReadManifest:
 		return a.manifestRead(now, answer)
@@ -96,25 +96,25 @@
 func (a *Applier) ask() Step {
 	switch a.phase {
 	case phaseReadManifest:
-		return Ask{Op: platform.Get{Name: sharder.ManifestName}}
+		return Ask{Op: objectstore.Get{Name: sharder.ManifestName}}
 	case phaseReadShards:
-		return Ask{Op: platform.Get{Name: sharder.ShardObject(a.pending[0])}}
+		return Ask{Op: objectstore.Get{Name: sharder.ShardObject(a.pending[0])}}
 	case phaseWriteShards:
 		digest := a.pending[0]
-		return Ask{Op: platform.Put{Name: sharder.ShardObject(digest), Value: a.values[digest], IfVersion: platform.IfAbsent}}
+		return Ask{Op: objectstore.Put{Name: sharder.ShardObject(digest), Value: a.values[digest], IfVersion: objectstore.IfAbsent}}
 	default:
 		a.sent = true
-		return Ask{Op: platform.Put{Name: sharder.ManifestName, Value: a.next.Encode(), IfVersion: a.version}}
+		return Ask{Op: objectstore.Put{Name: sharder.ManifestName, Value: a.next.Encode(), IfVersion: a.version}}
 	}
 }
 
-func (a *Applier) manifestRead(now clock.Millis, answer platform.Answer) Step {
+func (a *Applier) manifestRead(now clock.Millis, answer objectstore.Answer) Step {
 	if answer.Failed() {
 		return a.pause(now)
 	}
-	if answer.Outcome == platform.Absent {
+	if answer.Outcome == objectstore.Absent {
 		a.current = sharder.Manifest{Salt: a.salt}
-		a.version = platform.IfAbsent
+		a.version = objectstore.IfAbsent
 		return a.checkBase()
 	}
 	manifest, err := sharder.DecodeManifest(answer.Value)
@@ -155,11 +155,11 @@
 	return a.writeShards()
 }
 
-func (a *Applier) shardRead(now clock.Millis, answer platform.Answer) Step {
+func (a *Applier) shardRead(now clock.Millis, answer objectstore.Answer) Step {
 	if answer.Failed() {
 		return a.pause(now)
 	}
-	if answer.Outcome == platform.Absent {
+	if answer.Outcome == objectstore.Absent {
 		// The manifest has moved on and its old shards are gone.
 		a.phase = phaseReadManifest
 		return a.pause(now)
@@ -170,7 +170,7 @@
 
 func (a *Applier) writeShards() Step {
 	current := config.Defaults()
-	if a.version != platform.IfAbsent {
+	if a.version != objectstore.IfAbsent {
 		joined, err := sharder.Join(a.current, a.values)
 		if err != nil {
 			return Rejected{Message: "the configuration in the platform can't be read: " + err.Error()}
@@ -211,7 +211,7 @@
 
 // shardWritten takes a conflict for success: a shard's name is the digest of
 // its content.
-func (a *Applier) shardWritten(now clock.Millis, answer platform.Answer) Step {
+func (a *Applier) shardWritten(now clock.Millis, answer objectstore.Answer) Step {
 	if answer.Failed() {
 		return a.pause(now)
 	}
@@ -219,11 +219,11 @@
 	return a.writeNext()
 }
 
-func (a *Applier) manifestWritten(now clock.Millis, answer platform.Answer) Step {
+func (a *Applier) manifestWritten(now clock.Millis, answer objectstore.Answer) Step {
 	switch answer.Outcome {
-	case platform.Done:
+	case objectstore.Done:
 		return Accepted{Manifest: a.next, Values: a.values}
-	case platform.Refused:
+	case objectstore.Refused:
 		return a.pause(now)
 	default:
 		a.phase = phaseReadManifest
--- a/internal/applier/change.go
+++ b/internal/own/decision/applier/change.go
@@ -1,9 +1,9 @@
 package applier
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
 )
 
 // Change is one change of the configuration.
--- a/internal/applier/step.go
+++ b/internal/own/decision/applier/step.go
@@ -1,8 +1,8 @@
 package applier
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/sharder"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -10,7 +10,7 @@
 type Step interface{ isStep() }
 
 // Ask wants a call to the platform; its answer goes to Answered.
-type Ask struct{ Op platform.Op }
+type Ask struct{ Op objectstore.Op }
 
 // Pause wants Resumed to be called at Until.
 type Pause struct{ Until clock.Millis }
--- a/internal/authenticator/authenticator.go
+++ b/internal/own/decision/authenticator/authenticator.go
@@ -6,9 +6,9 @@
 package authenticator
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
 )
 
 // Team returns the team whose key it is. It reports false when the key is
--- a/internal/event/event.go
+++ b/internal/own/decision/event/event.go
@@ -7,11 +7,11 @@
 package event
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
 )
 
 // Event is one input of the state machine.
@@ -85,7 +85,7 @@
 // PlatformAnswered is the answer to a call to the platform.
 type PlatformAnswered struct {
 	Call   uint64
-	Answer platform.Answer
+	Answer objectstore.Answer
 }
 
 // PeerMessage is a message from a peer.
--- a/internal/explainer/explainer.go
+++ b/internal/own/decision/explainer/explainer.go
@@ -8,7 +8,7 @@
 //	entries, ok := memory.Explain("r-17")
 package explainer
 
-import "github.com/hyssopdoor/hyssopdoor/internal/journal"
+import "github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 
 // maxEntries bounds the events that are kept of one request.
 const maxEntries = 64
--- a/internal/leaser/leaser.go
+++ b/internal/own/decision/leaser/leaser.go
@@ -21,7 +21,7 @@
 	"encoding/json"
 	"strings"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -163,7 +163,7 @@
 	if !l.known || now >= l.readDue {
 		return l.readOrWait(now)
 	}
-	free := l.version == platform.IfAbsent || l.record.Holder == "" || placeOf(l.record.Holder) == placeOf(l.self)
+	free := l.version == objectstore.IfAbsent || l.record.Holder == "" || placeOf(l.record.Holder) == placeOf(l.self)
 	due := l.seenAt.Add(takeAfter)
 	if free {
 		due = l.seenAt
@@ -205,7 +205,7 @@
 }
 
 // WithRead returns the lease after the answer to a Read that came at now.
-func (l Lease) WithRead(now clock.Millis, answer platform.Answer) Lease {
+func (l Lease) WithRead(now clock.Millis, answer objectstore.Answer) Lease {
 	l.busy = false
 	l.readDue = now.Add(readEvery)
 	if answer.Failed() {
@@ -216,8 +216,8 @@
 		l.known = false
 	}
 	l.readAt = now
-	if answer.Outcome == platform.Absent {
-		return l.withSeen(now, platform.IfAbsent, Record{})
+	if answer.Outcome == objectstore.Absent {
+		return l.withSeen(now, objectstore.IfAbsent, Record{})
 	}
 	l = l.withSeen(now, answer.Version, decode(answer.Value))
 	if l.record.Holder != l.self {
@@ -228,9 +228,9 @@
 
 // WithWritten returns the lease after the answer to the Write that was asked
 // at the instant asked. After an unclear answer the object is read again.
-func (l Lease) WithWritten(asked, now clock.Millis, write Write, answer platform.Answer) Lease {
+func (l Lease) WithWritten(asked, now clock.Millis, write Write, answer objectstore.Answer) Lease {
 	l.busy = false
-	if answer.Outcome != platform.Done {
+	if answer.Outcome != objectstore.Done {
 		return l.withFailedWrite(now, answer)
 	}
 	l = l.withSeen(now, answer.Version, write.Record)
@@ -243,11 +243,11 @@
 	return l
 }
 
-func (l Lease) withFailedWrite(now clock.Millis, answer platform.Answer) Lease {
+func (l Lease) withFailedWrite(now clock.Millis, answer objectstore.Answer) Lease {
 	l.known = false
 	l.readDue = now
 	l.writeDue = now.Add(retryWrite)
-	if answer.Outcome == platform.Conflict {
+	if answer.Outcome == objectstore.Conflict {
 		l.heldUntil = 0
 	}
 	return l
--- a/internal/leaser/leaser_test.go
+++ b/internal/own/decision/leaser/leaser_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/leaser"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/store"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -25,13 +25,13 @@
 
 // call is a call under way.
 type call struct {
-	op      platform.Op
+	op      objectstore.Op
 	write   leaser.Write
 	asked   clock.Millis
 	arrives clock.Millis
 	returns clock.Millis
 	lost    bool
-	answer  *platform.Answer
+	answer  *objectstore.Answer
 }
 
 // step lets the process do what is due at now.
@@ -51,9 +51,9 @@
 	}
 	switch step := p.lease.Next(now).(type) {
 	case leaser.Read:
-		p.begin(source, now, &call{op: platform.Get{Name: name}})
+		p.begin(source, now, &call{op: objectstore.Get{Name: name}})
 	case leaser.Write:
-		p.begin(source, now, &call{op: platform.Put{Name: name, Value: step.Record.Encode(), IfVersion: step.IfVersion}, write: step})
+		p.begin(source, now, &call{op: objectstore.Put{Name: name, Value: step.Record.Encode(), IfVersion: step.IfVersion}, write: step})
 	}
 }
 
@@ -73,21 +73,21 @@
 	p.call = nil
 	answer := *c.answer
 	if c.lost {
-		answer = platform.Answer{Outcome: platform.Unknown}
+		answer = objectstore.Answer{Outcome: objectstore.Unknown}
 	}
-	if _, ok := c.op.(platform.Get); ok {
+	if _, ok := c.op.(objectstore.Get); ok {
 		p.lease = p.lease.WithRead(now, answer)
 		return
 	}
 	p.lease = p.lease.WithWritten(c.asked, now, c.write, answer)
 }
 
-func apply(objects *store.Store, op platform.Op) platform.Answer {
+func apply(objects *store.Store, op objectstore.Op) objectstore.Answer {
 	switch op := op.(type) {
-	case platform.Get:
+	case objectstore.Get:
 		return objects.Get(op)
 	default:
-		return objects.Put(op.(platform.Put))
+		return objects.Put(op.(objectstore.Put))
 	}
 }
 
@@ -137,10 +137,10 @@
 		}
 		switch step := p.lease.Next(now).(type) {
 		case leaser.Read:
-			p.call = &call{op: platform.Get{Name: name}, asked: now}
+			p.call = &call{op: objectstore.Get{Name: name}, asked: now}
 			p.lease = p.lease.WithAsked()
 		case leaser.Write:
-			p.call = &call{op: platform.Put{Name: name, Value: step.Record.Encode(), IfVersion: step.IfVersion}, write: step, asked: now}
+			p.call = &call{op: objectstore.Put{Name: name, Value: step.Record.Encode(), IfVersion: step.IfVersion}, write: step, asked: now}
 			p.lease = p.lease.WithAsked()
 		}
 		if p.lease.Held(now) {
--- a/internal/recorder/record.go
+++ b/internal/own/decision/recorder/record.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
 )
 
 // State is what is known of a call.
--- a/internal/recorder/recorder.go
+++ b/internal/own/decision/recorder/recorder.go
@@ -15,7 +15,7 @@
 package recorder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -46,7 +46,7 @@
 // not been written by the deadline.
 func New(record Record, deadline clock.Millis) Recorder {
 	record.State = StateAttempted
-	return Recorder{record: record, deadline: deadline, version: platform.IfAbsent}
+	return Recorder{record: record, deadline: deadline, version: objectstore.IfAbsent}
 }
 
 // Record returns the record as this attempt last wanted it.
@@ -54,7 +54,7 @@
 
 // MayExist reports whether a record of this attempt may be in the platform.
 func (r Recorder) MayExist() bool {
-	return r.mayExist || r.version != platform.IfAbsent
+	return r.mayExist || r.version != objectstore.IfAbsent
 }
 
 // Begin returns the first step.
@@ -66,7 +66,7 @@
 func (r Recorder) Settle(state State, answer Answer, deadline clock.Millis) (Recorder, Step) {
 	r.record = r.record.WithEnd(state, answer)
 	r.deadline = deadline
-	if r.version == platform.IfAbsent {
+	if r.version == objectstore.IfAbsent {
 		r.phase = phaseSettleRead
 		return r, r.get()
 	}
@@ -83,7 +83,7 @@
 }
 
 // Answered returns the step after the answer to an Ask.
-func (r Recorder) Answered(now clock.Millis, answer platform.Answer) (Recorder, Step) {
+func (r Recorder) Answered(now clock.Millis, answer objectstore.Answer) (Recorder, Step) {
 	switch r.phase {
 	case phaseCreate:
 		return r.created(now, answer)
@@ -96,14 +96,14 @@
 	}
 }
 
-func (r Recorder) created(now clock.Millis, answer platform.Answer) (Recorder, Step) {
+func (r Recorder) created(now clock.Millis, answer objectstore.Answer) (Recorder, Step) {
 	switch answer.Outcome {
-	case platform.Done:
+	case objectstore.Done:
 		r.version = answer.Version
 		return r, Proceed{}
-	case platform.Refused:
+	case objectstore.Refused:
 		return r.pauseOrAbandon(now)
-	case platform.Unknown:
+	case objectstore.Unknown:
 		r.mayExist = true
 	}
 	r.phase = phaseCreateRead
@@ -112,20 +112,20 @@
 
 // readOrAbandon reads the object back at once after a conflict, and after a
 // pause when the platform gave no answer.
-func (r Recorder) readOrAbandon(now clock.Millis, answer platform.Answer) (Recorder, Step) {
-	if answer.Outcome == platform.Conflict {
+func (r Recorder) readOrAbandon(now clock.Millis, answer objectstore.Answer) (Recorder, Step) {
+	if answer.Outcome == objectstore.Conflict {
 		return r, r.get()
 	}
 	return r.pauseOrAbandon(now)
 }
 
-func (r Recorder) createdRead(now clock.Millis, answer platform.Answer) (Recorder, Step) {
+func (r Recorder) createdRead(now clock.Millis, answer objectstore.Answer) (Recorder, Step) {
 	if answer.Failed() {
 		return r.pauseOrAbandon(now)
 	}
-	if answer.Outcome == platform.Absent {
+	if answer.Outcome == objectstore.Absent {
 		r.phase = phaseCreate
-		r.version = platform.IfAbsent
+		r.version = objectstore.IfAbsent
 		return r.putOrAbandon(now)
 	}
 	found, err := DecodeRecord(answer.Value)
@@ -146,18 +146,18 @@
 		return r.putOrAbandon(now)
 	}
 	r.mayExist = false
-	r.version = platform.IfAbsent
+	r.version = objectstore.IfAbsent
 	return r, Found{Record: found}
 }
 
-func (r Recorder) settled(now clock.Millis, answer platform.Answer) (Recorder, Step) {
+func (r Recorder) settled(now clock.Millis, answer objectstore.Answer) (Recorder, Step) {
 	switch answer.Outcome {
-	case platform.Done:
+	case objectstore.Done:
 		r.version = answer.Version
 		return r, Settled{}
-	case platform.Refused:
+	case objectstore.Refused:
 		return r.pauseOrLose(now)
-	case platform.Conflict:
+	case objectstore.Conflict:
 		r.phase = phaseSettleRead
 		return r, r.get()
 	default:
@@ -166,11 +166,11 @@
 	}
 }
 
-func (r Recorder) settledRead(now clock.Millis, answer platform.Answer) (Recorder, Step) {
+func (r Recorder) settledRead(now clock.Millis, answer objectstore.Answer) (Recorder, Step) {
 	if answer.Failed() {
 		return r.pauseOrLose(now)
 	}
-	if answer.Outcome == platform.Absent {
+	if answer.Outcome == objectstore.Absent {
 		return r.settledAbsent(now)
 	}
 	found, err := DecodeRecord(answer.Value)
@@ -193,7 +193,7 @@
 // an answer may still arrive, so the absent record is written in its end state.
 func (r Recorder) settledAbsent(now clock.Millis) (Recorder, Step) {
 	r.phase = phaseSettle
-	r.version = platform.IfAbsent
+	r.version = objectstore.IfAbsent
 	if now >= r.deadline {
 		return r, Lost{}
 	}
@@ -222,11 +222,11 @@
 }
 
 func (r Recorder) put() Step {
-	return Ask{Op: platform.Put{Name: r.name(), Value: r.record.Encode(), IfVersion: r.version}}
+	return Ask{Op: objectstore.Put{Name: r.name(), Value: r.record.Encode(), IfVersion: r.version}}
 }
 
 func (r Recorder) get() Step {
-	return Ask{Op: platform.Get{Name: r.name()}}
+	return Ask{Op: objectstore.Get{Name: r.name()}}
 }
 
 func (r Recorder) name() string {
--- a/internal/recorder/step.go
+++ b/internal/own/decision/recorder/step.go
@@ -1,7 +1,7 @@
 package recorder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -9,7 +9,7 @@
 type Step interface{ isStep() }
 
 // Ask wants a call to the platform; its answer goes to Answered.
-type Ask struct{ Op platform.Op }
+type Ask struct{ Op objectstore.Op }
 
 // Pause wants Resumed to be called at Until.
 type Pause struct{ Until clock.Millis }
--- a/internal/retrier/retrier_test.go
+++ b/internal/own/decision/retrier/retrier_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
 )
 
 func TestDecide(t *testing.T) {
--- a/internal/router/arrivals.go
+++ b/internal/own/decision/router/arrivals.go
@@ -1,14 +1,14 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/authenticator"
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/matcher"
-	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/authenticator"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/matcher"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/stamper"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/attempts.go
+++ b/internal/own/decision/router/attempts.go
@@ -1,15 +1,15 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
-	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/stamper"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 )
 
 // dispatch chooses a server and begins an attempt there.
--- a/internal/router/bench_test.go
+++ b/internal/own/decision/router/bench_test.go
@@ -7,13 +7,13 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/router"
-	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/sharder"
 	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -51,15 +51,15 @@
 		offer.Values = append(offer.Values, value)
 	}
 	events = append(events, event.PeerMessage{From: "n-1", Message: &peerv1.Message{Body: &peerv1.Message_ShardOffer{ShardOffer: offer}}})
-	var list []platform.Instance
+	var list []objectstore.Instance
 	for i := range engines {
-		list = append(list, platform.Instance{Name: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Domain: "a", State: platform.StateLive, Models: []string{"verdict"}, Weights: "v1"})
+		list = append(list, objectstore.Instance{Name: fmt.Sprintf("engine-%d", i), Role: objectstore.RoleEngine, Domain: "a", State: objectstore.StateLive, Models: []string{"verdict"}, Weights: "v1"})
 	}
 	for i := 1; i < peers; i++ {
 		name := fmt.Sprintf("n-%d", i)
-		list = append(list, platform.Instance{Name: name, Role: platform.RoleEntry, Domain: "a", Address: name, State: platform.StateLive})
+		list = append(list, objectstore.Instance{Name: name, Role: objectstore.RoleEntry, Domain: "a", Address: name, State: objectstore.StateLive})
 	}
-	events = append(events, event.PlatformAnswered{Call: 2, Answer: platform.Answer{Outcome: platform.Done, Version: 1, Instances: list}})
+	events = append(events, event.PlatformAnswered{Call: 2, Answer: objectstore.Answer{Outcome: objectstore.Done, Version: 1, Instances: list}})
 	for i := 1; i < peers; i++ {
 		events = append(events, heartbeatFrom(i, manifest.Revision))
 	}
--- a/internal/router/calls.go
+++ b/internal/own/decision/router/calls.go
@@ -1,17 +1,17 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/leaser"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // pendingCall is what a call to the platform is for.
 type pendingCall interface {
-	answered(r *Router, answer platform.Answer)
+	answered(r *Router, answer objectstore.Answer)
 }
 
 type (
@@ -46,9 +46,9 @@
 	share int64
 }
 
-func (c divisionsCall) answered(r *Router, answer platform.Answer) { r.divisionsRead(c, answer) }
-func (c divisionCall) answered(r *Router, answer platform.Answer)  { r.divisionRead(c, answer) }
-func (c divisionWriteCall) answered(r *Router, answer platform.Answer) {
+func (c divisionsCall) answered(r *Router, answer objectstore.Answer) { r.divisionsRead(c, answer) }
+func (c divisionCall) answered(r *Router, answer objectstore.Answer)  { r.divisionRead(c, answer) }
+func (c divisionWriteCall) answered(r *Router, answer objectstore.Answer) {
 	r.divisionWritten(c, answer)
 }
 
@@ -59,22 +59,26 @@
 	write leaser.Write
 }
 
-func (manifestCall) answered(r *Router, answer platform.Answer)    { r.manifestRead(answer) }
-func (watchCall) answered(r *Router, answer platform.Answer)       { r.watched(answer) }
-func (c shardCall) answered(r *Router, answer platform.Answer)     { r.shardRead(c.digest, answer) }
-func (instancesCall) answered(r *Router, answer platform.Answer)   { r.instancesListed(answer) }
-func (c relistCall) answered(r *Router, answer platform.Answer)    { r.relisted(c, answer) }
-func (c leaseReadCall) answered(r *Router, answer platform.Answer) { r.leaseRead(c.shard, answer) }
-func (c leaseWriteCall) answered(r *Router, answer platform.Answer) {
+func (manifestCall) answered(r *Router, answer objectstore.Answer)    { r.manifestRead(answer) }
+func (watchCall) answered(r *Router, answer objectstore.Answer)       { r.watched(answer) }
+func (c shardCall) answered(r *Router, answer objectstore.Answer)     { r.shardRead(c.digest, answer) }
+func (instancesCall) answered(r *Router, answer objectstore.Answer)   { r.instancesListed(answer) }
+func (c relistCall) answered(r *Router, answer objectstore.Answer)    { r.relisted(c, answer) }
+func (c leaseReadCall) answered(r *Router, answer objectstore.Answer) { r.leaseRead(c.shard, answer) }
+func (c leaseWriteCall) answered(r *Router, answer objectstore.Answer) {
 	r.leaseWritten(c, answer)
 }
-func (c recordCall) answered(r *Router, answer platform.Answer) { r.recordAnswered(c.request, answer) }
-func (c settleCall) answered(r *Router, answer platform.Answer) { r.settleAnswered(c.attempt, answer) }
-func (c operationCall) answered(r *Router, answer platform.Answer) {
+func (c recordCall) answered(r *Router, answer objectstore.Answer) {
+	r.recordAnswered(c.request, answer)
+}
+func (c settleCall) answered(r *Router, answer objectstore.Answer) {
+	r.settleAnswered(c.attempt, answer)
+}
+func (c operationCall) answered(r *Router, answer objectstore.Answer) {
 	r.operationAnswered(c.operation, answer)
 }
 
-func (r *Router) call(purpose pendingCall, op platform.Op) {
+func (r *Router) call(purpose pendingCall, op objectstore.Op) {
 	r.lastCall++
 	r.calls[r.lastCall] = purpose
 	r.emit(action.CallPlatform{Call: r.lastCall, Op: op})
@@ -91,7 +95,7 @@
 }
 
 // notePlatform logs when the platform goes out of reach and comes back.
-func (r *Router) notePlatform(answer platform.Answer) {
+func (r *Router) notePlatform(answer objectstore.Answer) {
 	down := answer.Failed() && !answer.Reached
 	if down == r.platformDown {
 		r.noteOutage()
--- a/internal/router/changes_test.go
+++ b/internal/own/decision/router/changes_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/sharder"
 	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -193,7 +193,7 @@
 // that there is.
 func TestOldManifestIsNotTaken(t *testing.T) {
 	fleet := newMatrixFleet(1, false)
-	old := fleet.Platform.Store.Get(platform.Get{Name: sharder.ManifestName})
+	old := fleet.Platform.Store.Get(objectstore.Get{Name: sharder.ManifestName})
 	fleet.Operate("a-1", changes["configuration"].submit)
 	fleet.RunFor(inForceWithin)
 	require.Equal(t, int64(newBurst), burstAt(fleet.Nodes["a-1"]))
--- a/internal/router/choices.go
+++ b/internal/own/decision/router/choices.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 )
 
 // scope returns within what the request may use cached blocks of the server.
--- a/internal/router/configuration.go
+++ b/internal/own/decision/router/configuration.go
@@ -4,12 +4,12 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/sharder"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/sharder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -44,10 +44,10 @@
 }
 
 func (r *Router) readManifest() {
-	r.call(manifestCall{}, platform.Get{Name: sharder.ManifestName})
+	r.call(manifestCall{}, objectstore.Get{Name: sharder.ManifestName})
 }
 
-func (r *Router) manifestRead(answer platform.Answer) {
+func (r *Router) manifestRead(answer objectstore.Answer) {
 	r.takeManifestObject(answer)
 	r.watch()
 }
@@ -62,10 +62,10 @@
 		return
 	}
 	r.watching = true
-	r.call(watchCall{}, platform.Watch{Name: sharder.ManifestName, Since: r.seenVersion})
+	r.call(watchCall{}, objectstore.Watch{Name: sharder.ManifestName, Since: r.seenVersion})
 }
 
-func (r *Router) watched(answer platform.Answer) {
+func (r *Router) watched(answer objectstore.Answer) {
 	r.watching = false
 	if answer.Failed() {
 		r.after(watchRetry, watchDue{})
@@ -75,8 +75,8 @@
 	r.after(0, watchDue{})
 }
 
-func (r *Router) takeManifestObject(answer platform.Answer) {
-	if answer.Outcome != platform.Done || len(answer.Value) == 0 {
+func (r *Router) takeManifestObject(answer objectstore.Answer) {
+	if answer.Outcome != objectstore.Done || len(answer.Value) == 0 {
 		return
 	}
 	r.seenVersion = answer.Version
@@ -149,13 +149,13 @@
 // readShards reads the missing shards from the platform.
 func (r *Router) readShards() {
 	for _, digest := range r.pending.missing() {
-		r.call(shardCall{digest: digest}, platform.Get{Name: sharder.ShardObject(digest)})
+		r.call(shardCall{digest: digest}, objectstore.Get{Name: sharder.ShardObject(digest)})
 	}
 	r.after(clock.Second, shardsDue{revision: r.pending.manifest.Revision})
 }
 
-func (r *Router) shardRead(digest string, answer platform.Answer) {
-	if r.pending == nil || answer.Outcome != platform.Done || digester.Content(answer.Value) != digest {
+func (r *Router) shardRead(digest string, answer objectstore.Answer) {
+	if r.pending == nil || answer.Outcome != objectstore.Done || digester.Content(answer.Value) != digest {
 		return
 	}
 	r.pending.values[digest] = answer.Value
--- a/internal/router/divisions.go
+++ b/internal/own/decision/router/divisions.go
@@ -5,11 +5,11 @@
 	"slices"
 	"strings"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/divider"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/divider"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/limiter"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -29,10 +29,10 @@
 // nothing is granted.
 func (r *Router) loadDivisions(shard int, after string) {
 	call := divisionsCall{shard: shard, term: r.heldTerms[shard]}
-	r.call(call, platform.ListObjects{Prefix: divider.Prefix(shard), After: after})
+	r.call(call, objectstore.ListObjects{Prefix: divider.Prefix(shard), After: after})
 }
 
-func (r *Router) divisionsRead(call divisionsCall, answer platform.Answer) {
+func (r *Router) divisionsRead(call divisionsCall, answer objectstore.Answer) {
 	if !r.rights.Holds(call.shard) || r.heldTerms[call.shard] != call.term {
 		return
 	}
@@ -110,15 +110,15 @@
 
 // readDivision reads a team's division, for what the call tells.
 func (r *Router) readDivision(call divisionCall) {
-	r.call(call, platform.Get{Name: divider.ObjectName(limiter.ShardOf(call.team), call.team)})
+	r.call(call, objectstore.Get{Name: divider.ObjectName(limiter.ShardOf(call.team), call.team)})
 }
 
-func (r *Router) divisionRead(call divisionCall, answer platform.Answer) {
+func (r *Router) divisionRead(call divisionCall, answer objectstore.Answer) {
 	division := divider.Equal(r.configuration.Domains)
-	if answer.Outcome == platform.Done {
+	if answer.Outcome == objectstore.Done {
 		decoded, err := divider.Decode(answer.Value)
 		if err != nil {
-			answer.Outcome = platform.Refused
+			answer.Outcome = objectstore.Refused
 		}
 		division = decoded
 	}
@@ -136,7 +136,7 @@
 		delete(r.dividing, call.team)
 		return
 	}
-	op := platform.Put{
+	op := objectstore.Put{
 		Name:      divider.ObjectName(limiter.ShardOf(call.team), call.team),
 		Value:     division.WithShare(r.settings.Domain, share).Encode(),
 		IfVersion: answer.Version,
@@ -147,13 +147,13 @@
 // divisionWritten applies a greater number only after it is surely written. After
 // an unclear answer the smaller number stays applied, and the next wish reads
 // what took effect.
-func (r *Router) divisionWritten(call divisionWriteCall, answer platform.Answer) {
-	if answer.Outcome == platform.Conflict && call.tries < maxDivisionTries {
+func (r *Router) divisionWritten(call divisionWriteCall, answer objectstore.Answer) {
+	if answer.Outcome == objectstore.Conflict && call.tries < maxDivisionTries {
 		r.readDivision(divisionCall{team: call.team, more: call.more, tries: call.tries + 1})
 		return
 	}
 	delete(r.dividing, call.team)
-	if answer.Outcome != platform.Done || !r.holdsRights(limiter.ShardOf(call.team)) {
+	if answer.Outcome != objectstore.Done || !r.holdsRights(limiter.ShardOf(call.team)) {
 		return
 	}
 	r.parts.Apply(call.team, call.share)
--- a/internal/router/draining.go
+++ b/internal/own/decision/router/draining.go
@@ -1,8 +1,8 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
 )
 
 // drain begins to stop: the peers are told and the leases given up, and what is
--- a/internal/router/draws.go
+++ b/internal/own/decision/router/draws.go
@@ -3,11 +3,11 @@
 import (
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/limiter"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/explanations.go
+++ b/internal/own/decision/router/explanations.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/failures.go
+++ b/internal/own/decision/router/failures.go
@@ -1,12 +1,12 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
 )
 
 // attemptFailed takes in the end of an attempt without a whole answer.
--- a/internal/router/flight.go
+++ b/internal/own/decision/router/flight.go
@@ -1,12 +1,12 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
-	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/stamper"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/fuzz_test.go
+++ b/internal/own/decision/router/fuzz_test.go
@@ -5,9 +5,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -75,7 +75,7 @@
 	f.Add([]byte(`{"shares":{"a":1001}}`), int64(1), uint8(3))
 	f.Fuzz(func(t *testing.T, value []byte, version int64, outcome uint8) {
 		fleet := newFuzzedFleet()
-		answer := platform.Answer{Outcome: platform.Outcome(outcome%5) + 1, Version: version, Value: value}
+		answer := objectstore.Answer{Outcome: objectstore.Outcome(outcome%5) + 1, Version: version, Value: value}
 		for call := range uint64(60) {
 			fleet.Operate("a-1", event.PlatformAnswered{Call: call, Answer: answer})
 		}
--- a/internal/router/heartbeats.go
+++ b/internal/own/decision/router/heartbeats.go
@@ -4,10 +4,10 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/homes.go
+++ b/internal/own/decision/router/homes.go
@@ -4,13 +4,13 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/instances.go
+++ b/internal/own/decision/router/instances.go
@@ -5,9 +5,9 @@
 	"maps"
 	"slices"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -15,11 +15,11 @@
 const listEvery = clock.Second
 
 func (r *Router) listInstances() {
-	r.call(instancesCall{}, platform.ListInstances{Since: r.known.ListRevision()})
+	r.call(instancesCall{}, objectstore.ListInstances{Since: r.known.ListRevision()})
 }
 
-func (r *Router) instancesListed(answer platform.Answer) {
-	if answer.Outcome == platform.Done {
+func (r *Router) instancesListed(answer objectstore.Answer) {
+	if answer.Outcome == objectstore.Done {
 		r.takeListing(answer.Version, answer.Instances)
 	}
 	r.after(listEvery, instancesDue{})
@@ -30,11 +30,11 @@
 func (r *Router) relist() {
 	r.relists++
 	r.listStale = true
-	r.call(relistCall{number: r.relists}, platform.ListInstances{Since: r.known.ListRevision()})
+	r.call(relistCall{number: r.relists}, objectstore.ListInstances{Since: r.known.ListRevision()})
 }
 
-func (r *Router) relisted(call relistCall, answer platform.Answer) {
-	if answer.Outcome == platform.Done {
+func (r *Router) relisted(call relistCall, answer objectstore.Answer) {
+	if answer.Outcome == objectstore.Done {
 		r.takeListing(answer.Version, answer.Instances)
 	}
 	if call.number != r.relists {
@@ -50,7 +50,7 @@
 
 // takeListing takes in entries of the instance list. After the first ones, the
 // peers are greeted at once.
-func (r *Router) takeListing(revision int64, entries []platform.Instance) {
+func (r *Router) takeListing(revision int64, entries []objectstore.Instance) {
 	first := r.known.ListRevision() == 0
 	r.known.Listed(revision, entries)
 	if first {
@@ -73,7 +73,7 @@
 }
 
 func (r *Router) instancesOffered(offer *peerv1.InstancesOffer) {
-	var entries []platform.Instance
+	var entries []objectstore.Instance
 	if err := json.Unmarshal(offer.GetInstances(), &entries); err != nil {
 		r.log(journal.New(journal.PeerMessageInvalid, "").With("error", err))
 		return
--- a/internal/router/isolation.go
+++ b/internal/own/decision/router/isolation.go
@@ -4,11 +4,11 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/router/isolationhome.go
+++ b/internal/own/decision/router/isolationhome.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/blamer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/isolator"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/isolator"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 )
 
 // isolationAsked queues a suspect's wish. A crash that another suspect explains
--- a/internal/router/leases.go
+++ b/internal/own/decision/router/leases.go
@@ -7,12 +7,12 @@
 	"slices"
 	"strings"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/leaser"
-	"github.com/hyssopdoor/hyssopdoor/internal/limiter"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/leaser"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/limiter"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 )
 
 // rightsKey keeps the ranks for rights apart from those for other roles.
@@ -51,7 +51,7 @@
 	switch step := lease.Next(r.now).(type) {
 	case leaser.Read:
 		lease = lease.WithAsked()
-		r.call(leaseReadCall{shard: shard}, platform.Get{Name: lease.Name()})
+		r.call(leaseReadCall{shard: shard}, objectstore.Get{Name: lease.Name()})
 	case leaser.Write:
 		lease = lease.WithAsked()
 		r.writeLease(shard, step)
@@ -79,24 +79,24 @@
 	if step.Record.Holder == "" {
 		r.dropRights(shard)
 	}
-	op := platform.Put{Name: r.leases[shard].Name(), Value: step.Record.Encode(), IfVersion: step.IfVersion}
+	op := objectstore.Put{Name: r.leases[shard].Name(), Value: step.Record.Encode(), IfVersion: step.IfVersion}
 	r.call(leaseWriteCall{shard: shard, asked: r.now, write: step}, op)
 }
 
-func (r *Router) leaseRead(shard int, answer platform.Answer) {
+func (r *Router) leaseRead(shard int, answer objectstore.Answer) {
 	r.leases[shard] = r.leases[shard].WithRead(r.now, answer)
 	r.noteLease(shard)
 	r.leaseStep(shard)
 }
 
-func (r *Router) leaseWritten(call leaseWriteCall, answer platform.Answer) {
+func (r *Router) leaseWritten(call leaseWriteCall, answer objectstore.Answer) {
 	shard := call.shard
 	r.leases[shard] = r.leases[shard].WithWritten(call.asked, r.now, call.write, answer)
 	if r.leases[shard].Held(r.now) {
 		r.paused = false
 	}
 	if r.leases[shard].Held(r.now) && !r.rights.Holds(shard) && !r.draining {
-		r.takeRights(shard, call.write.IfVersion == platform.IfAbsent)
+		r.takeRights(shard, call.write.IfVersion == objectstore.IfAbsent)
 	}
 	r.noteLease(shard)
 	r.leaseStep(shard)
--- a/internal/router/messages.go
+++ b/internal/own/decision/router/messages.go
@@ -1,9 +1,9 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 )
 
 // peerMessage gives a peer's message to the part that it is for. A message of a
--- a/internal/router/operations.go
+++ b/internal/own/decision/router/operations.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/applier"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/applier"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
 )
@@ -122,7 +122,7 @@
 	r.finish(id, action.Result{Outcome: action.OperationFailed, Message: "the platform can't be reached; nothing was changed"})
 }
 
-func (r *Router) operationAnswered(id string, answer platform.Answer) {
+func (r *Router) operationAnswered(id string, answer objectstore.Answer) {
 	operation, ok := r.operations[id]
 	if !ok {
 		return
@@ -159,11 +159,11 @@
 
 func (r *Router) listCalls(id string) {
 	if r.begin(id, &operation{listing: &listing{calls: map[string]recorder.Record{}}}) {
-		r.call(operationCall{operation: id}, platform.ListObjects{Prefix: recorder.Prefix})
+		r.call(operationCall{operation: id}, objectstore.ListObjects{Prefix: recorder.Prefix})
 	}
 }
 
-func (r *Router) callsListed(id string, listing *listing, answer platform.Answer) {
+func (r *Router) callsListed(id string, listing *listing, answer objectstore.Answer) {
 	if answer.Failed() {
 		r.finish(id, action.Result{Outcome: action.OperationFailed, Message: "the platform can't be reached"})
 		return
@@ -178,7 +178,7 @@
 		}
 	}
 	if last != "" && len(listing.calls) < maxListed {
-		r.call(operationCall{operation: id}, platform.ListObjects{Prefix: recorder.Prefix, After: last})
+		r.call(operationCall{operation: id}, objectstore.ListObjects{Prefix: recorder.Prefix, After: last})
 		return
 	}
 	r.finish(id, action.Result{Outcome: action.OperationDone, Calls: listing.calls})
@@ -197,17 +197,17 @@
 
 func (r *Router) resolveCall(happened event.CallResolved) {
 	if r.begin(happened.Operation, &operation{resolving: &resolving{asked: happened}}) {
-		r.call(operationCall{operation: happened.Operation}, platform.Get{Name: happened.Object})
+		r.call(operationCall{operation: happened.Operation}, objectstore.Get{Name: happened.Object})
 	}
 }
 
-func (r *Router) callResolving(id string, resolving *resolving, answer platform.Answer) {
+func (r *Router) callResolving(id string, resolving *resolving, answer objectstore.Answer) {
 	switch {
 	case answer.Failed():
 		r.finish(id, action.Result{Outcome: action.OperationFailed, Message: "the platform did not answer; list the calls again"})
-	case answer.Outcome == platform.Absent:
+	case answer.Outcome == objectstore.Absent:
 		r.finish(id, action.Result{Outcome: action.OperationNotFound, Message: "there is no record " + resolving.asked.Object})
-	case answer.Outcome == platform.Conflict:
+	case answer.Outcome == objectstore.Conflict:
 		r.finish(id, action.Result{Outcome: action.OperationConflict, Message: "the call's record has changed; list the calls again"})
 	case resolving.written:
 		r.finish(id, action.Result{Outcome: action.OperationDone})
@@ -216,7 +216,7 @@
 	}
 }
 
-func (r *Router) writeResolution(id string, resolving *resolving, answer platform.Answer) {
+func (r *Router) writeResolution(id string, resolving *resolving, answer objectstore.Answer) {
 	record, err := recorder.DecodeRecord(answer.Value)
 	if err != nil || !r.isUnknown(record) {
 		r.finish(id, action.Result{Outcome: action.OperationInvalid, Message: "the call's outcome is known or it is still running"})
@@ -227,6 +227,6 @@
 	if resolving.asked.Ran {
 		resolved = record.WithEnd(recorder.StateDone, recorder.Answer{Status: action.StatusOK, Omitted: true})
 	}
-	op := platform.Put{Name: resolving.asked.Object, Value: resolved.Encode(), IfVersion: answer.Version}
+	op := objectstore.Put{Name: resolving.asked.Object, Value: resolved.Encode(), IfVersion: answer.Version}
 	r.call(operationCall{operation: id}, op)
 }
--- a/internal/router/outages_test.go
+++ b/internal/own/decision/router/outages_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/testkit"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
--- a/internal/router/records.go
+++ b/internal/own/decision/router/records.go
@@ -1,10 +1,10 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -40,7 +40,7 @@
 	r.recordStep(f, step)
 }
 
-func (r *Router) recordAnswered(request string, answer platform.Answer) {
+func (r *Router) recordAnswered(request string, answer objectstore.Answer) {
 	f, ok := r.flights[request]
 	if !ok {
 		return
@@ -191,7 +191,7 @@
 	r.settleStep(attempt, step)
 }
 
-func (r *Router) settleAnswered(attempt string, answer platform.Answer) {
+func (r *Router) settleAnswered(attempt string, answer objectstore.Answer) {
 	kept, ok := r.settling[attempt]
 	if !ok {
 		return
--- a/internal/router/work.go
+++ b/internal/own/decision/router/work.go
@@ -1,10 +1,10 @@
 package router
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/tracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/tracker"
 )
 
 // farTokens is what the way to another failure domain counts for, in tokens.
--- a/internal/sharder/shards.go
+++ b/internal/own/decision/sharder/shards.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
 )
 
 const (
--- a/internal/stamper/stamper.go
+++ b/internal/own/decision/stamper/stamper.go
@@ -21,7 +21,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 )
 
 const (
--- a/internal/stamper/stamper_test.go
+++ b/internal/own/decision/stamper/stamper_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
-	"github.com/hyssopdoor/hyssopdoor/internal/stamper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/stamper"
 )
 
 func TestReadTakesOnlyOwnIdentifiers(t *testing.T) {
--- a/internal/tracker/server.go
+++ b/internal/own/decision/tracker/server.go
@@ -3,13 +3,13 @@
 import (
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // Server is a backend server as this instance sees it. Values are immutable.
 type Server struct {
-	platform.Instance
+	objectstore.Instance
 	// InFlight is the number of attempts that this instance has running there.
 	InFlight int
 	// failures counts the attempts in a row that could not reach the server.
@@ -24,5 +24,5 @@
 }
 
 func (s Server) serves(model string) bool {
-	return s.Role == platform.RoleEngine && slices.Contains(s.Models, model)
+	return s.Role == objectstore.RoleEngine && slices.Contains(s.Models, model)
 }
--- a/internal/tracker/tracker.go
+++ b/internal/own/decision/tracker/tracker.go
@@ -16,7 +16,7 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -62,14 +62,14 @@
 
 // Listed takes in the changed entries of the instance list. Entries of an older
 // revision than the last are passed over.
-func (t *Tracker) Listed(revision int64, changed []platform.Instance) {
+func (t *Tracker) Listed(revision int64, changed []objectstore.Instance) {
 	if revision < t.listRevision {
 		return
 	}
 	t.listRevision = revision
 	clear(t.cells)
 	for _, instance := range changed {
-		if instance.Role == platform.RoleEntry {
+		if instance.Role == objectstore.RoleEntry {
 			t.listPeer(instance)
 			continue
 		}
@@ -77,8 +77,8 @@
 	}
 }
 
-func (t *Tracker) listServer(instance platform.Instance) {
-	if instance.State == platform.StateGone {
+func (t *Tracker) listServer(instance objectstore.Instance) {
+	if instance.State == objectstore.StateGone {
 		delete(t.servers, instance.Name)
 		return
 	}
@@ -90,12 +90,12 @@
 	t.servers[instance.Name] = known
 }
 
-func (t *Tracker) listPeer(instance platform.Instance) {
+func (t *Tracker) listPeer(instance objectstore.Instance) {
 	if instance.Name == t.self {
 		return
 	}
 	known := t.peers[instance.Name]
-	known.Listed = instance.State != platform.StateGone
+	known.Listed = instance.State != objectstore.StateGone
 	if !known.Listed && known.HeardAt == 0 {
 		delete(t.peers, instance.Name)
 		return
@@ -103,19 +103,19 @@
 	known.Name = instance.Name
 	known.Domain = instance.Domain
 	known.Address = instance.Address
-	known.Leaving = known.Leaving || instance.State == platform.StateLeaving
+	known.Leaving = known.Leaving || instance.State == objectstore.StateLeaving
 	t.peers[instance.Name] = known
 }
 
 // Listing returns the entries of the instance list as they are known, by name.
-func (t *Tracker) Listing() []platform.Instance {
-	var entries []platform.Instance
+func (t *Tracker) Listing() []objectstore.Instance {
+	var entries []objectstore.Instance
 	for _, server := range t.Servers() {
 		entries = append(entries, server.Instance)
 	}
 	for _, peer := range t.Peers() {
 		if peer.Listed {
-			entries = append(entries, platform.Instance{Name: peer.Name, Role: platform.RoleEntry, Domain: peer.Domain, Address: peer.Address, State: platform.StateLive})
+			entries = append(entries, objectstore.Instance{Name: peer.Name, Role: objectstore.RoleEntry, Domain: peer.Domain, Address: peer.Address, State: objectstore.StateLive})
 		}
 	}
 	return entries
@@ -266,12 +266,12 @@
 
 // Services returns the live servers of the plain service.
 func (t *Tracker) Services(service string) []Server {
-	return t.live(func(s Server) bool { return s.Role == platform.RoleService && s.Service == service })
+	return t.live(func(s Server) bool { return s.Role == objectstore.RoleService && s.Service == service })
 }
 
 func (t *Tracker) live(match func(Server) bool) []Server {
 	return slices.DeleteFunc(t.Servers(), func(s Server) bool {
-		return s.State != platform.StateLive || !match(s)
+		return s.State != objectstore.StateLive || !match(s)
 	})
 }
 
--- a/internal/client/client.go
+++ b/internal/own/shell/client/client.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	api := client.New("http://10.0.0.2:9000", timeout)
-//	answer := api.Call(ctx, platform.Get{Name: "config/manifest"})
+//	answer := api.Call(ctx, objectstore.Get{Name: "config/manifest"})
 package client
 
 import (
@@ -19,7 +19,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -50,39 +50,39 @@
 }
 
 // Call makes the call. A failure is an outcome of the answer.
-func (c *Client) Call(ctx context.Context, op platform.Op) platform.Answer {
+func (c *Client) Call(ctx context.Context, op objectstore.Op) objectstore.Answer {
 	switch op := op.(type) {
-	case platform.Get:
+	case objectstore.Get:
 		return c.exchange(ctx, c.timeout, http.MethodGet, objectPath(op.Name), nil)
-	case platform.Put:
+	case objectstore.Put:
 		return c.put(ctx, op)
-	case platform.Watch:
+	case objectstore.Watch:
 		query := url.Values{"since": {strconv.FormatInt(op.Since, 10)}, "name": {op.Name}}
 		return c.exchange(ctx, watchWait+c.timeout, http.MethodGet, "/watch?"+query.Encode(), nil)
-	case platform.ListInstances:
+	case objectstore.ListInstances:
 		return c.exchange(ctx, c.timeout, http.MethodGet, "/instances?since="+strconv.FormatInt(op.Since, 10), nil)
-	case platform.ListObjects:
+	case objectstore.ListObjects:
 		query := url.Values{"prefix": {op.Prefix}, "after": {op.After}}
 		return c.exchange(ctx, c.timeout, http.MethodGet, "/objects?"+query.Encode(), nil)
 	default:
-		return platform.Answer{Outcome: platform.Refused}
+		return objectstore.Answer{Outcome: objectstore.Refused}
 	}
 }
 
 // Register puts the instance on the instance list, or changes its entry.
-func (c *Client) Register(ctx context.Context, instance platform.Instance) error {
+func (c *Client) Register(ctx context.Context, instance objectstore.Instance) error {
 	body, err := json.Marshal(instance)
 	if err != nil {
 		return errors.Wrap(err, "client.Register")
 	}
 	answer := c.exchange(ctx, c.timeout, http.MethodPost, "/instances", body)
-	if answer.Outcome != platform.Done {
+	if answer.Outcome != objectstore.Done {
 		return errors.Errorf("client.Register: the platform answered %s", answer.Outcome)
 	}
 	return nil
 }
 
-func (c *Client) put(ctx context.Context, op platform.Put) platform.Answer {
+func (c *Client) put(ctx context.Context, op objectstore.Put) objectstore.Answer {
 	path := objectPath(op.Name) + "?ifVersion=" + strconv.FormatInt(op.IfVersion, 10)
 	return c.exchange(ctx, c.timeout, http.MethodPut, path, op.Value)
 }
@@ -93,14 +93,14 @@
 
 // exchange sends one request. Without an answer, the outcome is Refused only
 // when no connection was made; else the request may have taken effect.
-func (c *Client) exchange(ctx context.Context, timeout time.Duration, method, path string, body []byte) platform.Answer {
+func (c *Client) exchange(ctx context.Context, timeout time.Duration, method, path string, body []byte) objectstore.Answer {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.address+path, bytes.NewReader(body))
 	if err != nil {
-		return platform.Answer{Outcome: platform.Refused}
+		return objectstore.Answer{Outcome: objectstore.Refused}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -114,31 +114,31 @@
 	return decode(response.StatusCode, value)
 }
 
-func lost(connected bool) platform.Answer {
+func lost(connected bool) objectstore.Answer {
 	if connected {
-		return platform.Answer{Outcome: platform.Unknown}
+		return objectstore.Answer{Outcome: objectstore.Unknown}
 	}
-	return platform.Answer{Outcome: platform.Refused}
+	return objectstore.Answer{Outcome: objectstore.Refused}
 }
 
 // decode reads an answer of the platform.
-func decode(status int, body []byte) platform.Answer {
-	var answer platform.Answer
+func decode(status int, body []byte) objectstore.Answer {
+	var answer objectstore.Answer
 	switch status {
 	case http.StatusOK:
-		answer.Outcome = platform.Done
+		answer.Outcome = objectstore.Done
 	case http.StatusNotFound:
-		return platform.Answer{Outcome: platform.Absent}
+		return objectstore.Answer{Outcome: objectstore.Absent}
 	case http.StatusConflict:
-		answer.Outcome = platform.Conflict
+		answer.Outcome = objectstore.Conflict
 	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
-		return platform.Answer{Outcome: platform.Refused, Reached: true}
+		return objectstore.Answer{Outcome: objectstore.Refused, Reached: true}
 	default:
-		return platform.Answer{Outcome: platform.Unknown}
+		return objectstore.Answer{Outcome: objectstore.Unknown}
 	}
-	var wire platform.Wire
+	var wire objectstore.Wire
 	if err := json.Unmarshal(body, &wire); err != nil {
-		return platform.Answer{Outcome: platform.Unknown}
+		return objectstore.Answer{Outcome: objectstore.Unknown}
 	}
 	answer.Version = wire.Version
 	answer.Value = wire.Value
--- a/internal/dispatcher/stream.go
+++ b/internal/own/shell/dispatcher/stream.go
@@ -11,9 +11,9 @@
 
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/completer"
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
 )
 
 // maxEventBytes bounds one event of a stream.
--- a/internal/gateway/completions.go
+++ b/internal/own/shell/gateway/completions.go
@@ -7,13 +7,13 @@
 
 	"github.com/kataras/iris/v12"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
-	"github.com/hyssopdoor/hyssopdoor/internal/completer"
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
-	"github.com/hyssopdoor/hyssopdoor/internal/dispatcher"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/dispatcher"
 )
 
 // completions handles completion requests of the kind.
--- a/internal/gateway/inputs.go
+++ b/internal/own/shell/gateway/inputs.go
@@ -10,8 +10,8 @@
 	"slices"
 	"strings"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
 )
 
 // Names of header fields that callers send.
--- a/internal/gateway/services.go
+++ b/internal/own/shell/gateway/services.go
@@ -8,11 +8,11 @@
 
 	"github.com/kataras/iris/v12"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/digester"
-	"github.com/hyssopdoor/hyssopdoor/internal/dispatcher"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digester"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/dispatcher"
 )
 
 // replayedField tells that an answer is that of an earlier request.
--- a/internal/gateway/streamwriter.go
+++ b/internal/own/shell/gateway/streamwriter.go
@@ -6,11 +6,11 @@
 
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
-	"github.com/hyssopdoor/hyssopdoor/internal/completer"
-	"github.com/hyssopdoor/hyssopdoor/internal/dispatcher"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/completer"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/dispatcher"
 )
 
 // errorEvent is the type of the event that ends an incomplete stream.
--- a/internal/logger/logger.go
+++ b/internal/own/shell/logger/logger.go
@@ -12,7 +12,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 )
 
 // Logger writes log lines. It is safe for concurrent use.
--- a/internal/operator/client.go
+++ b/internal/own/shell/operator/client.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/router"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/router"
 )
 
 // clientTimeout bounds one call of the Client.
--- a/internal/operator/configs.go
+++ b/internal/own/shell/operator/configs.go
@@ -7,10 +7,10 @@
 
 	"github.com/kataras/iris/v12"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/encoder"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/parser"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/encoder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/parser"
 	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
 )
 
--- a/internal/operator/messages.go
+++ b/internal/own/shell/operator/messages.go
@@ -1,9 +1,9 @@
 package operator
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
 )
 
 // Message is the answer of an operation that has no other.
--- a/internal/operator/operator.go
+++ b/internal/own/shell/operator/operator.go
@@ -16,11 +16,11 @@
 	"github.com/go-faster/errors"
 	"github.com/kataras/iris/v12"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/router"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/router"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/peer/peer_test.go
+++ b/internal/own/shell/peer/peer_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/peer"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/peer"
 )
 
 const credential = "a-credential-of-the-fleet"
--- a/internal/peer/sender.go
+++ b/internal/own/shell/peer/sender.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1/peerv1connect"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 )
 
 // idleTime is after how long without a message a stream is ended.
--- a/internal/peer/server.go
+++ b/internal/own/shell/peer/server.go
@@ -16,9 +16,9 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1/peerv1connect"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
 )
 
 const (
--- a/internal/runner/runner.go
+++ b/internal/own/shell/runner/runner.go
@@ -14,18 +14,18 @@
 	"sync"
 	"time"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/router"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // Platform makes calls to the platform.
 type Platform interface {
-	Call(ctx context.Context, op platform.Op) platform.Answer
+	Call(ctx context.Context, op objectstore.Op) objectstore.Answer
 }
 
 // Peers sends messages to peers, without waiting.
--- a/internal/settings/settings.go
+++ b/internal/own/shell/settings/settings.go
@@ -14,9 +14,9 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chooser"
-	"github.com/hyssopdoor/hyssopdoor/internal/inireader"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/inireader"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/collector"
 )
--- a/internal/edge/actions.go
+++ b/internal/shell/edge/actions.go
@@ -1,11 +1,11 @@
 package edge
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/bootclock"
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/bootclock"
 )
 
 // perform performs one action. It is called within a step and must not wait.
@@ -48,11 +48,11 @@
 func (e *Edge) askStore(step orderer.Step) {
 	switch step := step.(type) {
 	case orderer.ReadLease:
-		answer := e.platform.Call(e.ctx, platform.Get{Name: orderer.LeaseName})
+		answer := e.platform.Call(e.ctx, objectstore.Get{Name: orderer.LeaseName})
 		e.machine.submit(forwarder.LeaseRead{Answer: answer})
 	case orderer.WriteLease:
 		update := step.Update
-		answer := e.platform.Call(e.ctx, platform.Put{Name: orderer.LeaseName, Value: update.Record.Encode(), IfVersion: update.IfRevision})
+		answer := e.platform.Call(e.ctx, objectstore.Put{Name: orderer.LeaseName, Value: update.Record.Encode(), IfVersion: update.IfRevision})
 		e.machine.submit(forwarder.LeaseWritten{Record: update.Record, Answer: answer})
 	}
 }
--- a/internal/edge/attempt.go
+++ b/internal/shell/edge/attempt.go
@@ -11,8 +11,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/exchanger"
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/exchanger"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/edge/edge.go
+++ b/internal/shell/edge/edge.go
@@ -20,15 +20,15 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/exchanger"
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/front"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/meter"
-	"github.com/hyssopdoor/hyssopdoor/internal/orderer"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/site"
-	"github.com/hyssopdoor/hyssopdoor/internal/watcher"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/site"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/exchanger"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/front"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/meter"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/watcher"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -60,7 +60,7 @@
 type Platform interface {
 	Dialect
 	watcher.Store
-	Call(ctx context.Context, op platform.Op) platform.Answer
+	Call(ctx context.Context, op objectstore.Op) objectstore.Answer
 	// Follow returns what follows the store's kinds.
 	Follow(submit func(forwarder.Event), log func(journal.Entry)) []Following
 	// Join makes the instance known to its peers, and Peers returns them all.
--- a/internal/edge/handling.go
+++ b/internal/shell/edge/handling.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"sync/atomic"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/front"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/front"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/edge/machine.go
+++ b/internal/shell/edge/machine.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/bootclock"
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/edge/peers.go
+++ b/internal/shell/edge/peers.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/digest"
-	"github.com/hyssopdoor/hyssopdoor/internal/forwarder"
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 )
 
 const (
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/shell/exchanger/exchanger_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/exchanger"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/exchanger"
 )
 
 // listen runs serve for each connection, and counts them.
--- a/internal/front/front.go
+++ b/internal/shell/front/front.go
@@ -21,7 +21,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/front/front_test.go
+++ b/internal/shell/front/front_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/front"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/front"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/linelogger/linelogger.go
+++ b/internal/shell/linelogger/linelogger.go
@@ -15,7 +15,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 )
 
 // maxWaiting bounds the entries that wait for the stream.
--- a/internal/linelogger/linelogger_test.go
+++ b/internal/shell/linelogger/linelogger_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/linelogger"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/linelogger"
 )
 
 // stream is a stream that can be held up.
--- a/internal/meter/meter.go
+++ b/internal/shell/meter/meter.go
@@ -14,7 +14,7 @@
 	"fmt"
 	"net/http"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/meter/meter_test.go
+++ b/internal/shell/meter/meter_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
-	"github.com/hyssopdoor/hyssopdoor/internal/meter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/meter"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/shell/watcher/watcher_test.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/bootclock"
-	"github.com/hyssopdoor/hyssopdoor/internal/watcher"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/bootclock"
+	"github.com/hyssopdoor/hyssopdoor/internal/shell/watcher"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -18,8 +18,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/client"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/shell/client"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/engine"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/objectserver"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/service"
@@ -38,7 +38,7 @@
 	server   *http.Server
 	// platform and entry are set for what is on the instance list.
 	platform *client.Client
-	entry    platform.Instance
+	entry    objectstore.Instance
 }
 
 // Listen serves the handler at the address.
@@ -64,9 +64,9 @@
 
 // EngineServer starts the given engine in the failure domain and lists it.
 func EngineServer(ctx context.Context, platformURL, address, domain string, options engine.Options, server *engine.Server) (*Running, error) {
-	return listed(ctx, platformURL, address, server.Handler(), platform.Instance{
+	return listed(ctx, platformURL, address, server.Handler(), objectstore.Instance{
 		Name:    options.Name,
-		Role:    platform.RoleEngine,
+		Role:    objectstore.RoleEngine,
 		Domain:  domain,
 		Models:  options.Models,
 		Weights: "v1",
@@ -75,15 +75,15 @@
 
 // Service starts the named plain service in the failure domain and lists it.
 func Service(ctx context.Context, platformURL, address, domain, instance, name string) (*Running, error) {
-	return listed(ctx, platformURL, address, service.New().Handler(), platform.Instance{
+	return listed(ctx, platformURL, address, service.New().Handler(), objectstore.Instance{
 		Name:    instance,
-		Role:    platform.RoleService,
+		Role:    objectstore.RoleService,
 		Domain:  domain,
 		Service: name,
 	})
 }
 
-func listed(ctx context.Context, platformURL, address string, handler http.Handler, entry platform.Instance) (*Running, error) {
+func listed(ctx context.Context, platformURL, address string, handler http.Handler, entry objectstore.Instance) (*Running, error) {
 	running, err := Listen(address, handler)
 	if err != nil {
 		return nil, err
@@ -96,14 +96,14 @@
 	entry.Incarnation = hex.EncodeToString(incarnation)
 	running.platform = client.New(platformURL, registerTimeout)
 	running.entry = entry
-	if err := running.list(ctx, platform.StateLive); err != nil {
+	if err := running.list(ctx, objectstore.StateLive); err != nil {
 		_ = running.Close()
 		return nil, err
 	}
 	return running, nil
 }
 
-func (r *Running) list(ctx context.Context, state platform.State) error {
+func (r *Running) list(ctx context.Context, state objectstore.State) error {
 	entry := r.entry
 	entry.State = state
 	return r.platform.Register(ctx, entry)
@@ -121,7 +121,7 @@
 
 // Leave marks the stand-in as leaving on the instance list.
 func (r *Running) Leave(ctx context.Context) error {
-	return r.list(ctx, platform.StateLeaving)
+	return r.list(ctx, objectstore.StateLeaving)
 }
 
 // Close ends the stand-in at once, as a crash would.
--- a/internal/standin/objectserver/objectserver.go
+++ b/internal/standin/objectserver/objectserver.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/replier"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/store"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -139,7 +139,7 @@
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	answer := s.objects.Get(platform.Get{Name: r.PathValue("name")})
+	answer := s.objects.Get(objectstore.Get{Name: r.PathValue("name")})
 	s.mu.Unlock()
 	replyAnswer(w, answer)
 }
@@ -155,7 +155,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	answer, lose := s.write(platform.Put{Name: r.PathValue("name"), Value: value, IfVersion: ifVersion})
+	answer, lose := s.write(objectstore.Put{Name: r.PathValue("name"), Value: value, IfVersion: ifVersion})
 	if lose {
 		drop(w)
 		return
@@ -163,7 +163,7 @@
 	replyAnswer(w, answer)
 }
 
-func (s *Server) write(op platform.Put) (answer platform.Answer, lose bool) {
+func (s *Server) write(op objectstore.Put) (answer objectstore.Answer, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LoseAnswers > 0 {
@@ -171,7 +171,7 @@
 		lose = true
 	}
 	answer = s.objects.Put(op)
-	if answer.Outcome == platform.Done {
+	if answer.Outcome == objectstore.Done {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
@@ -180,7 +180,7 @@
 
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	answer := s.objects.ListObjects(platform.ListObjects{Prefix: r.URL.Query().Get("prefix"), After: r.URL.Query().Get("after")})
+	answer := s.objects.ListObjects(objectstore.ListObjects{Prefix: r.URL.Query().Get("prefix"), After: r.URL.Query().Get("after")})
 	s.mu.Unlock()
 	replyAnswer(w, answer)
 }
@@ -191,14 +191,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	op := platform.Watch{Name: r.URL.Query().Get("name"), Since: since}
+	op := objectstore.Watch{Name: r.URL.Query().Get("name"), Since: since}
 	end := time.After(s.options.WatchWait)
 	for {
 		s.mu.Lock()
 		answer := s.objects.Watch(op)
 		changed := s.changed
 		s.mu.Unlock()
-		if answer.Outcome == platform.Done {
+		if answer.Outcome == objectstore.Done {
 			replyAnswer(w, answer)
 			return
 		}
@@ -214,7 +214,7 @@
 }
 
 func (s *Server) register(w http.ResponseWriter, r *http.Request) {
-	var instance platform.Instance
+	var instance objectstore.Instance
 	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil || instance.Name == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -222,7 +222,7 @@
 	s.mu.Lock()
 	s.objects.Register(clock.FromTime(time.Now()), instance)
 	s.mu.Unlock()
-	replyAnswer(w, platform.Answer{Outcome: platform.Done})
+	replyAnswer(w, objectstore.Answer{Outcome: objectstore.Done})
 }
 
 func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
@@ -232,7 +232,7 @@
 		return
 	}
 	s.mu.Lock()
-	answer := s.objects.ListInstances(clock.FromTime(time.Now().Add(-s.options.ListLag)), platform.ListInstances{Since: since})
+	answer := s.objects.ListInstances(clock.FromTime(time.Now().Add(-s.options.ListLag)), objectstore.ListInstances{Since: since})
 	s.mu.Unlock()
 	replyAnswer(w, answer)
 }
@@ -255,14 +255,14 @@
 }
 
 // statuses are the HTTP statuses of the outcomes.
-var statuses = map[platform.Outcome]int{
-	platform.Done:     http.StatusOK,
-	platform.Absent:   http.StatusNotFound,
-	platform.Conflict: http.StatusConflict,
+var statuses = map[objectstore.Outcome]int{
+	objectstore.Done:     http.StatusOK,
+	objectstore.Absent:   http.StatusNotFound,
+	objectstore.Conflict: http.StatusConflict,
 }
 
-func replyAnswer(w http.ResponseWriter, answer platform.Answer) {
-	replier.Write(w, statuses[answer.Outcome], platform.Wire{
+func replyAnswer(w http.ResponseWriter, answer objectstore.Answer) {
+	replier.Write(w, statuses[answer.Outcome], objectstore.Wire{
 		Version:   answer.Version,
 		Value:     answer.Value,
 		Instances: answer.Instances,
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -5,14 +5,14 @@
 // # Usage
 //
 //	objects := store.New()
-//	answer := objects.Put(platform.Put{Name: "a", Value: value, IfVersion: platform.IfAbsent})
+//	answer := objects.Put(objectstore.Put{Name: "a", Value: value, IfVersion: objectstore.IfAbsent})
 package store
 
 import (
 	"slices"
 	"strings"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -21,84 +21,84 @@
 
 // Store is the platform's state. It is not safe for concurrent use.
 type Store struct {
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	revision int64
 	list     []change
 }
 
 // change is a change of the instance list and when it happened.
 type change struct {
-	instance platform.Instance
+	instance objectstore.Instance
 	at       clock.Millis
 }
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{objects: map[string]platform.Object{}}
+	return &Store{objects: map[string]objectstore.Object{}}
 }
 
 // Get reads an object.
-func (s *Store) Get(op platform.Get) platform.Answer {
+func (s *Store) Get(op objectstore.Get) objectstore.Answer {
 	object, ok := s.objects[op.Name]
 	if !ok {
-		return platform.Answer{Outcome: platform.Absent}
+		return objectstore.Answer{Outcome: objectstore.Absent}
 	}
-	return platform.Answer{Outcome: platform.Done, Version: object.Version, Value: object.Value}
+	return objectstore.Answer{Outcome: objectstore.Done, Version: object.Version, Value: object.Value}
 }
 
 // Put writes an object when it has the expected version.
-func (s *Store) Put(op platform.Put) platform.Answer {
+func (s *Store) Put(op objectstore.Put) objectstore.Answer {
 	known := s.objects[op.Name]
 	if known.Version != op.IfVersion {
-		return platform.Answer{Outcome: platform.Conflict, Version: known.Version, Value: known.Value}
+		return objectstore.Answer{Outcome: objectstore.Conflict, Version: known.Version, Value: known.Value}
 	}
 	s.revision++
-	s.objects[op.Name] = platform.Object{Name: op.Name, Version: s.revision, Value: op.Value}
-	return platform.Answer{Outcome: platform.Done, Version: s.revision}
+	s.objects[op.Name] = objectstore.Object{Name: op.Name, Version: s.revision, Value: op.Value}
+	return objectstore.Answer{Outcome: objectstore.Done, Version: s.revision}
 }
 
 // Watch returns the object if its version is greater than the watch's, else
 // that there is nothing new.
-func (s *Store) Watch(op platform.Watch) platform.Answer {
-	answer := s.Get(platform.Get{Name: op.Name})
+func (s *Store) Watch(op objectstore.Watch) objectstore.Answer {
+	answer := s.Get(objectstore.Get{Name: op.Name})
 	if answer.Version <= op.Since {
-		return platform.Answer{Outcome: platform.Absent}
+		return objectstore.Answer{Outcome: objectstore.Absent}
 	}
 	return answer
 }
 
 // ListObjects reads the next page of the objects with the prefix.
-func (s *Store) ListObjects(op platform.ListObjects) platform.Answer {
-	var found []platform.Object
+func (s *Store) ListObjects(op objectstore.ListObjects) objectstore.Answer {
+	var found []objectstore.Object
 	for name, object := range s.objects {
 		if strings.HasPrefix(name, op.Prefix) && name > op.After {
 			found = append(found, object)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
-	return platform.Answer{Outcome: platform.Done, Objects: found[:min(len(found), pageSize)]}
+	slices.SortFunc(found, func(a, b objectstore.Object) int { return strings.Compare(a.Name, b.Name) })
+	return objectstore.Answer{Outcome: objectstore.Done, Objects: found[:min(len(found), pageSize)]}
 }
 
 // Register changes the instance's entry of the list at now.
-func (s *Store) Register(now clock.Millis, instance platform.Instance) {
+func (s *Store) Register(now clock.Millis, instance objectstore.Instance) {
 	s.list = append(s.list, change{instance: instance, at: now})
 }
 
 // ListInstances reads the changes of the list after the operation's revision
 // that happened before the instant until. The list's revision is the number of
 // changes.
-func (s *Store) ListInstances(until clock.Millis, op platform.ListInstances) platform.Answer {
+func (s *Store) ListInstances(until clock.Millis, op objectstore.ListInstances) objectstore.Answer {
 	shown := slices.IndexFunc(s.list, func(c change) bool { return c.at > until })
 	if shown < 0 {
 		shown = len(s.list)
 	}
 	since := min(max(int(op.Since), 0), shown)
-	return platform.Answer{Outcome: platform.Done, Version: int64(shown), Instances: latest(s.list[since:shown])}
+	return objectstore.Answer{Outcome: objectstore.Done, Version: int64(shown), Instances: latest(s.list[since:shown])}
 }
 
 // latest returns the last entry of each instance, in the order of the list.
-func latest(changes []change) []platform.Instance {
-	var instances []platform.Instance
+func latest(changes []change) []objectstore.Instance {
+	var instances []objectstore.Instance
 	seen := map[string]bool{}
 	for _, change := range slices.Backward(changes) {
 		if !seen[change.instance.Name] {
--- a/internal/testkit/admission.go
+++ b/internal/testkit/admission.go
@@ -3,7 +3,7 @@
 import (
 	"strconv"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/journal"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -19,11 +19,11 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -147,24 +147,24 @@
 func (f *Fleet) AddNode(name, domain string) *Node {
 	node := &Node{fleet: f, name: name, domain: domain}
 	f.Nodes[name] = node
-	f.Platform.Store.Register(f.Now, platform.Instance{Name: name, Role: platform.RoleEntry, Domain: domain, Address: name, State: platform.StateLive})
+	f.Platform.Store.Register(f.Now, objectstore.Instance{Name: name, Role: objectstore.RoleEntry, Domain: domain, Address: name, State: objectstore.StateLive})
 	node.Restart()
 	return node
 }
 
 // AddService starts a plain service and lists it.
 func (f *Fleet) AddService(name, domain, service string) *Server {
-	return f.addServer(platform.Instance{Name: name, Role: platform.RoleService, Domain: domain, Service: service})
+	return f.addServer(objectstore.Instance{Name: name, Role: objectstore.RoleService, Domain: domain, Service: service})
 }
 
 // AddEngine starts an engine of the model and lists it.
 func (f *Fleet) AddEngine(name, domain, model string) *Server {
-	return f.addServer(platform.Instance{Name: name, Role: platform.RoleEngine, Domain: domain, Models: []string{model}, Weights: "v1"})
+	return f.addServer(objectstore.Instance{Name: name, Role: objectstore.RoleEngine, Domain: domain, Models: []string{model}, Weights: "v1"})
 }
 
-func (f *Fleet) addServer(entry platform.Instance) *Server {
+func (f *Fleet) addServer(entry objectstore.Instance) *Server {
 	entry.Address = entry.Name
-	entry.State = platform.StateLive
+	entry.State = objectstore.StateLive
 	entry.Incarnation = "1"
 	server := &Server{fleet: f, entry: entry, Up: true, Runs: map[string]int{}, RunsOf: map[string]int{}, running: map[string]*serverAttempt{}}
 	f.Servers[entry.Name] = server
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
-	"github.com/hyssopdoor/hyssopdoor/internal/recorder"
-	"github.com/hyssopdoor/hyssopdoor/internal/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/recorder"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/router"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
--- a/internal/testkit/platform.go
+++ b/internal/testkit/platform.go
@@ -1,9 +1,9 @@
 package testkit
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/standin/store"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -33,8 +33,8 @@
 
 // watcher is a watch that waits.
 type watcher struct {
-	op    platform.Watch
-	reply func(platform.Answer)
+	op    objectstore.Watch
+	reply func(objectstore.Answer)
 }
 
 func newPlatform(f *Fleet) *Platform {
@@ -44,7 +44,7 @@
 // call carries one call of a node.
 func (p *Platform) call(n *Node, call action.CallPlatform) {
 	answered := false
-	answer := func(answer platform.Answer) {
+	answer := func(answer objectstore.Answer) {
 		if answered {
 			return
 		}
@@ -52,12 +52,12 @@
 		n.deliver(0, event.PlatformAnswered{Call: call.Call, Answer: answer})
 	}
 	timeout := platformTimeout
-	if _, ok := call.Op.(platform.Watch); ok {
+	if _, ok := call.Op.(objectstore.Watch); ok {
 		timeout += watchWait
 	}
-	p.fleet.After(timeout, func() { answer(platform.Answer{Outcome: platform.Unknown}) })
+	p.fleet.After(timeout, func() { answer(objectstore.Answer{Outcome: objectstore.Unknown}) })
 	if p.Down {
-		p.fleet.After(PlatformLatency, func() { answer(platform.Answer{Outcome: platform.Refused}) })
+		p.fleet.After(PlatformLatency, func() { answer(objectstore.Answer{Outcome: objectstore.Refused}) })
 		return
 	}
 	if p.unreachable(n) {
@@ -75,8 +75,8 @@
 }
 
 // arrive lets the call take effect and sends its answer back.
-func (p *Platform) arrive(n *Node, op platform.Op, answer func(platform.Answer)) {
-	reply := func(result platform.Answer) {
+func (p *Platform) arrive(n *Node, op objectstore.Op, answer func(objectstore.Answer)) {
+	reply := func(result objectstore.Answer) {
 		p.fleet.After(PlatformLatency, func() {
 			if !p.unreachable(n) && !p.Down {
 				answer(result)
@@ -84,9 +84,9 @@
 		})
 	}
 	switch op := op.(type) {
-	case platform.Put:
+	case objectstore.Put:
 		p.put(op, reply)
-	case platform.Watch:
+	case objectstore.Watch:
 		p.watch(op, reply)
 	default:
 		p.Reads++
@@ -94,20 +94,20 @@
 	}
 }
 
-func (p *Platform) read(op platform.Op) platform.Answer {
+func (p *Platform) read(op objectstore.Op) objectstore.Answer {
 	switch op := op.(type) {
-	case platform.Get:
+	case objectstore.Get:
 		return p.Store.Get(op)
-	case platform.ListObjects:
+	case objectstore.ListObjects:
 		return p.Store.ListObjects(op)
-	case platform.ListInstances:
+	case objectstore.ListInstances:
 		return p.Store.ListInstances(p.fleet.Now-p.ListLag, op)
 	default:
-		return platform.Answer{Outcome: platform.Refused}
+		return objectstore.Answer{Outcome: objectstore.Refused}
 	}
 }
 
-func (p *Platform) put(op platform.Put, reply func(platform.Answer)) {
+func (p *Platform) put(op objectstore.Put, reply func(objectstore.Answer)) {
 	p.Writes++
 	result := p.Store.Put(op)
 	p.notify()
@@ -118,21 +118,21 @@
 	reply(result)
 }
 
-func (p *Platform) watch(op platform.Watch, reply func(platform.Answer)) {
+func (p *Platform) watch(op objectstore.Watch, reply func(objectstore.Answer)) {
 	p.Reads++
-	if result := p.Store.Watch(op); result.Outcome == platform.Done {
+	if result := p.Store.Watch(op); result.Outcome == objectstore.Done {
 		reply(result)
 		return
 	}
 	p.watchers = append(p.watchers, watcher{op: op, reply: reply})
-	p.fleet.After(watchWait, func() { reply(platform.Answer{Outcome: platform.Absent}) })
+	p.fleet.After(watchWait, func() { reply(objectstore.Answer{Outcome: objectstore.Absent}) })
 }
 
 // notify answers the watches that have something new.
 func (p *Platform) notify() {
 	var waiting []watcher
 	for _, watcher := range p.watchers {
-		if result := p.Store.Watch(watcher.op); result.Outcome == platform.Done {
+		if result := p.Store.Watch(watcher.op); result.Outcome == objectstore.Done {
 			watcher.reply(result)
 			continue
 		}
--- a/internal/testkit/sample.go
+++ b/internal/testkit/sample.go
@@ -1,9 +1,9 @@
 package testkit
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/config"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/config"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
 )
 
 // Sample returns a configuration of the failure domains with a model route, a
--- a/internal/testkit/server.go
+++ b/internal/testkit/server.go
@@ -4,10 +4,10 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/action"
-	"github.com/hyssopdoor/hyssopdoor/internal/event"
-	"github.com/hyssopdoor/hyssopdoor/internal/platform"
-	"github.com/hyssopdoor/hyssopdoor/internal/retrier"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/action"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/event"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/retrier"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -39,7 +39,7 @@
 	Crashes int
 
 	fleet   *Fleet
-	entry   platform.Instance
+	entry   objectstore.Instance
 	running map[string]*serverAttempt
 	// restarted tells that the server has crashed, so that it has lost attempts.
 	restarted bool
@@ -71,14 +71,14 @@
 // Leave marks the server as leaving on the instance list.
 func (s *Server) Leave() {
 	entry := s.entry
-	entry.State = platform.StateLeaving
+	entry.State = objectstore.StateLeaving
 	s.fleet.Platform.Store.Register(s.fleet.Now, entry)
 }
 
 func (s *Server) cut(a *serverAttempt) {
 	reach := retrier.Sent
 	passed := int64(0)
-	if a.firstToken && s.entry.Role == platform.RoleEngine {
+	if a.firstToken && s.entry.Role == objectstore.RoleEngine {
 		reach = retrier.Streaming
 		passed = passedTokens
 	}
@@ -188,14 +188,14 @@
 // usedTokens returns what an engine counts for the request: all of its prompt
 // and half of what it may generate.
 func (s *Server) usedTokens(id string) int64 {
-	if request, ok := s.fleet.request(id); ok && s.entry.Role == platform.RoleEngine {
+	if request, ok := s.fleet.request(id); ok && s.entry.Role == objectstore.RoleEngine {
 		return request.Arrival.PromptTokens + request.Arrival.MaxTokens/2
 	}
 	return 0
 }
 
 func (s *Server) begin(a *serverAttempt) {
-	if a.ended || s.entry.Role != platform.RoleEngine {
+	if a.ended || s.entry.Role != objectstore.RoleEngine {
 		return
 	}
 	a.firstToken = true
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
 )
 
 // Options are the properties of a workload.
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/chunker"
+	"github.com/hyssopdoor/hyssopdoor/internal/own/decision/chunker"
 	"github.com/hyssopdoor/hyssopdoor/internal/workload"
 )
 
