Read what servers have cached by their own word

Change: cachetracker has one instance at a time read a server's changes, about once a second, and tell the others by digest; an instance that has missed some, hears nothing, or has just started reads for itself (at first the whole list). The placer counts what a server says, between readings also what was sent to it; a source that is sure goes before one that is estimated. Estimates of what a server drops hold only where it tells nothing. Ruled out: telling parts that are not known to be shared made no difference. Tests: cachetracker, placer (seen), forwarder (caches), platform (cache); each of TestRestartedInstance..., TestCachedElsewhere, TestManySubjectsWithNews fails without the readings.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -33,6 +34,8 @@
 	Loads map[string][3]int64 `json:"loads,omitempty"`
 	// Sent are the keys and tokens of prompt parts that were sent lately, by server.
 	Sent map[string][][2]uint64 `json:"sent,omitempty"`
+	// Caches are what the instance has just read of the caches of servers.
+	Caches map[string]cachetracker.News `json:"caches,omitempty"`
 	// Down are the servers that the instance can't reach.
 	Down []string `json:"down,omitempty"`
 	// Updating are the engines that the instance has ordered to load weights, and
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
@@ -83,6 +84,9 @@
 	Path    string
 }
 
+// ReadCache asks a server for the changes of its cache.
+type ReadCache struct{ Read cachetracker.Read }
+
 // AskStore makes the lease's call to the store.
 type AskStore struct{ Step orderer.Step }
 
@@ -120,6 +124,7 @@
 func (Drop) isAction()          {}
 func (Tell) isAction()          {}
 func (Check) isAction()         {}
+func (ReadCache) isAction()     {}
 func (AskStore) isAction()      {}
 func (AskEngine) isAction()     {}
 func (SetLimits) isAction()     {}
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -164,6 +164,29 @@
 	Reply  orderer.Reply
 }
 
+// CacheRead is what a server said of its cache: all that it has, or the changes after
+// Since.
+type CacheRead struct {
+	Server string
+	// Failed tells that it said nothing usable, and Detail why.
+	Failed bool
+	Detail string
+	All    bool
+	Since  int64
+	// Epoch, Next and Lost are as in cachetracker.Reading.
+	Epoch   int64
+	Next    int64
+	Lost    bool
+	Changes []CacheChange
+}
+
+// CacheChange is what a server has of a part now; 0 tokens when it has dropped it.
+type CacheChange struct {
+	Salt   string
+	Part   string
+	Tokens int64
+}
+
 // SiteRead are changed settings.
 type SiteRead struct{ Site site.Site }
 
@@ -191,6 +214,7 @@
 func (LeaseWritten) isEvent()   {}
 func (ServerReported) isEvent() {}
 func (OrderReplied) isEvent()   {}
+func (CacheRead) isEvent()      {}
 func (SiteRead) isEvent()       {}
 func (Tick) isEvent()           {}
 func (DrainAsked) isEvent()     {}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -5,7 +5,7 @@
 //
 // It composes the packages that decide: desired (which route and team), allotter
 // (the team's limit), placer (which server), budgeter (whether again), blamer
-// (which requests crash servers), roster (which servers there are) and orderer
+// (which requests crash servers), cachetracker (what servers have cached), roster (which servers there are) and orderer
 // (which engine loads new weights).
 //
 // What it knows has an age. The desired state counts as of when the store last
@@ -27,6 +27,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/allotter"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/blamer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/budgeter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
@@ -78,6 +79,11 @@
 	budget  *budgeter.Budgeter
 	blame   *blamer.Blamer
 	orders  *orderer.Orderer
+	caches  *cachetracker.CacheTracker
+	// cacheDue is when to look for readings that are due, and cacheNews what the next
+	// digest tells of those made here.
+	cacheDue  clock.Millis
+	cacheNews map[string]cachetracker.News
 
 	peers map[string]peer
 	// peersKnown tells that the peers have been listed.
@@ -109,6 +115,8 @@
 		budget:      budgeter.New(place.Bounds.RetryRatio, place.Bounds.RetryExtra, place.Bounds.RetryWindow),
 		blame:       blamer.New(maxBlamed),
 		orders:      orderer.New(place.Name+"@"+place.IP, place.Bounds.OrderTurn),
+		caches:      cachetracker.New(),
+		cacheNews:   map[string]cachetracker.News{},
 		peers:       map[string]peer{},
 		rumours:     map[string]map[string]int64{},
 		cuts:        map[string][]cut{},
@@ -171,6 +179,8 @@
 		f.peersListed(happened)
 	case PeerHeard:
 		f.peerHeard(happened.Digest)
+	case CacheRead:
+		f.cacheRead(happened)
 	case SiteRead:
 		f.siteRead(happened.Site)
 	case DrainAsked:
@@ -191,6 +201,7 @@
 	f.checkServers()
 	f.timeOut()
 	f.stepOrders()
+	f.readCaches()
 	f.tell()
 }
 
--- a/internal/decision/forwarder/forwarder_test.go
+++ b/internal/decision/forwarder/forwarder_test.go
@@ -102,6 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				w := newWorld(t, seed, 4)
+				w.cacheFaults = 5
 				for outcome, part := range test.faults {
 					w.faults[outcome] = part
 				}
--- a/internal/decision/forwarder/knowledge.go
+++ b/internal/decision/forwarder/knowledge.go
@@ -125,6 +125,7 @@
 // that were cut off there lately are blamed.
 func (f *Forwarder) wentDown(id string) {
 	f.places.Forget(id)
+	f.caches.Forget(id)
 	delete(f.rumours, id)
 	f.log(journal.New(journal.ServerSuspected, "").With("server", id))
 	for _, ended := range f.cuts[id] {
--- a/internal/decision/forwarder/peers.go
+++ b/internal/decision/forwarder/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/allotter"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/chooser"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/placer"
@@ -140,11 +141,13 @@
 	}
 	f.sequence++
 	f.toldAt = f.now
+	defer func() { f.cacheNews = map[string]cachetracker.News{} }()
 	state := digest.Digest{
 		Name: f.site.Name, Domain: f.site.Domain, Address: f.site.Peers,
 		Incarnation: f.incarnation, Sequence: f.sequence, Leaving: f.draining,
 		Spent: f.shares.Spent(), Loads: f.loads(), Sent: f.places.Sent(f.now),
-		Down: f.down(), Updating: f.orders.Updating(),
+		Caches: f.cacheNews,
+		Down:   f.down(), Updating: f.orders.Updating(),
 		Lease: f.orders.Sight(), Orders: f.orders.Holding(f.now),
 		StoreDown: f.storeDown, Wish: f.orders.Wish(f.now),
 	}
@@ -217,6 +220,7 @@
 	f.places.Heard(f.now, state.Name, loads)
 	f.hearDown(state)
 	f.places.HeardSent(f.now, state.Sent)
+	f.hearCaches(state.Caches)
 	for model, ages := range state.Named {
 		for version, age := range ages {
 			f.orders.Named(model, version, f.now.Add(-age), true)
--- a/internal/decision/forwarder/world_test.go
+++ b/internal/decision/forwarder/world_test.go
@@ -70,6 +70,12 @@
 	// faults are how often, in hundredths, an attempt ends in each way.
 	faults map[forwarder.Outcome]int
 
+	// readings are the readings of caches, by server; cacheFaults is how many in a
+	// hundred fail, and as many miss changes.
+	readings    map[string]int
+	cacheFaults int
+	cacheSource *rand.Rand
+
 	revision int64
 	record   orderer.Record
 	logs     []string
@@ -80,6 +86,7 @@
 	accepted int64
 	gone     bool
 	drainAt  clock.Millis
+	cached   []forwarder.CacheChange // cached has the changes of the cache since the start.
 }
 
 // request is a caller's request and all that became of it.
@@ -92,6 +99,7 @@
 	attempts int
 	passed   bool
 	last     forwarder.Dispatch
+	parts    []placer.Part
 }
 
 type laterStep struct {
@@ -103,6 +111,7 @@
 	w := &world{
 		t: t, now: clock.Second, source: rand.New(rand.NewPCG(seed, 7)), down: map[int]bool{}, deaf: map[int]bool{},
 		servers: map[string]*server{}, requests: map[string]*request{}, named: 1, namedAt: map[int64]clock.Millis{1: 0}, faults: map[forwarder.Outcome]int{},
+		readings: map[string]int{}, cacheSource: rand.New(rand.NewPCG(seed, 11)),
 	}
 	for i := range 6 {
 		engine := roster.Entry{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i), Domain: string(rune('a' + i%3)), Slots: 64, Weights: map[string]int64{model: 1}, Born: 1, Revision: 1}
@@ -219,6 +228,8 @@
 		w.askStore(i, next.Step)
 	case forwarder.AskEngine:
 		w.askEngine(i, next.Step)
+	case forwarder.ReadCache:
+		w.readCache(i, next.Read)
 	case forwarder.Log:
 		w.logs = append(w.logs, fmt.Sprintf("%s %s %s", w.now, w.places[i].Name, next.Entry))
 		if next.Entry.Number == journal.RequestConvicted {
@@ -236,6 +247,7 @@
 		arrived.Model, arrived.Prompt, arrived.Output = model, 1000, 20
 		arrived.Parts = []placer.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(w.requests)%7), Tokens: 300}, {ID: id, Tokens: 300}}
 	}
+	w.requests[id].parts = arrived.Parts
 	if w.down[i] {
 		w.requests[id].finals = 1
 		w.requests[id].final = forwarder.Drop{}
@@ -287,6 +299,7 @@
 		}
 	}
 	r.runs++
+	s.cache(dispatch.Salt, r.parts, w.cacheFaults > 0)
 	if dispatch.Stream {
 		w.answering(i, dispatch, r)
 	}
--- a/internal/decision/journal/number.go
+++ b/internal/decision/journal/number.go
@@ -42,6 +42,8 @@
 	PeerMessageInvalid Number = 3103
 	ServerListed       Number = 2205
 	ServerRecovered    Number = 2206
+	CacheReadAnew      Number = 2207
+	CacheReadFailed    Number = 2208
 	WeightsNamed       Number = 2301
 	OrderGiven         Number = 2302
 	OrderReplied       Number = 2303
@@ -92,6 +94,8 @@
 	PeerMessageInvalid: "peerMessageInvalid",
 	ServerListed:       "serverListed",
 	ServerRecovered:    "serverRecovered",
+	CacheReadAnew:      "cacheReadAnew",
+	CacheReadFailed:    "cacheReadFailed",
 	WeightsNamed:       "weightsNamed",
 	OrderGiven:         "orderGiven",
 	OrderReplied:       "orderReplied",
--- a/internal/decision/placer/choice.go
+++ b/internal/decision/placer/choice.go
@@ -105,7 +105,7 @@
 		choice.Cost = cost + choice.Wait
 		return choice
 	}
-	held := p.held(ask, candidate.Salt, candidate.Server, func(k *kept, key uint64) bool { return k.has(key) })
+	held := p.held(now, ask, candidate.Salt, candidate.Server, (*kept).has)
 	// A source is named also where the server should have the parts: it may have
 	// dropped them, and a source that is not needed costs it a millisecond.
 	source, fetched := from.without(candidate.Server)
@@ -120,7 +120,7 @@
 		}
 		held = fetched
 	}
-	choice.Save = p.worthSaving(ask, candidate, held)
+	choice.Save = p.worthSaving(now, ask, candidate, held)
 	choice.Missed = max(0, ask.Prompt-held)
 	pace := p.pace(candidate.Server)
 	choice.Wait = pace * float64(choice.Load.Prefill) / prefillRate
@@ -135,15 +135,17 @@
 }
 
 // held returns the tokens at the prompt's beginning that the server is taken to have.
-func (p *Placer) held(ask Ask, salt, server string, has func(*kept, uint64) bool) int64 {
+// A part that it has only in part ends them.
+func (p *Placer) held(now clock.Millis, ask Ask, salt, server string, has func(*kept, clock.Millis, uint64) int64) int64 {
 	known, ok := p.kept[server]
 	if !ok {
 		return 0
 	}
 	var tokens int64
 	for _, part := range ask.Parts {
-		if !has(known, keyOf(salt, part.ID)) {
-			break
+		there := has(known, now, keyOf(salt, part.ID))
+		if there == 0 || there < part.Tokens-blockTokens {
+			return tokens + there
 		}
 		tokens += part.Tokens
 	}
--- a/internal/decision/placer/kept.go
+++ b/internal/decision/placer/kept.go
@@ -11,8 +11,8 @@
 // unknownMemory is the tokens that a server of unknown memory is taken to keep.
 const unknownMemory = 50_000
 
-// readTime is how long after a part was first sent to a server another server can
-// fetch it there: about the reading of a long prompt.
+// readTime is the least time after which a part that was sent to a server can be
+// fetched there: about the reading of a long prompt.
 const readTime = 150 * clock.Millisecond
 
 // kept is the parts that one server is taken to have, the least recently used
@@ -20,15 +20,20 @@
 type kept struct {
 	parts  map[uint64]keptPart
 	queue  []keptUse // queue has the uses in order, outdated ones included.
-	memory int64     // memory is what the server can keep, in tokens.
+	memory int64     // memory is the tokens that count as kept at most.
+	full   int64     // full is the server's whole memory in tokens.
 	tokens int64
 	clock  uint64
+	// seenAt is when the server itself last told what it has; 0 for never.
+	seenAt clock.Millis
 }
 
 type keptPart struct {
 	tokens int64
 	used   uint64
-	since  clock.Millis // since is when the part was first sent to the server.
+	ready  clock.Millis // ready is when the server is expected to have read it.
+	sent   clock.Millis // sent is when it was last sent there; 0 for never.
+	sure   bool         // sure tells that the server itself said that it has it.
 }
 
 type keptUse struct {
@@ -37,31 +42,65 @@
 }
 
 func newKept() *kept {
-	return &kept{parts: map[uint64]keptPart{}, memory: unknownMemory}
+	return &kept{parts: map[uint64]keptPart{}, memory: unknownMemory, full: unknownMemory}
+}
+
+// seen reports whether the server itself tells what it drops.
+func (k *kept) seen(now clock.Millis) bool {
+	return k.seenAt > 0 && now.Since(k.seenAt) < seenFor
 }
 
 func keyOf(salt, part string) uint64 {
 	return xxhash.Sum64String(salt + "\x00" + part)
 }
 
-func (k *kept) has(key uint64) bool {
-	_, ok := k.parts[key]
-	return ok
+// has returns the tokens that the server has, or will have, of the part.
+func (k *kept) has(now clock.Millis, key uint64) int64 {
+	part, ok := k.parts[key]
+	if !ok || (!part.sure && k.seen(now) && now.Since(part.sent) > unheardFor) {
+		return 0
+	}
+	return part.tokens
+}
+
+// readable returns the tokens of the part that another server can fetch by now.
+func (k *kept) readable(now clock.Millis, key uint64) int64 {
+	if part := k.parts[key]; !part.sure && now < part.ready {
+		return 0
+	}
+	return k.has(now, key)
 }
 
-// readable reports whether another server can fetch the part by now.
-func (k *kept) readable(now clock.Millis, key uint64) bool {
+// sure returns the tokens of the part that the server itself said it has.
+func (k *kept) sure(_ clock.Millis, key uint64) int64 {
+	if part := k.parts[key]; part.sure {
+		return part.tokens
+	}
+	return 0
+}
+
+// use notes that the part is sent to the server, which will have read it at ready, and
+// drops what no longer fits into its memory.
+func (k *kept) use(now, ready clock.Millis, key uint64, tokens int64) {
+	before := k.parts[key].tokens
+	k.touch(key, tokens, keptPart{})
 	part, ok := k.parts[key]
-	return ok && now.Since(part.since) >= readTime
+	if !ok {
+		return // It alone is larger than the memory.
+	}
+	part.sent = now
+	if before < tokens {
+		part.ready, part.sure = ready, false
+	}
+	k.parts[key] = part
 }
 
-// use notes that the server reads or uses the part, and drops what no longer fits
-// into its memory.
-func (k *kept) use(now clock.Millis, key uint64, tokens int64) {
+// touch makes the part the latest one used; a part that is new begins as fresh.
+func (k *kept) touch(key uint64, tokens int64, fresh keptPart) {
 	k.clock++
 	known, ok := k.parts[key]
 	if !ok {
-		known.since = now
+		known = fresh
 	}
 	k.tokens += tokens - known.tokens
 	known.tokens, known.used = tokens, k.clock
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -83,6 +83,8 @@
 	paces  map[string]float64
 	recent []sending
 	barred map[string]bool
+	// shared are the parts that are not the last of their prompts.
+	shared map[uint64]struct{}
 	// storeMemory is the memory of the store of kept parts in tokens; 0 for none.
 	storeMemory int64
 }
@@ -101,7 +103,7 @@
 
 // New returns a Placer that knows of no load.
 func New() *Placer {
-	return &Placer{own: map[string]Load{}, placed: map[string]placement{}, peers: map[string]peerLoads{}, kept: map[string]*kept{}, paces: map[string]float64{}}
+	return &Placer{own: map[string]Load{}, placed: map[string]placement{}, peers: map[string]peerLoads{}, kept: map[string]*kept{}, paces: map[string]float64{}, shared: map[uint64]struct{}{}}
 }
 
 // Begin counts a request at its server.
@@ -114,16 +116,21 @@
 	}
 	known := p.keptAt(choice.Server)
 	if choice.Memory > 0 {
-		known.memory = choice.Memory / memoryPart
+		known.full = choice.Memory
+		if !known.seen(now) {
+			known.memory = choice.Memory / memoryPart
+		}
 	}
+	ready := now.Add(max(readTime, p.readingTime(choice.Server, choice.Load.Prefill+choice.Missed)))
 	for i, part := range choice.ask.Parts {
 		key := keyOf(choice.Salt, part.ID)
-		known.use(now, key, part.Tokens)
+		known.use(now, ready, key, part.Tokens)
 		if i < len(choice.ask.Parts)-1 {
+			p.noteShared(key)
 			p.recent = append(p.recent, sending{at: now, server: choice.Server, part: [2]uint64{key, uint64(part.Tokens)}})
 		}
 		if choice.Save {
-			p.keptAt(StoreID).use(now, key, part.Tokens)
+			p.keptAt(StoreID).use(now, ready, key, part.Tokens)
 			p.recent = append(p.recent, sending{at: now, server: StoreID, part: [2]uint64{key, uint64(part.Tokens)}})
 		}
 	}
@@ -132,10 +139,18 @@
 	}
 }
 
+// readingTime returns how long the server reads the tokens.
+func (p *Placer) readingTime(server string, tokens int64) clock.Millis {
+	return clock.Millis(p.pace(server) * float64(tokens) / prefillRate)
+}
+
 func (p *Placer) keptAt(server string) *kept {
 	known, ok := p.kept[server]
 	if !ok {
 		known = newKept()
+		if server == StoreID && p.storeMemory > 0 {
+			known.memory, known.full = p.storeMemory, p.storeMemory
+		}
 		p.kept[server] = known
 	}
 	return known
--- a/internal/decision/placer/sent.go
+++ b/internal/decision/placer/sent.go
@@ -37,8 +37,10 @@
 // HeardSent takes in the shared parts that a peer has sent lately.
 func (p *Placer) HeardSent(now clock.Millis, sent map[string][][2]uint64) {
 	for _, server := range slices.Sorted(maps.Keys(sent)) {
+		ready := now.Add(max(readTime, p.readingTime(server, p.LoadAt(now, server).Prefill)))
 		for _, part := range sent[server] {
-			p.keptAt(server).use(now, part[0], int64(part[1]))
+			p.noteShared(part[0])
+			p.keptAt(server).use(now, ready, part[0], int64(part[1]))
 		}
 	}
 }
--- a/internal/decision/placer/sources.go
+++ b/internal/decision/placer/sources.go
@@ -8,20 +8,22 @@
 	best, second, store source
 }
 
-// source is a server, or the store, with the tokens that can be fetched there.
+// source is a server, or the store, with the tokens that can be fetched there, and the
+// part of them that it has by its own word.
 type source struct {
 	server string
 	tokens int64
+	sure   int64
 }
 
 // without returns the source with the most tokens but for the server; the store only
-// where no server has as much.
+// where no server has as much, or as surely.
 func (s sources) without(server string) (string, int64) {
 	chosen := s.best
 	if chosen.server == server {
 		chosen = s.second
 	}
-	if s.store.tokens > chosen.tokens {
+	if s.store.tokens > chosen.tokens || (s.store.tokens == chosen.tokens && s.store.sure > chosen.sure) {
 		chosen = s.store
 	}
 	return chosen.server, chosen.tokens
@@ -29,13 +31,12 @@
 
 // sourcesOf returns where the prompt's beginning can be fetched.
 func (p *Placer) sourcesOf(now clock.Millis, ask Ask, salt string) sources {
-	readable := func(k *kept, key uint64) bool { return k.readable(now, key) }
 	var found sources
 	for server := range p.kept {
 		if p.barred[server] || server == StoreID {
 			continue
 		}
-		next := source{server: server, tokens: p.held(ask, salt, server, readable)}
+		next := p.sourceAt(now, ask, salt, server)
 		switch {
 		case next.before(found.best):
 			found.best, found.second = next, found.best
@@ -43,24 +44,36 @@
 			found.second = next
 		}
 	}
-	if tokens := p.held(ask, salt, StoreID, readable); tokens > 0 && !p.barred[StoreID] {
-		found.store = source{server: StoreID, tokens: tokens}
+	if !p.barred[StoreID] {
+		found.store = p.sourceAt(now, ask, salt, StoreID)
 	}
 	return found
 }
 
-// before reports whether the source goes before the other one: by tokens, then by
-// name, so that equal states give equal choices.
+func (p *Placer) sourceAt(now clock.Millis, ask Ask, salt, server string) source {
+	found := source{server: server, tokens: p.held(now, ask, salt, server, (*kept).readable)}
+	if found.tokens > 0 {
+		found.sure = p.held(now, ask, salt, server, (*kept).sure)
+	}
+	return found
+}
+
+// before reports whether the source goes before the other one: by tokens, by what is
+// sure, then by name, so that equal states give equal choices.
 func (s source) before(other source) bool {
-	if s.tokens == 0 || s.tokens < other.tokens {
-		return false
+	switch {
+	case s.tokens != other.tokens:
+		return s.tokens > other.tokens
+	case s.sure != other.sure:
+		return s.sure > other.sure
+	default:
+		return s.tokens > 0 && s.server < other.server
 	}
-	return s.tokens > other.tokens || s.server < other.server
 }
 
 // worthSaving reports whether the server reads a shared part that the store of kept
 // parts does not have.
-func (p *Placer) worthSaving(ask Ask, candidate Candidate, held int64) bool {
+func (p *Placer) worthSaving(now clock.Millis, ask Ask, candidate Candidate, held int64) bool {
 	if p.storeMemory == 0 {
 		return false
 	}
@@ -68,7 +81,7 @@
 	if held >= shared {
 		return false
 	}
-	return p.held(ask, candidate.Salt, StoreID, func(k *kept, key uint64) bool { return k.has(key) }) < shared
+	return p.held(now, ask, candidate.Salt, StoreID, (*kept).has) < shared
 }
 
 // StoreID stands for the store of kept parts among the servers.
@@ -77,7 +90,8 @@
 // SetStore sets the memory of the store of kept parts in tokens; 0 when there is none.
 func (p *Placer) SetStore(memory int64) {
 	if p.storeMemory = memory; memory > 0 {
-		p.keptAt(StoreID).memory = memory
+		known := p.keptAt(StoreID)
+		known.memory, known.full = memory, memory
 	}
 }
 
--- a/internal/shell/edge/actions.go
+++ b/internal/shell/edge/actions.go
@@ -33,6 +33,8 @@
 		e.tell(next)
 	case forwarder.Check:
 		e.run(func() { e.check(next) })
+	case forwarder.ReadCache:
+		e.run(func() { e.machine.submit(e.platform.ReadCache(e.ctx, next.Read)) })
 	case forwarder.AskStore:
 		e.run(func() { e.askStore(next.Step) })
 	case forwarder.AskEngine:
--- a/internal/shell/edge/edge.go
+++ b/internal/shell/edge/edge.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
@@ -71,6 +72,8 @@
 	AskReport(ctx context.Context, ask orderer.AskReport) orderer.Report
 	GiveOrder(ctx context.Context, order orderer.Order, allowed func() bool) orderer.Reply
 	CheckHealth(ctx context.Context, check forwarder.Check) (healthy, gone bool)
+	// ReadCache asks a server, or the store of kept parts, what it has cached.
+	ReadCache(ctx context.Context, read cachetracker.Read) forwarder.CacheRead
 	ReadyPath() string
 }
 
