Repeat an order without an answer sooner, to the newest weights

Cause: an order that gets no answer is carried out seconds later or never. Change: the answer to an order is waited for 0.2 s; a report after 0.25 s tells whether it was accepted after all; the next try names the newest version. An engine whose order got no answer goes on serving until it accepts one. Tests: TestOrdersWithoutAnswer, TestNewestAfterAnOrderWithoutAnswer, failed before.

--- a/internal/decision/forwarder/orders.go
+++ b/internal/decision/forwarder/orders.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"slices"
+
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/journal"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -95,9 +97,9 @@
 	if f.draining {
 		return
 	}
-	before, wished := len(f.orders.Updating()), f.orders.Wish(f.now)
+	before, wished := f.orders.Updating(), f.orders.Wish(f.now)
 	f.perform(f.orders.Next(f.now, view))
-	if len(f.orders.Updating()) != before || f.orders.Wish(f.now) != wished {
+	if !slices.Equal(f.orders.Updating(), before) || f.orders.Wish(f.now) != wished {
 		f.tellSoon()
 	}
 }
--- a/internal/decision/orderer/jobs.go
+++ b/internal/decision/orderer/jobs.go
@@ -28,6 +28,18 @@
 	// due is when the next report is asked for, or the wait for an answer ends.
 	due     clock.Millis
 	waiting bool // waiting for an answer to a report.
+	heard   bool // heard tells that the engine has accepted the order.
+	// unheard tells that an order got no answer: the engine may serve for seconds until
+	// it carries that out, if it does.
+	unheard bool
+}
+
+// quiet is how long after an order a report may not show it.
+func (j job) quiet() clock.Millis {
+	if j.heard {
+		return loadTime + answerWait
+	}
+	return reportLag
 }
 
 // outdated returns the engines with old weights, the least busy first.
@@ -120,26 +132,30 @@
 			o.jobs[server] = job
 		}
 	}()
-	if newest := o.named[job.model].newest().version; newest > job.version && job.phase == reporting {
-		job.version = newest
+	if job.phase == reporting {
+		job.version = o.named[job.model].newest().version
 	}
 	switch {
 	case report.Failed || report.Busy:
+		job.heard = job.heard || (report.Busy && job.phase == loading)
 		job.due = now.Add(pollEvery)
 		return nil
 	case report.Born != 0 && job.born != 0 && report.Born != job.born, report.Weights[job.model] >= job.version:
 		delete(o.jobs, server)
 		return nil
-	case job.phase == loading && now.Since(job.began) < loadTime+answerWait:
+	case job.phase == loading && now.Since(job.began) < job.quiet():
 		job.due = now.Add(pollEvery)
 		return nil
 	case !o.lease.held(now):
 		job.due = now.Add(pollEvery)
 		return nil
 	}
-	job.phase = ordering
+	// An order that got no answer may still be carried out later. This one has the
+	// number of orders that the engine had accepted before, so only one of them is.
+	job.version = o.named[job.model].newest().version
+	job.phase, job.heard = ordering, false
 	job.began = now
-	job.due = now.Add(answerWait)
+	job.due = now.Add(orderWait)
 	return []Step{Order{
 		Server: server, Address: job.address, Model: job.model, Version: job.version,
 		Holder: o.lease.self, Fence: o.lease.fence, Accepted: report.Accepted, Until: o.lease.heldUntil,
@@ -156,7 +172,12 @@
 	job.due = now.Add(pollEvery)
 	switch reply {
 	case Accepted:
+		job.heard = true
 		job.due = now.Add(loadTime)
+	case Holds:
+		job.heard = true
+	case Unheard:
+		job.unheard = true
 	case Refused:
 		// The engine carries out another order, or has since the report.
 		job.phase = reporting
--- a/internal/decision/orderer/orderer.go
+++ b/internal/decision/orderer/orderer.go
@@ -41,8 +41,13 @@
 	loadTime = 300 * clock.Millisecond
 	// pollEvery is the time between reports of an engine that loads.
 	pollEvery = 120 * clock.Millisecond
-	// answerWait bounds the wait for a report or for the answer to an order.
+	// answerWait bounds the wait for a report.
 	answerWait = 600 * clock.Millisecond
+	// orderWait bounds the wait for the answer to an order, which engines give at once:
+	// many ways there and back. Meanwhile the engine may be idle.
+	orderWait = 250 * clock.Millisecond
+	// reportLag is how old what a report says may be: some hundred milliseconds.
+	reportLag = 250 * clock.Millisecond
 	// giveUpAfter is when an engine that did not come to its weights is begun anew.
 	giveUpAfter = 6 * clock.Second
 	// retryAfter is how long an engine that refused an order is left alone.
@@ -84,9 +89,16 @@
 	return &Orderer{lease: lease{self: self, turn: turn}, named: map[string]namings{}, jobs: map[string]job{}, paused: map[string]clock.Millis{}}
 }
 
-// Updating returns the engines that are being updated from here.
+// Updating returns the engines that are being updated from here, but for those that
+// have not answered an order and may go on serving.
 func (o *Orderer) Updating() []string {
-	return slices.Sorted(maps.Keys(o.jobs))
+	var updating []string
+	for _, id := range slices.Sorted(maps.Keys(o.jobs)) {
+		if job := o.jobs[id]; job.heard || !job.unheard {
+			updating = append(updating, id)
+		}
+	}
+	return updating
 }
 
 // Sight returns the latest sight of the lease, for peers.
--- a/internal/decision/orderer/orderer_test.go
+++ b/internal/decision/orderer/orderer_test.go
@@ -54,6 +54,38 @@
 	require.LessOrEqual(t, orders, 9+4, "only those that were under way load twice")
 }
 
+// TestOrdersWithoutAnswer replays a naming while half of the orders get no answer and
+// are carried out seconds later, if they still hold: all engines come to the newest
+// weights within the users' bound for that.
+func TestOrdersWithoutAnswer(t *testing.T) {
+	const bound = 8400 * clock.Millisecond
+	for seed := range uint64(30) {
+		w := newWorld(t, seed, 3, 9)
+		w.late = 50
+		w.run(2 * clock.Second)
+		w.name(2)
+		w.run(w.now + bound)
+		require.Equal(t, 9, w.updated(2), "seed %d", seed)
+		w.requireOneHolder()
+	}
+}
+
+// TestNewestAfterAnOrderWithoutAnswer holds that an engine whose order got no answer is
+// next ordered to the newest weights.
+func TestNewestAfterAnOrderWithoutAnswer(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	w.run(2 * clock.Second)
+	w.late = 100
+	w.name(2)
+	w.run(w.now + 100)
+	require.Len(t, w.given["e0"], 1)
+	w.late = 0
+	w.name(3)
+	w.run(w.now + 1500)
+	require.Equal(t, 1, w.updated(3))
+	require.Len(t, w.given["e0"], 2, "no order for the weights in between")
+}
+
 // TestDarkEngineHoldsNobodyUp replays engines that give no report.
 func TestDarkEngineHoldsNobodyUp(t *testing.T) {
 	w := newWorld(t, 1, 2, 9)
--- a/internal/decision/orderer/world_test.go
+++ b/internal/decision/orderer/world_test.go
@@ -17,6 +17,8 @@
 	model    = "m"
 	turn     = 3 * clock.Second
 	loadTime = 320 * clock.Millisecond
+	// orderWait is how long the shell waits for the answer to an order.
+	orderWait = 200 * clock.Millisecond
 )
 
 // engine is an engine of the tests: it takes one order at a time.
@@ -66,8 +68,10 @@
 	// deaf are instances that can't reach the store; frozen ones take no step.
 	deaf   map[int]bool
 	frozen map[int]clock.Millis
-	// lost is the part of the store's answers that never come, in hundredths.
+	// lost is the part of the store's answers that never come, late the part of the
+	// orders that get no answer and are carried out seconds later; in hundredths.
 	lost   int
+	late   int
 	events []pendingEvent
 }
 
@@ -162,14 +166,23 @@
 	}
 	w.given[order.Server] = append(w.given[order.Server], given{at: w.now, holder: order.Holder, fence: order.Fence})
 	e := w.engine(order.Server)
-	e.settle(w.now)
-	if e.target > e.version || order.Accepted != e.accepted {
-		w.orders[i].Replied(w.now, order.Server, orderer.Refused)
+	if w.source.IntN(100) < w.late {
+		w.after(clock.Millis(2000+w.source.IntN(10_000)), func() { e.take(w.now, order) })
+		w.after(orderWait, func() { w.orders[i].Replied(w.now, order.Server, orderer.Unheard) })
 		return
 	}
+	w.orders[i].Replied(w.now, order.Server, e.take(w.now, order))
+}
+
+// take carries out an order, unless the engine loads or has accepted another one since.
+func (e *engine) take(now clock.Millis, order orderer.Order) orderer.Reply {
+	e.settle(now)
+	if e.target > e.version || order.Accepted != e.accepted {
+		return orderer.Refused
+	}
 	e.accepted++
-	e.target, e.busyTo = order.Version, w.now.Add(loadTime)
-	w.orders[i].Replied(w.now, order.Server, orderer.Accepted)
+	e.target, e.busyTo = order.Version, now.Add(loadTime)
+	return orderer.Accepted
 }
 
 // run lets the world go on until the instant.
