Let engines that may not serve any more load besides the two

Change: such engines take no place; their load takes nothing from the requests. Test: TestTooOldEnginesLoadTogether, failed before.

--- a/internal/decision/forwarder/orders.go
+++ b/internal/decision/forwarder/orders.go
@@ -91,7 +91,10 @@
 		if server.Draining || len(server.Entry.Weights) == 0 {
 			continue
 		}
-		engine := orderer.Engine{Entry: server.Entry, Down: server.Down(), Requests: f.places.LoadAt(f.now, server.ID).Requests}
+		engine := orderer.Engine{
+			Entry: server.Entry, Down: server.Down(),
+			Requests: f.places.LoadAt(f.now, server.ID).Requests, Unused: f.tooOld(server.Entry.Weights),
+		}
 		view.Engines = append(view.Engines, engine)
 	}
 	if f.draining {
@@ -104,6 +107,16 @@
 	}
 }
 
+// tooOld reports whether one of the versions may not serve any more.
+func (f *Forwarder) tooOld(weights map[string]int64) bool {
+	for model, version := range weights {
+		if _, _, usable := f.agePenalty(model, version); !usable {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Forwarder) perform(steps []orderer.Step) {
 	for _, step := range steps {
 		switch step := step.(type) {
--- a/internal/decision/orderer/jobs.go
+++ b/internal/decision/orderer/jobs.go
@@ -94,8 +94,8 @@
 func (o *Orderer) work(now clock.Millis, old []Engine, places int) []Step {
 	var steps []Step
 	for _, engine := range old {
-		if len(o.jobs) >= places {
-			break
+		if len(o.jobs) >= places && !engine.Unused {
+			continue
 		}
 		if _, busy := o.jobs[engine.ID]; busy || now < o.paused[engine.ID] {
 			continue
--- a/internal/decision/orderer/orderer.go
+++ b/internal/decision/orderer/orderer.go
@@ -60,6 +60,9 @@
 	Down bool
 	// Requests is how many requests run there.
 	Requests int
+	// Unused tells that its weights are too old to serve: its load takes nothing from
+	// the requests, so that it needs no place among the few that load at a time.
+	Unused bool
 }
 
 // View is what a step is decided on.
--- a/internal/decision/orderer/orderer_test.go
+++ b/internal/decision/orderer/orderer_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// TestTooOldEnginesLoadTogether replays weights that nobody could order engines to until
+// all of them were too old to serve: none waits for another one's load.
+func TestTooOldEnginesLoadTogether(t *testing.T) {
+	w := newWorld(t, 1, 1, 9)
+	w.unused = true
+	w.run(2 * clock.Second)
+	w.name(2)
+	w.run(w.now + 200 + loadTime)
+	require.Equal(t, 9, w.updated(2))
+}
+
 // TestSkippedVersion holds that weights which are out of date before they are loaded
 // are skipped.
 func TestSkippedVersion(t *testing.T) {
--- a/internal/decision/orderer/world_test.go
+++ b/internal/decision/orderer/world_test.go
@@ -72,6 +72,7 @@
 	// orders that get no answer and are carried out seconds later; in hundredths.
 	lost   int
 	late   int
+	unused bool // unused tells that the engines' weights are too old to serve.
 	events []pendingEvent
 }
 
@@ -208,7 +209,7 @@
 			view := orderer.View{Rank: i, StoreSteady: !w.deaf[i]}
 			for _, e := range w.engines {
 				e.settle(w.now)
-				view.Engines = append(view.Engines, orderer.Engine{Entry: roster.Entry{ID: e.id, Address: e.id, Born: 1, Weights: map[string]int64{model: e.version}}, Down: e.dark})
+				view.Engines = append(view.Engines, orderer.Engine{Entry: roster.Entry{ID: e.id, Address: e.id, Born: 1, Weights: map[string]int64{model: e.version}}, Down: e.dark, Unused: w.unused})
 			}
 			w.perform(i, orders.Next(w.now, view))
 		}
