Move streams away from engines that only wait for them to load weights

Cause: an engine loads new weights when what runs there has ended. Change: streams that can be resumed leave such an engine after 0.8 s, within the retry budget, and go on at another engine after the last event that was passed.

--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -85,6 +85,11 @@
 	cacheDue  clock.Millis
 	cacheNews map[string]cachetracker.News
 
+	// updatingSince is since when engines have been known to load weights, moveDue when
+	// to look for streams that hold them up.
+	updatingSince map[string]clock.Millis
+	moveDue       clock.Millis
+
 	peers map[string]peer
 	// peersKnown tells that the peers have been listed.
 	peersKnown bool
@@ -106,22 +111,23 @@
 // New returns the state of an instance that has just started at its place.
 func New(place site.Site, incarnation string, seed uint64) *Forwarder {
 	return &Forwarder{
-		site:        place,
-		incarnation: incarnation,
-		random:      seed | 1,
-		servers:     roster.New(),
-		places:      placer.New(),
-		shares:      allotter.New(),
-		budget:      budgeter.New(place.Bounds.RetryRatio, place.Bounds.RetryExtra, place.Bounds.RetryWindow),
-		blame:       blamer.New(maxBlamed),
-		orders:      orderer.New(place.Name+"@"+place.IP, place.Bounds.OrderTurn),
-		caches:      cachetracker.New(),
-		cacheNews:   map[string]cachetracker.News{},
-		peers:       map[string]peer{},
-		rumours:     map[string]map[string]int64{},
-		cuts:        map[string][]cut{},
-		crashes:     map[string][]string{},
-		flights:     map[string]*flight{},
+		site:          place,
+		incarnation:   incarnation,
+		random:        seed | 1,
+		servers:       roster.New(),
+		places:        placer.New(),
+		shares:        allotter.New(),
+		budget:        budgeter.New(place.Bounds.RetryRatio, place.Bounds.RetryExtra, place.Bounds.RetryWindow),
+		blame:         blamer.New(maxBlamed),
+		orders:        orderer.New(place.Name+"@"+place.IP, place.Bounds.OrderTurn),
+		caches:        cachetracker.New(),
+		cacheNews:     map[string]cachetracker.News{},
+		updatingSince: map[string]clock.Millis{},
+		peers:         map[string]peer{},
+		rumours:       map[string]map[string]int64{},
+		cuts:          map[string][]cut{},
+		crashes:       map[string][]string{},
+		flights:       map[string]*flight{},
 	}
 }
 
@@ -201,6 +207,7 @@
 	f.checkServers()
 	f.timeOut()
 	f.stepOrders()
+	f.moveStreams()
 	f.readCaches()
 	f.tell()
 }
--- a/internal/decision/forwarder/platform_test.go
+++ b/internal/decision/forwarder/platform_test.go
@@ -49,7 +49,7 @@
 			if step.Accepted == s.accepted && w.now < step.Until && !s.gone {
 				reply = orderer.Accepted
 				s.accepted++
-				w.after(320, func() { s.entry = s.entry.WithWeights(step.Model, step.Version) })
+				w.after(w.loadSpan, func() { s.entry = s.entry.WithWeights(step.Model, step.Version) })
 			}
 			w.step(i, forwarder.OrderReplied{Server: step.Server, Reply: reply})
 		}
--- a/internal/decision/forwarder/world_test.go
+++ b/internal/decision/forwarder/world_test.go
@@ -69,6 +69,10 @@
 	poison string
 	// faults are how often, in hundredths, an attempt ends in each way.
 	faults map[forwarder.Outcome]int
+	// streamSpan is how long a stream lasts, 0 for a drawn time; loadSpan is how long an
+	// engine takes to its new weights.
+	streamSpan clock.Millis
+	loadSpan   clock.Millis
 
 	// readings are the readings of caches, by server; cacheFaults is how many in a
 	// hundred fail, and as many miss changes.
@@ -111,7 +115,7 @@
 	w := &world{
 		t: t, now: clock.Second, source: rand.New(rand.NewPCG(seed, 7)), down: map[int]bool{}, deaf: map[int]bool{},
 		servers: map[string]*server{}, requests: map[string]*request{}, named: 1, namedAt: map[int64]clock.Millis{1: 0}, faults: map[forwarder.Outcome]int{},
-		readings: map[string]int{}, cacheSource: rand.New(rand.NewPCG(seed, 11)),
+		loadSpan: 320, readings: map[string]int{}, cacheSource: rand.New(rand.NewPCG(seed, 11)),
 	}
 	for i := range 6 {
 		engine := roster.Entry{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i), Domain: string(rune('a' + i%3)), Slots: 64, Weights: map[string]int64{model: 1}, Born: 1, Revision: 1}
@@ -307,7 +311,11 @@
 	if w.source.IntN(20) == 0 && !dispatch.Stream {
 		status = 500
 	}
-	end(20+clock.Millis(w.source.IntN(200)), forwarder.Answered, status)
+	span := 20 + clock.Millis(w.source.IntN(200))
+	if dispatch.Stream && w.streamSpan > 0 {
+		span = w.streamSpan
+	}
+	end(span, forwarder.Answered, status)
 }
 
 func (w *world) answering(i int, dispatch forwarder.Dispatch, r *request) {
--- a/internal/decision/journal/number.go
+++ b/internal/decision/journal/number.go
@@ -14,6 +14,7 @@
 	AttemptFailed      Number = 1102
 	AttemptFirstToken  Number = 1103
 	AnswerDropped      Number = 1104
+	StreamMoved        Number = 1105
 	TokensTaken        Number = 1201
 	TokensRefused      Number = 1202
 	TokensReturned     Number = 1203
@@ -66,6 +67,7 @@
 	AttemptFailed:      "attemptFailed",
 	AttemptFirstToken:  "attemptFirstToken",
 	AnswerDropped:      "answerDropped",
+	StreamMoved:        "streamMoved",
 	TokensTaken:        "tokensTaken",
 	TokensRefused:      "tokensRefused",
 	TokensReturned:     "tokensReturned",
