Fetch parts from the store that an engine has not used lately

Engines drop what they have not used for longest; the store has ten times their memory and drops little. Change: of two sources that are sure, the store goes first when the engine has not used the parts for 2 s, unless this instance has a long prompt's tokens on their way from the store already, by its part of what the store can send. Test: TestUnusedPartsComeFromTheStore.

--- a/internal/decision/placer/kept.go
+++ b/internal/decision/placer/kept.go
@@ -33,6 +33,7 @@
 	used   uint64
 	ready  clock.Millis // ready is when the server is expected to have read it.
 	sent   clock.Millis // sent is when it was last sent there; 0 for never.
+	usedAt clock.Millis // usedAt is when it was last sent there or stored there.
 	sure   bool         // sure tells that the server itself said that it has it.
 }
 
@@ -71,6 +72,15 @@
 	return k.has(now, key)
 }
 
+// fresh returns the tokens of the part if it was used so lately that the server has
+// not dropped it since it was last heard of.
+func (k *kept) fresh(now clock.Millis, key uint64) int64 {
+	if part := k.parts[key]; now.Since(part.usedAt) <= freshFor {
+		return part.tokens
+	}
+	return 0
+}
+
 // sure returns the tokens of the part that the server itself said it has.
 func (k *kept) sure(_ clock.Millis, key uint64) int64 {
 	if part := k.parts[key]; part.sure {
@@ -83,7 +93,7 @@
 // drops what no longer fits into its memory.
 func (k *kept) use(now, ready clock.Millis, key uint64, tokens int64) {
 	before := k.parts[key].tokens
-	k.touch(key, tokens, keptPart{})
+	k.touch(now, key, tokens)
 	part, ok := k.parts[key]
 	if !ok {
 		return // It alone is larger than the memory.
@@ -95,15 +105,12 @@
 	k.parts[key] = part
 }
 
-// touch makes the part the latest one used; a part that is new begins as fresh.
-func (k *kept) touch(key uint64, tokens int64, fresh keptPart) {
+// touch makes the part the latest one used.
+func (k *kept) touch(now clock.Millis, key uint64, tokens int64) {
 	k.clock++
-	known, ok := k.parts[key]
-	if !ok {
-		known = fresh
-	}
+	known := k.parts[key]
 	k.tokens += tokens - known.tokens
-	known.tokens, known.used = tokens, k.clock
+	known.tokens, known.used, known.usedAt = tokens, k.clock, now
 	k.parts[key] = known
 	k.queue = append(k.queue, keptUse{key: key, used: k.clock})
 	k.evict()
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -49,6 +49,10 @@
 	// storeFetchRate is the tokens that come from a store of kept parts in a
 	// millisecond, of what its link carries: it is shared by all engines.
 	storeFetchRate = 100.0
+	// storeBurst is the tokens that may be on their way from the store, by what the
+	// instance's part of it can send, while an engine could be asked instead: a long
+	// prompt.
+	storeBurst = 10_000
 	// leastFetch is the fewest tokens that are fetched: fewer are read as soon.
 	leastFetch = 128
 	// errorCost is what a failed attempt costs its request: a new attempt after
@@ -83,6 +87,9 @@
 	paces  map[string]float64
 	recent []sending
 	barred map[string]bool
+	// storeTokens are fetched from the store as of storeAt, by requests from here.
+	storeTokens float64
+	storeAt     clock.Millis
 	// shared are the parts that are not the last of their prompts.
 	shared map[uint64]struct{}
 	// storeMemory is the memory of the store of kept parts in tokens; 0 for none.
@@ -121,6 +128,9 @@
 			known.memory = choice.Memory / memoryPart
 		}
 	}
+	if choice.Source == StoreID {
+		p.noteStore(now, choice.ask.sharedTokens())
+	}
 	ready := now.Add(max(readTime, p.readingTime(choice.Server, choice.Load.Prefill+choice.Missed)))
 	for i, part := range choice.ask.Parts {
 		key := keyOf(choice.Salt, part.ID)
--- a/internal/decision/placer/seen.go
+++ b/internal/decision/placer/seen.go
@@ -16,6 +16,9 @@
 	// unheardFor is how long a part counts as there that was sent to a server which
 	// tells what it has, and has not told of it: it was refused, or dropped at once.
 	unheardFor = 4 * clock.Second
+	// freshFor is how long after its last use a part is taken not to be dropped by an
+	// engine between two readings: those unused for longest go first.
+	freshFor = 2 * clock.Second
 	// blockTokens is how many tokens a part may lack and still count as whole: engines
 	// keep whole blocks.
 	blockTokens = 16
@@ -73,7 +76,7 @@
 		k.parts[key] = part
 		return
 	}
-	k.touch(key, tokens, keptPart{})
+	k.touch(now, key, tokens)
 	if part, ok = k.parts[key]; ok {
 		part.sure = true
 		k.parts[key] = part
--- a/internal/decision/placer/seen_test.go
+++ b/internal/decision/placer/seen_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -120,6 +121,37 @@
 	require.Equal(t, first.Server, choice.Source)
 }
 
+// TestUnusedPartsComeFromTheStore replays engines that drop what they have not used for
+// longest: such parts are fetched from the store, unless that has much to send already.
+func TestUnusedPartsComeFromTheStore(t *testing.T) {
+	ask := verdict(0, 0, 0)
+	for name, want := range map[string]struct {
+		now    clock.Millis
+		before int // before is how many prompts are fetched from the store just before.
+		source string
+	}{
+		"used lately":       {2000, 0, "e4"},
+		"not used lately":   {9000, 0, placer.StoreID},
+		"the store is busy": {9000, 3, "e4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			places := placer.New()
+			places.SetStore(700_000)
+			for i := range want.before {
+				other := verdict(9, 90+i, i)
+				sawAll(places, 1000, placer.StoreID, other)
+				choice, _ := places.Choose(want.now, other, candidates()[:1])
+				require.Equal(t, placer.StoreID, choice.Source)
+				places.Begin(want.now, fmt.Sprint("other", i), choice)
+			}
+			sawAll(places, 1000, placer.StoreID, ask)
+			sawAll(places, 1000, "e4", ask)
+			choice, _ := places.Choose(want.now, ask, candidates()[5:6])
+			require.Equal(t, want.source, choice.Source)
+		})
+	}
+}
+
 // TestManySubjectsWithNews replays more subjects than the estimate of an engine's memory
 // holds, at engines that keep them: by their word nothing is read again.
 func TestManySubjectsWithNews(t *testing.T) {
--- a/internal/decision/placer/sources.go
+++ b/internal/decision/placer/sources.go
@@ -6,24 +6,28 @@
 // store.
 type sources struct {
 	best, second, store source
+	// storeBusy tells that this instance has had its part of what the store can send.
+	storeBusy bool
 }
 
-// source is a server, or the store, with the tokens that can be fetched there, and the
-// part of them that it has by its own word.
+// source is a server, or the store, with the tokens that can be fetched there, the part
+// of them that it has by its own word, and whether they were used there lately.
 type source struct {
 	server string
 	tokens int64
 	sure   int64
+	fresh  bool
 }
 
 // without returns the source with the most tokens but for the server; the store only
-// where no server has as much, or as surely.
+// where no server has as much, or as surely, or has used it lately.
 func (s sources) without(server string) (string, int64) {
 	chosen := s.best
 	if chosen.server == server {
 		chosen = s.second
 	}
-	if s.store.tokens > chosen.tokens || (s.store.tokens == chosen.tokens && s.store.sure > chosen.sure) {
+	steadier := s.store.sure > chosen.sure || (s.store.sure == chosen.sure && !chosen.fresh && !s.storeBusy)
+	if s.store.tokens > chosen.tokens || (s.store.tokens == chosen.tokens && s.store.tokens > 0 && steadier) {
 		chosen = s.store
 	}
 	return chosen.server, chosen.tokens
@@ -46,6 +50,7 @@
 	}
 	if !p.barred[StoreID] {
 		found.store = p.sourceAt(now, ask, salt, StoreID)
+		found.storeBusy = p.storeQueue(now) > storeBurst
 	}
 	return found
 }
@@ -54,6 +59,7 @@
 	found := source{server: server, tokens: p.held(now, ask, salt, server, (*kept).readable)}
 	if found.tokens > 0 {
 		found.sure = p.held(now, ask, salt, server, (*kept).sure)
+		found.fresh = p.held(now, ask, salt, server, (*kept).fresh) >= found.tokens
 	}
 	return found
 }
@@ -71,6 +77,24 @@
 	}
 }
 
+// storeQueue returns the tokens that are on their way from the store by requests from
+// here, if each of the instances that are heard has an equal part of what it can send.
+func (p *Placer) storeQueue(now clock.Millis) float64 {
+	instances := 1
+	for _, peer := range p.peers {
+		if now.Since(peer.at) < peerLoadAge {
+			instances++
+		}
+	}
+	return max(0, p.storeTokens-float64(now.Since(p.storeAt))*storeFetchRate/float64(instances))
+}
+
+// noteStore counts a fetch from the store.
+func (p *Placer) noteStore(now clock.Millis, tokens int64) {
+	p.storeTokens = p.storeQueue(now) + float64(tokens)
+	p.storeAt = now
+}
+
 // worthSaving reports whether the server reads a shared part that the store of kept
 // parts does not have.
 func (p *Placer) worthSaving(now clock.Millis, ask Ask, candidate Candidate, held int64) bool {
