--- a/internal/decision/forwarder/disturbances_test.go
+++ b/internal/decision/forwarder/disturbances_test.go
@@ -106,3 +106,37 @@
 		w.list(i)
 	})
 }
+
+// freeze lets an instance stand still, as a suspended machine does.
+func (w *world) freeze() {
+	i := w.source.IntN(len(w.nodes))
+	if !w.down[i] && w.now >= w.frozen[i] {
+		w.frozen[i] = w.now.Add(clock.Millis(500 + w.source.IntN(6000)))
+	}
+}
+
+// loseWatch lets an instance miss what the store tells for a moment, and then list.
+func (w *world) loseWatch() {
+	i := w.source.IntN(len(w.nodes))
+	if w.deaf[i] {
+		return
+	}
+	w.deaf[i] = true
+	w.after(clock.Millis(100+w.source.IntN(1500)), func() {
+		if !w.deaf[i] {
+			return
+		}
+		w.deaf[i] = false
+		w.step(i, forwarder.StateConfirmed{At: w.now})
+		w.step(i, forwarder.WeightsNamed{Model: model, Version: w.named, Fresh: true})
+		w.list(i)
+	})
+}
+
+// changeSettings changes the bounds of an instance.
+func (w *world) changeSettings() {
+	i := w.source.IntN(len(w.nodes))
+	w.places[i].Bounds.RetryExtra = int64(w.source.IntN(100))
+	w.places[i].Bounds.RetryWindow = clock.Millis(2000 + w.source.IntN(10_000))
+	w.step(i, forwarder.SiteRead{Site: w.places[i]})
+}
--- a/internal/decision/forwarder/platform_test.go
+++ b/internal/decision/forwarder/platform_test.go
@@ -4,6 +4,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/orderer"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 func (w *world) askStore(i int, step orderer.Step) {
@@ -44,18 +45,31 @@
 			s := w.servers[step.Server]
 			w.step(i, forwarder.ServerReported{Server: step.Server, Report: orderer.Report{Failed: s.gone, Weights: s.entry.Weights, Accepted: s.accepted, Born: s.entry.Born}})
 		case orderer.Order:
-			s := w.servers[step.Server]
+			if w.cacheSource.IntN(100) < w.lateOrders {
+				w.after(clock.Millis(2000+w.cacheSource.IntN(6000)), func() { w.carryOut(step) })
+				w.after(200, func() { w.step(i, forwarder.OrderReplied{Server: step.Server, Reply: orderer.Unheard}) })
+				return
+			}
 			reply := orderer.Refused
-			if step.Accepted == s.accepted && w.now < step.Until && !s.gone {
-				reply = orderer.Accepted
-				s.accepted++
-				w.after(w.loadSpan, func() { s.entry = s.entry.WithWeights(step.Model, step.Version) })
+			if w.now < step.Until {
+				reply = w.carryOut(step)
 			}
 			w.step(i, forwarder.OrderReplied{Server: step.Server, Reply: reply})
 		}
 	})
 }
 
+// carryOut is an engine that takes an order, unless it has accepted another one since.
+func (w *world) carryOut(order orderer.Order) orderer.Reply {
+	s := w.servers[order.Server]
+	if order.Accepted != s.accepted || s.gone {
+		return orderer.Refused
+	}
+	s.accepted++
+	w.after(w.loadSpan, func() { s.entry = s.entry.WithWeights(order.Model, order.Version) })
+	return orderer.Accepted
+}
+
 // name names new weights; instances without the store hear of them from peers.
 func (w *world) name() {
 	w.named++
--- a/internal/decision/forwarder/world_test.go
+++ b/internal/decision/forwarder/world_test.go
@@ -59,6 +59,12 @@
 	nodes  []*forwarder.Forwarder
 	down   map[int]bool // down are instances that take no step.
 	deaf   map[int]bool // deaf are instances without the store.
+	// frozen are instances that stand still until the instant; what happens to them
+	// meanwhile reaches them then.
+	frozen map[int]clock.Millis
+	// lateOrders is how many orders in a hundred get no answer and are carried out
+	// seconds later.
+	lateOrders int
 
 	servers  map[string]*server
 	requests map[string]*request
@@ -113,7 +119,7 @@
 
 func newWorld(t *testing.T, seed uint64, instances int) *world {
 	w := &world{
-		t: t, now: clock.Second, source: rand.New(rand.NewPCG(seed, 7)), down: map[int]bool{}, deaf: map[int]bool{},
+		t: t, now: clock.Second, source: rand.New(rand.NewPCG(seed, 7)), down: map[int]bool{}, deaf: map[int]bool{}, frozen: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, named: 1, namedAt: map[int64]clock.Millis{1: 0}, faults: map[forwarder.Outcome]int{},
 		loadSpan: 320, readings: map[string]int{}, cacheSource: rand.New(rand.NewPCG(seed, 11)),
 	}
@@ -180,6 +186,15 @@
 	if w.down[i] {
 		return
 	}
+	if thaw := w.frozen[i]; w.now < thaw {
+		node := w.nodes[i]
+		w.after(thaw.Since(w.now), func() {
+			if w.nodes[i] == node {
+				w.step(i, happened)
+			}
+		})
+		return
+	}
 	for _, next := range w.nodes[i].Step(w.now, happened) {
 		w.perform(i, next)
 	}
@@ -201,7 +216,7 @@
 			next.run()
 		}
 		for i, node := range w.nodes {
-			if !w.down[i] && w.now >= node.NextWake() {
+			if !w.down[i] && w.now >= w.frozen[i] && w.now >= node.NextWake() {
 				w.step(i, forwarder.Tick{})
 			}
 			if w.now%500 == 0 && !w.deaf[i] {
@@ -327,8 +342,14 @@
 	})
 }
 
+// thawing is how long after it stood still an instance may act on what it knew before.
+const thawing = 300 * clock.Millisecond
+
 // checkDispatch holds what must hold whenever a request is sent.
 func (w *world) checkDispatch(i int, dispatch forwarder.Dispatch, s *server) {
+	if w.now.Since(w.frozen[i]) < thawing {
+		return // What happened meanwhile reaches the instance only now.
+	}
 	if s.drainAt > 0 && !w.deaf[i] {
 		require.Less(w.t, w.now.Since(s.drainAt), 200*clock.Millisecond, "%s is sent to a leaving server", dispatch.Request)
 	}
