Find out soon that the store is back

Change: after a failed call a watch waits for 0.1 s only, until one has answered. Test: TestWatchesAreShortAfterAFailure, failed before.

--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -5,8 +5,8 @@
 //
 // It composes the packages that decide: desired (which route and team), allotter
 // (the team's limit), placer (which server), budgeter (whether again), blamer
-// (which requests crash servers), cachetracker (what servers have cached), roster (which servers there are) and orderer
-// (which engine loads new weights).
+// (which requests crash servers), cachetracker (what servers have cached), roster
+// (which servers there are) and orderer (which engine loads new weights).
 //
 // What it knows has an age. The desired state counts as of when the store last
 // confirmed it; with keys that must not outlive their withdrawal, requests with a
--- a/internal/shell/watcher/watcher.go
+++ b/internal/shell/watcher/watcher.go
@@ -27,6 +27,9 @@
 	// come back together.
 	retryAfter    = 100 * time.Millisecond
 	maxRetryAfter = 600 * time.Millisecond
+	// probeWait is how long a watch waits after a failed call: its answer tells at once
+	// that the store is back, and one that hangs holds up the next for less long.
+	probeWait = 100 * clock.Millisecond
 )
 
 // Item is one object.
@@ -82,23 +85,24 @@
 func (w *Watcher) Run(ctx context.Context) {
 	pause := retryAfter
 	since := int64(0)
-	listed := false
+	listed, failing := false, false
 	for ctx.Err() == nil {
 		var err error
 		if listed {
-			since, err = w.watch(ctx, since)
+			since, err = w.watch(ctx, since, w.waitFor(failing))
 		} else {
 			since, err = w.list(ctx)
 		}
 		switch {
 		case err == nil:
-			listed = true
+			listed, failing = true, false
 			pause = retryAfter
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
 			listed = false
 		default:
+			failing = true
 			w.sink.Failed(err)
 			rest(ctx, pause/2+rand.N(pause/2+1))
 			pause = min(2*pause, maxRetryAfter)
@@ -116,15 +120,23 @@
 	return listing.Revision, nil
 }
 
+// waitFor returns how long the next watch waits.
+func (w *Watcher) waitFor(failing bool) clock.Millis {
+	if failing {
+		return min(w.pace.Wait, probeWait)
+	}
+	return w.pace.Wait
+}
+
 // watch waits for changes. An answer without any was given after the whole wait.
-func (w *Watcher) watch(ctx context.Context, since int64) (int64, error) {
+func (w *Watcher) watch(ctx context.Context, since int64, wait clock.Millis) (int64, error) {
 	asked := bootclock.Now()
-	listing, err := w.store.Watch(ctx, w.kind, since, w.pace.Wait)
+	listing, err := w.store.Watch(ctx, w.kind, since, wait)
 	if err != nil {
 		return since, err
 	}
-	if len(listing.Items) == 0 && bootclock.Now() >= asked.Add(w.pace.Wait) {
-		asked = asked.Add(w.pace.Wait)
+	if len(listing.Items) == 0 && bootclock.Now() >= asked.Add(wait) {
+		asked = asked.Add(wait)
 	}
 	w.sink.Changed(asked, listing.Items)
 	if next := asked.Add(w.pace.Rest); bootclock.Now() < next {
--- a/internal/shell/watcher/watcher_test.go
+++ b/internal/shell/watcher/watcher_test.go
@@ -19,6 +19,7 @@
 	mu    sync.Mutex
 	steps []step
 	calls []string
+	waits []clock.Millis
 }
 
 type step struct {
@@ -48,7 +49,10 @@
 }
 
 // Watch answers a watch.
-func (s *script) Watch(ctx context.Context, _ string, since int64, _ clock.Millis) (watcher.Listing, error) {
+func (s *script) Watch(ctx context.Context, _ string, since int64, wait clock.Millis) (watcher.Listing, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
 	return s.next(ctx, "watch "+string(rune('0'+since)))
 }
 
@@ -121,6 +125,27 @@
 	require.Equal(t, []string{"failed", "listed", "changed a", "failed", "confirmed", "listed"}, texts)
 }
 
+// TestWatchesAreShortAfterAFailure holds that an instance learns soon that the store is
+// back: until it has answered, a watch waits for a moment only.
+func TestWatchesAreShortAfterAFailure(t *testing.T) {
+	store := &script{steps: []step{
+		{listing: watcher.Listing{Revision: 1}},
+		{err: errors.New("cut off")},
+		{err: errors.New("cut off")},
+		{listing: watcher.Listing{Revision: 1}},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go watcher.New(store, "kind", watcher.Pace{Wait: 5 * clock.Second}, &sink{}).Run(ctx)
+	waits := func() []clock.Millis {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return append([]clock.Millis(nil), store.waits...)
+	}
+	require.Eventually(t, func() bool { return len(waits()) == 4 }, 3*time.Second, 5*time.Millisecond)
+	require.Equal(t, []clock.Millis{5000, 100, 100, 5000}, waits())
+}
+
 // TestAgeOfKnowledge holds as of when an answer is taken: never later than the store can
 // have given it.
 func TestAgeOfKnowledge(t *testing.T) {
