--- a/internal/decision/desired/route.go
+++ b/internal/decision/desired/route.go
@@ -42,8 +42,6 @@
 	// Open routes need no key.
 	Open      bool
 	Resumable bool
-	// Model routes carry prompts, whose parts servers cache.
-	Model bool
 }
 
 // Portion is a service's part of a route's requests.
--- a/internal/decision/desired/service.go
+++ b/internal/decision/desired/service.go
@@ -5,11 +5,6 @@
 	Name string
 	// HealthPath answers whether a server considers itself healthy.
 	HealthPath string
-	// Connections is the most connections that a server accepts from all callers.
-	Connections int
-	// Models are the models that the service's engines serve; empty for a plain
-	// service.
-	Models []string
 	// Slots is how many requests an engine runs at once; 0 when unknown.
 	Slots int
 	// CacheTokens is the memory of an engine for running requests and cached parts, or
--- a/internal/decision/forwarder/world_test.go
+++ b/internal/decision/forwarder/world_test.go
@@ -42,7 +42,7 @@
 		},
 		Services: map[string]desired.Service{
 			"records": {Name: "records", HealthPath: "/health"},
-			"engines": {Name: "engines", HealthPath: "/health", Models: []string{model}, CacheTokens: 90_000, Slots: 64},
+			"engines": {Name: "engines", HealthPath: "/health", CacheTokens: 90_000, Slots: 64},
 		},
 		Teams: map[string]desired.Team{"press": {Name: "press", InTokens: true, PlainTokens: 200, Rate: 500_000, Burst: 500_000}},
 	}
--- a/internal/decision/orderer/jobs.go
+++ b/internal/decision/orderer/jobs.go
@@ -26,9 +26,9 @@
 	phase   phase
 	began   clock.Millis
 	// due is when the next report is asked for, or the wait for an answer ends.
-	due     clock.Millis
-	waiting bool // waiting for an answer to a report.
-	heard   bool // heard tells that the engine has accepted the order.
+	due      clock.Millis
+	waiting  bool // waiting for an answer to a report.
+	accepted bool // accepted tells that the engine has accepted the order.
 	// unheard tells that an order got no answer: the engine may serve for seconds until
 	// it carries that out, if it does.
 	unheard bool
@@ -36,7 +36,7 @@
 
 // quiet is how long after an order a report may not show it.
 func (j job) quiet() clock.Millis {
-	if j.heard {
+	if j.accepted {
 		return loadTime + answerWait
 	}
 	return reportLag
@@ -137,7 +137,7 @@
 	}
 	switch {
 	case report.Failed || report.Busy:
-		job.heard = job.heard || (report.Busy && job.phase == loading)
+		job.accepted = job.accepted || (report.Busy && job.phase == loading)
 		job.due = now.Add(pollEvery)
 		return nil
 	case report.Born != 0 && job.born != 0 && report.Born != job.born, report.Weights[job.model] >= job.version:
@@ -153,7 +153,7 @@
 	// An order that got no answer may still be carried out later. This one has the
 	// number of orders that the engine had accepted before, so only one of them is.
 	job.version = o.named[job.model].newest().version
-	job.phase, job.heard = ordering, false
+	job.phase, job.accepted = ordering, false
 	job.began = now
 	job.due = now.Add(orderWait)
 	return []Step{Order{
@@ -172,10 +172,10 @@
 	job.due = now.Add(pollEvery)
 	switch reply {
 	case Accepted:
-		job.heard = true
+		job.accepted = true
 		job.due = now.Add(loadTime)
 	case Holds:
-		job.heard = true
+		job.accepted = true
 	case Unheard:
 		job.unheard = true
 	case Refused:
--- a/internal/decision/orderer/orderer.go
+++ b/internal/decision/orderer/orderer.go
@@ -97,7 +97,7 @@
 func (o *Orderer) Updating() []string {
 	var updating []string
 	for _, id := range slices.Sorted(maps.Keys(o.jobs)) {
-		if job := o.jobs[id]; job.heard || !job.unheard {
+		if job := o.jobs[id]; job.accepted || !job.unheard {
 			updating = append(updating, id)
 		}
 	}
