--- a/internal/decision/cachetracker/cachetracker.go
+++ b/internal/decision/cachetracker/cachetracker.go
@@ -16,7 +16,7 @@
 //		ask(read)
 //	}
 //	switch caches.Read(now, reading) { ... }
-//	switch caches.Told(now, server, news) { ... }
+//	switch caches.Told(now, server, news.Reading()) { ... }
 package cachetracker
 
 import "github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -96,13 +96,14 @@
 	known   bool
 	epoch   int64
 	next    int64
-	// at is when the latest reading was made or told, since when one is under way; 0
-	// for none.
-	at    clock.Millis
+	// at is when the latest reading was made here or told.
+	at clock.Millis
+	// since is when a reading that is under way was begun; 0 for none.
 	since clock.Millis
 	// behind tells that something was missed, so that it is read without a turn.
 	behind bool
-	rest   clock.Millis
+	// rest is until when the server is left alone after a failed reading.
+	rest clock.Millis
 }
 
 // New returns a CacheTracker that knows no server.
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -84,7 +84,7 @@
 	Path    string
 }
 
-// ReadCache asks a server for the changes of its cache.
+// ReadCache asks a server, or the store of kept parts, what it has cached.
 type ReadCache struct{ Read cachetracker.Read }
 
 // AskStore makes the lease's call to the store.
