--- a/internal/decision/cachetracker/cachetracker.go
+++ b/internal/decision/cachetracker/cachetracker.go
@@ -3,9 +3,11 @@
 // of its cache; a read returns those after the last one known.
 //
 // One instance reads a server at a time and broadcasts the changes to its peers. A peer
-// reads the server itself only if it has missed changes, or has received nothing for
-// some time, so that an instance which has just started, or is partitioned from the
-// others, does not depend on them.
+// that is a reader as well reads the server itself only if it has missed changes, or has
+// received nothing for some time, so that an instance which has just started, or is
+// partitioned from the others, does not depend on them. In a large cluster few instances
+// are readers of a server. The others use the changes that they receive, even if some are
+// missing: they know less of its cache then, and the readers are not asked again.
 //
 // Load pattern: prompts share more parts than the engines can cache, so that parts are
 // evicted all the time; and all instances restart together while the engines keep
@@ -108,11 +110,18 @@
 	changesMissed bool
 	// backoffUntil is the end of the pause after a failed read.
 	backoffUntil clock.Millis
+	// reader is set if this instance reads the server if its peers don't, as of
+	// rankKnownAt.
+	reader      bool
+	rankKnownAt clock.Millis
 }
 
 // New returns a CacheTracker without servers.
 func New() *CacheTracker { return &CacheTracker{servers: map[string]*serverState{}} }
 
+// NotReader is the rank of an instance that does not read a server.
+const NotReader = -1
+
 // Due returns the reads that are due. Rank returns the position of this instance in
 // the order in which the instances read a server; 0 is the first.
 func (c *CacheTracker) Due(now clock.Millis, servers []Server, rank func(server string) int) []ReadRequest {
@@ -122,7 +131,7 @@
 		present[server.ID] = true
 		state, ok := c.servers[server.ID]
 		if !ok || state.address != server.Address {
-			state = &serverState{address: server.Address}
+			state = &serverState{address: server.Address, reader: true}
 			c.servers[server.ID] = state
 		}
 		if !state.due(now, func() int { return rank(server.ID) }) {
@@ -143,12 +152,17 @@
 	switch {
 	case s.readStarted > 0 && now.Since(s.readStarted) < readTimeout, now < s.backoffUntil:
 		return false
-	case !s.synced, s.changesMissed:
-		return true
-	case now.Since(s.lastRead) < readInterval:
+	case s.synced && !s.changesMissed && now.Since(s.lastRead) < readInterval:
+		return false
+	case !s.reader && now.Since(s.rankKnownAt) < readInterval:
+		return false
+	}
+	position := rank()
+	s.reader, s.rankKnownAt = position != NotReader, now
+	if !s.reader {
 		return false
 	}
-	return now.Since(s.lastRead) >= readInterval+rankDelay*clock.Millis(min(maxRank, rank()))
+	return !s.synced || s.changesMissed || now.Since(s.lastRead) >= readInterval+rankDelay*clock.Millis(min(maxRank, position))
 }
 
 // RecordRead records the result of a read by this instance.
@@ -200,6 +214,9 @@
 // state, the server becomes due for a read.
 func (c *CacheTracker) ReceiveDelta(now clock.Millis, server string, result ReadResult) Action {
 	state, ok := c.servers[server]
+	if ok && !state.reader {
+		return state.advanceUnread(result)
+	}
 	if !ok || !state.synced {
 		return Ignore
 	}
@@ -210,6 +227,20 @@
 	return state.advance(now, result)
 }
 
+// advanceUnread moves the position of a server of which this instance is no reader. Changes
+// may be missing between the known state and the result.
+func (s *serverState) advanceUnread(result ReadResult) Action {
+	restarted := s.epoch != 0 && s.epoch != result.Epoch
+	if !restarted && result.LastChange <= s.lastChange {
+		return Ignore
+	}
+	s.epoch, s.lastChange = result.Epoch, result.LastChange
+	if restarted {
+		return Reset
+	}
+	return Apply
+}
+
 // Shareable reports whether the result can be broadcast. Peers make reads of the full
 // cache, and reads with more than maxDeltaChanges changes, themselves.
 func (r ReadResult) Shareable() bool {
--- /dev/null
+++ b/internal/decision/digest/codec.go
@@ -0,0 +1,210 @@
+package digest
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// format is the version of the meaning of the fields. A new field needs no new format.
+const format = 1
+
+// Encode returns the digest as a datagram. Its fields are in a fixed order, so that equal
+// digests have equal datagrams.
+func (d Digest) Encode() ([]byte, error) {
+	message := &edgev1.Digest{
+		Format: format, Name: d.Name, Domain: d.Domain, Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence,
+		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, Top: d.Top, Probe: d.Probe,
+		EchoIncarnation: d.Echo.Incarnation, EchoSequence: d.Echo.Sequence,
+		Members: uint32(d.Members), MemberIds: d.MemberIDs,
+		UnreachableServers: d.UnreachableServers, RecoveredServers: d.RecoveredServers,
+		Lease: &edgev1.Lease{Revision: d.Lease.Revision, Holder: d.Lease.Holder, Writes: d.Lease.Writes},
+	}
+	for _, team := range slices.Sorted(maps.Keys(d.Admitted)) {
+		message.Teams = append(message.Teams, team)
+		message.Admitted = append(message.Admitted, d.Admitted[team])
+	}
+	for _, team := range slices.Sorted(maps.Keys(d.BucketLevels)) {
+		message.LevelTeams = append(message.LevelTeams, team)
+		message.Levels = append(message.Levels, d.BucketLevels[team])
+	}
+	for _, server := range slices.Sorted(maps.Keys(d.Loads)) {
+		load := d.Loads[server]
+		message.LoadServers = append(message.LoadServers, server)
+		message.LoadRequests = append(message.LoadRequests, load[0])
+		message.LoadPrefillTokens = append(message.LoadPrefillTokens, load[1])
+		message.LoadMemoryTokens = append(message.LoadMemoryTokens, load[2])
+	}
+	for _, server := range slices.Sorted(maps.Keys(d.SentParts)) {
+		sent := &edgev1.SentParts{Server: server}
+		sent.Keys, sent.Tokens = splitPairs(d.SentParts[server])
+		message.SentParts = append(message.SentParts, sent)
+	}
+	for _, change := range d.CacheDeltas {
+		delta := &edgev1.CacheDelta{Server: change.Server, Epoch: change.Delta.Epoch, Since: change.Delta.Since, LastChange: change.Delta.LastChange}
+		delta.Keys, delta.Tokens = splitPairs(change.Delta.Changes)
+		message.CacheDeltas = append(message.CacheDeltas, delta)
+	}
+	d.encodeRollout(message)
+	for _, fingerprint := range slices.Sorted(maps.Keys(d.CrashedServers)) {
+		message.Crashes = append(message.Crashes, &edgev1.Crash{Fingerprint: fingerprint, Servers: d.CrashedServers[fingerprint]})
+	}
+	for _, replica := range d.Replicas {
+		message.Replicas = append(message.Replicas, &edgev1.Replica{
+			Kind: uint32(replica.Kind), Revision: replica.Revision, Through: replica.Through, AgeMs: int64(replica.Age), Source: replica.Source,
+		})
+	}
+	if d.Outage.Known {
+		message.Outage = &edgev1.Outage{StartedMs: int64(d.Outage.SinceStart), EndedMs: int64(d.Outage.SinceEnd), Ended: d.Outage.Ended}
+	}
+	datagram, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "digest.Encode")
+	}
+	return datagram, nil
+}
+
+func (d Digest) encodeRollout(message *edgev1.Digest) {
+	for _, orders := range d.Orders {
+		update := orders.RelayRequest
+		message.Orders = append(message.Orders, &edgev1.Orders{
+			Holder: orders.Holder, Count: orders.Count, HoldsLease: orders.HoldsLease, LoadingEngines: orders.LoadingEngines,
+			RelayRequest: &edgev1.Update{Holder: update.Record.Holder, Writes: update.Record.Writes, IfRevision: update.IfRevision},
+		})
+	}
+	for _, reported := range d.ReportedWeights {
+		message.ReportedWeights = append(message.ReportedWeights, &edgev1.ReportedWeights{Server: reported.Server, Model: reported.Model, Version: reported.Version})
+	}
+	for _, model := range slices.Sorted(maps.Keys(d.WeightsAges)) {
+		for _, version := range slices.Sorted(maps.Keys(d.WeightsAges[model])) {
+			message.PublishedWeights = append(message.PublishedWeights, &edgev1.PublishedWeights{Model: model, Version: version, AgeMs: int64(d.WeightsAges[model][version])})
+		}
+	}
+}
+
+// AppendEcho returns the datagram with the echo. It does not change the argument.
+func AppendEcho(datagram []byte, echo Echo) ([]byte, error) {
+	appended, err := proto.MarshalOptions{}.MarshalAppend(slices.Clip(datagram), &edgev1.Digest{EchoIncarnation: echo.Incarnation, EchoSequence: echo.Sequence})
+	if err != nil {
+		return nil, errors.Wrap(err, "digest.AppendEcho")
+	}
+	return appended, nil
+}
+
+// Decode decodes and validates a datagram.
+func Decode(datagram []byte) (Digest, error) {
+	var message edgev1.Digest
+	if err := proto.Unmarshal(datagram, &message); err != nil {
+		return Digest{}, errors.Wrap(err, "digest.Decode")
+	}
+	if err := validate(&message); err != nil {
+		return Digest{}, err
+	}
+	d := Digest{
+		Name: message.GetName(), Domain: message.GetDomain(), Address: message.GetAddress(),
+		Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(), Scope: Scope(message.GetScope()),
+		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), Top: message.GetTop(), Probe: message.GetProbe(),
+		Echo:    Echo{Incarnation: message.GetEchoIncarnation(), Sequence: message.GetEchoSequence()},
+		Members: int(message.GetMembers()), MemberIDs: message.GetMemberIds(),
+		UnreachableServers: message.GetUnreachableServers(), RecoveredServers: message.GetRecoveredServers(),
+		Lease: rollout.Observation{Revision: message.GetLease().GetRevision(), Holder: message.GetLease().GetHolder(), Writes: message.GetLease().GetWrites()},
+
+		Admitted: map[uint32]int64{}, BucketLevels: map[uint32]int64{}, Loads: map[uint32][3]int64{}, SentParts: map[uint32][][2]uint64{},
+		WeightsAges: map[string]map[int64]clock.Millis{}, CrashedServers: map[string][]string{},
+	}
+	for i, team := range message.GetTeams() {
+		d.Admitted[team] = message.GetAdmitted()[i]
+	}
+	for i, team := range message.GetLevelTeams() {
+		d.BucketLevels[team] = message.GetLevels()[i]
+	}
+	for i, server := range message.GetLoadServers() {
+		d.Loads[server] = [3]int64{message.GetLoadRequests()[i], message.GetLoadPrefillTokens()[i], message.GetLoadMemoryTokens()[i]}
+	}
+	for _, sent := range message.GetSentParts() {
+		d.SentParts[sent.GetServer()] = joinPairs(sent.GetKeys(), sent.GetTokens())
+	}
+	for _, delta := range message.GetCacheDeltas() {
+		d.CacheDeltas = append(d.CacheDeltas, CacheDelta{Server: delta.GetServer(), Delta: cachetracker.Delta{
+			Epoch: delta.GetEpoch(), Since: delta.GetSince(), LastChange: delta.GetLastChange(), Changes: joinPairs(delta.GetKeys(), delta.GetTokens()),
+		}})
+	}
+	d.decodeRollout(&message)
+	for _, crash := range message.GetCrashes() {
+		d.CrashedServers[crash.GetFingerprint()] = crash.GetServers()
+	}
+	for _, replica := range message.GetReplicas() {
+		d.Replicas = append(d.Replicas, Replica{
+			Kind: int(replica.GetKind()), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
+		})
+	}
+	if outage := message.GetOutage(); outage != nil {
+		d.Outage = Outage{Known: true, SinceStart: clock.Millis(outage.GetStartedMs()), SinceEnd: clock.Millis(outage.GetEndedMs()), Ended: outage.GetEnded()}
+	}
+	return d, nil
+}
+
+func (d *Digest) decodeRollout(message *edgev1.Digest) {
+	for _, orders := range message.GetOrders() {
+		update := orders.GetRelayRequest()
+		d.Orders = append(d.Orders, Orders{
+			Holder: orders.GetHolder(), Count: orders.GetCount(), HoldsLease: orders.GetHoldsLease(), LoadingEngines: orders.GetLoadingEngines(),
+			RelayRequest: rollout.Update{Record: rollout.Record{Holder: update.GetHolder(), Writes: update.GetWrites()}, IfRevision: update.GetIfRevision()},
+		})
+	}
+	for _, reported := range message.GetReportedWeights() {
+		d.ReportedWeights = append(d.ReportedWeights, ReportedWeights{Server: reported.GetServer(), Model: reported.GetModel(), Version: reported.GetVersion()})
+	}
+	for _, published := range message.GetPublishedWeights() {
+		if d.WeightsAges[published.GetModel()] == nil {
+			d.WeightsAges[published.GetModel()] = map[int64]clock.Millis{}
+		}
+		d.WeightsAges[published.GetModel()][published.GetVersion()] = clock.Millis(published.GetAgeMs())
+	}
+}
+
+// validate reports what makes a message unusable.
+func validate(message *edgev1.Digest) error {
+	servers := len(message.GetLoadServers())
+	switch {
+	case message.GetFormat() != format:
+		return errors.Errorf("digest.Decode: format %d is unknown; this instance reads format %d", message.GetFormat(), format)
+	case message.GetName() == "" || message.GetIncarnation() == 0:
+		return errors.New("digest.Decode: the name or the incarnation is missing")
+	case message.GetScope() != edgev1.Scope_SCOPE_SUBTREE && message.GetScope() != edgev1.Scope_SCOPE_ALL:
+		return errors.Errorf("digest.Decode: scope %d is unknown", message.GetScope())
+	case len(message.GetTeams()) != len(message.GetAdmitted()) || len(message.GetLevelTeams()) != len(message.GetLevels()):
+		return errors.New("digest.Decode: the teams and their values differ in number")
+	case servers != len(message.GetLoadRequests()) || servers != len(message.GetLoadPrefillTokens()) || servers != len(message.GetLoadMemoryTokens()):
+		return errors.New("digest.Decode: the servers and their loads differ in number")
+	}
+	for _, replica := range message.GetReplicas() {
+		if replica.GetAgeMs() < 0 || replica.GetRevision() < 0 || replica.GetThrough() < replica.GetRevision() {
+			return errors.New("digest.Decode: a replica's age or revision is out of range")
+		}
+	}
+	return nil
+}
+
+func splitPairs(pairs [][2]uint64) (first, second []uint64) {
+	for _, pair := range pairs {
+		first, second = append(first, pair[0]), append(second, pair[1])
+	}
+	return first, second
+}
+
+// joinPairs joins values of the same index; those without a partner are left out.
+func joinPairs(first, second []uint64) [][2]uint64 {
+	var pairs [][2]uint64
+	for i := range min(len(first), len(second)) {
+		pairs = append(pairs, [2]uint64{first[i], second[i]})
+	}
+	return pairs
+}
--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -1,86 +1,143 @@
-// Package digest defines the message in which each instance broadcasts its state to its
-// peers several times a second. Its fields are whole values rather than changes, so that
-// a lost datagram only delays them. CacheDeltas are the exception: a peer that missed
-// some reads the server itself. Fields that seldom change may be left out of a digest.
+// Package digest defines the datagram in which an instance sends its state, and that of the
+// instances whose states it passes on, to a neighbor several times a second. Most fields
+// are whole values rather than changes, so that a lost datagram only delays them; the
+// others are repeated in several digests.
+//
+// Teams and servers are identified by the hashes of their names, which are shorter.
 //
 // # Usage
 //
-//	datagram, err := state.Encode()
+//	datagram := state.Encode()
+//	datagram = digest.AppendEcho(datagram, echo)
 //	state, err := digest.Decode(datagram)
 package digest
 
 import (
-	"encoding/json"
-
-	"github.com/go-faster/errors"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// Digest is the state of one instance as its peers receive it.
+// Scope is the set of instances that a digest covers.
+type Scope int
+
+// The scopes.
+const (
+	// Subtree covers the sender and the instances below it.
+	Subtree Scope = iota + 1
+	// All covers all instances that the sender knows of.
+	All
+)
+
+// ID returns the identifier of a name in a digest.
+func ID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Echo identifies the receiver's latest digest that the sender of a digest had received
+// before. The zero Echo stands for none.
+type Echo struct {
+	Incarnation uint32
+	Sequence    uint64
+}
+
+// Digest is the state of one instance, or of several, as a neighbor receives it.
 type Digest struct {
-	Name    string `json:"name"`
-	Domain  string `json:"domain"`
-	Address string `json:"address"`
+	Name    string
+	Domain  string
+	Address string
 	// Incarnation differs for each start of the instance; Sequence grows with each
 	// digest.
-	Incarnation string `json:"incarnation"`
-	Sequence    int64  `json:"sequence"`
-	Leaving     bool   `json:"leaving,omitempty"`
-	// Admitted is the number of tokens admitted since the start, by team; BucketLevels
-	// are the levels of the teams' buckets in tokens.
-	Admitted     map[string]int64 `json:"spent,omitempty"`
-	BucketLevels map[string]int64 `json:"levels,omitempty"`
+	Incarnation uint32
+	Sequence    uint64
+	Scope       Scope
+	Leaving     bool
+	// StoreDown reports whether the sender can't reach the store.
+	StoreDown bool
+	// Top reports whether the sender acts at the top level. Probe reports whether it
+	// only asks whether the receiver could be its upstream.
+	Top   bool
+	Probe bool
+	Echo  Echo
+
+	// Members is the number of instances that the digest covers; MemberIDs are those in
+	// the sender's domain.
+	Members   int
+	MemberIDs []uint32
+	// Admitted is the number of tokens admitted since the sender's start, by team;
+	// BucketLevels are the levels of the teams' buckets in tokens.
+	Admitted     map[uint32]int64
+	BucketLevels map[uint32]int64
 	// Loads are the number of requests, the prompt tokens to prefill and the tokens
 	// held in memory, by server.
-	Loads map[string][3]int64 `json:"loads,omitempty"`
+	Loads map[uint32][3]int64
 	// SentParts are the keys and tokens of recently sent prompt parts, by server.
-	SentParts map[string][][2]uint64 `json:"sent,omitempty"`
-	// CacheDeltas are the changes of servers' caches that the instance has read since
-	// its last digest, by server.
-	CacheDeltas map[string]cachetracker.Delta `json:"caches,omitempty"`
-	// UnreachableServers are the servers that the instance can't reach.
-	UnreachableServers []string `json:"down,omitempty"`
-	// LoadingEngines are the engines that the instance has ordered to load weights;
-	// ReportedWeights are the versions that servers reported themselves and that differ
-	// from their entries in the store, by server and model.
-	LoadingEngines  []string                    `json:"updating,omitempty"`
-	ReportedWeights map[string]map[string]int64 `json:"weights,omitempty"`
+	SentParts map[uint32][][2]uint64
+	// CacheDeltas are changes of servers' caches.
+	CacheDeltas []CacheDelta
+	// UnreachableServers are the servers that instances of the domain can't reach;
+	// RecoveredServers are those that one could reach again.
+	UnreachableServers []string
+	RecoveredServers   []string
+	Orders             []Orders
+	// Lease is the latest known observation of the rollout lease.
+	Lease           rollout.Observation
+	ReportedWeights []ReportedWeights
 	// WeightsAges are the times since versions of weights were published, by model and
-	// version, in milliseconds.
-	WeightsAges map[string]map[int64]clock.Millis `json:"named,omitempty"`
-	// Lease is the instance's latest observation of the rollout lease; HoldsLease
-	// reports whether it holds the lease.
-	Lease      rollout.Observation `json:"lease"`
-	HoldsLease bool                `json:"orders,omitempty"`
-	// StoreDown reports whether the instance can't reach the store; RelayRequest is the
-	// update of the lease that it asks its peers to write.
-	StoreDown    bool           `json:"storeDown,omitempty"`
-	RelayRequest rollout.Update `json:"wish"`
+	// version.
+	WeightsAges map[string]map[int64]clock.Millis
 	// CrashedServers are the servers that crashed, by the fingerprint of a request that
 	// ran there.
-	CrashedServers map[string][]string `json:"crashes,omitempty"`
+	CrashedServers map[string][]string
+	// Replicas are the states of the sender's copies of the store's objects.
+	Replicas []Replica
+	Outage   Outage
+}
+
+// CacheDelta is a change of a server's cache.
+type CacheDelta struct {
+	Server uint32
+	Delta  cachetracker.Delta
+}
+
+// Orders is the state of an instance that orders engines to load weights.
+type Orders struct {
+	Holder string
+	// Count grows each time when the holder sends it, so that a copy which is passed on
+	// without being renewed can be recognized.
+	Count      int64
+	HoldsLease bool
+	// LoadingEngines are the engines that the holder has ordered to load weights.
+	LoadingEngines []string
+	// RelayRequest is the update of the lease that the holder asks others to write.
+	RelayRequest rollout.Update
+}
+
+// ReportedWeights is a version of weights that a server reported itself.
+type ReportedWeights struct {
+	Server  string
+	Model   string
+	Version int64
 }
 
-// Encode returns the digest as a datagram.
-func (d Digest) Encode() ([]byte, error) {
-	datagram, err := json.Marshal(d)
-	if err != nil {
-		return nil, errors.Wrap(err, "digest.Encode")
-	}
-	return datagram, nil
+// Replica is the state of a copy of one kind of the store's objects.
+type Replica struct {
+	Kind int
+	// Revision is the store's revision up to which the copy has all changes; there are
+	// none from there to Through.
+	Revision int64
+	Through  int64
+	// Age is the time since the copy was last known to be current, and Source the
+	// instance that learned it from the store.
+	Age    clock.Millis
+	Source uint32
 }
 
-// Decode decodes and validates a datagram.
-func Decode(datagram []byte) (Digest, error) {
-	var d Digest
-	if err := json.Unmarshal(datagram, &d); err != nil {
-		return Digest{}, errors.Wrap(err, "digest.Decode")
-	}
-	if d.Name == "" || d.Incarnation == "" {
-		return Digest{}, errors.New("digest.Decode: the name or the incarnation is missing")
-	}
-	return d, nil
+// Outage is the latest outage of the store, as the times since its start and its end.
+type Outage struct {
+	SinceStart clock.Millis
+	SinceEnd   clock.Millis
+	// Known is false if there was none. Ended is false while it lasts.
+	Known bool
+	Ended bool
 }
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -54,6 +54,8 @@
 	LinesDropped       Number = 3105
 	PeerRemoved        Number = 3106
 	PeersFailed        Number = 3107
+	ReplicaFetchFailed Number = 3108
+	WatchChanged       Number = 3109
 )
 
 // names are the events' names in the log.
@@ -107,6 +109,8 @@
 	LinesDropped:       "linesDropped",
 	PeerRemoved:        "peerRemoved",
 	PeersFailed:        "peersFailed",
+	ReplicaFetchFailed: "replicaFetchFailed",
+	WatchChanged:       "watchChanged",
 }
 
 // String returns the event's name.
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -73,12 +73,18 @@
 // DropRequest discards a request whose caller has disconnected.
 type DropRequest struct{ Request string }
 
-// SendDigest sends the digest to the given peer addresses.
+// SendDigest sends the digest to neighbors, to each with its echo.
 type SendDigest struct {
-	Digest    digest.Digest
-	Addresses []string
+	Digest     digest.Digest
+	Recipients []Recipient
 }
 
+// WatchStore starts or ends the watch of the store's objects.
+type WatchStore struct{ On bool }
+
+// FetchReplicas fetches the objects that changed from a neighbor, at its peer address.
+type FetchReplicas struct{ Address string }
+
 // CheckHealth sends a health check to a server.
 type CheckHealth struct {
 	Server  string
@@ -125,6 +131,8 @@
 func (AbortStream) isAction()     {}
 func (DropRequest) isAction()     {}
 func (SendDigest) isAction()      {}
+func (WatchStore) isAction()      {}
+func (FetchReplicas) isAction()   {}
 func (CheckHealth) isAction()     {}
 func (ReadCache) isAction()       {}
 func (CallStore) isAction()       {}
--- a/internal/decision/forwarder/caches.go
+++ b/internal/decision/forwarder/caches.go
@@ -1,12 +1,13 @@
 package forwarder
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/balancer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -36,19 +37,51 @@
 	}
 }
 
+// maxCacheReaders is the number of instances that may read a server's cache in a cluster
+// in which not all instances exchange digests with each other.
+const maxCacheReaders = 3
+
 // cacheReaderRank returns this instance's rank among the reachable instances for
-// reading the server's cache; rank 0 reads first.
+// reading the server's cache; rank 0 reads first. In a large cluster the instances of the
+// server's failure domain read it.
 func (f *Forwarder) cacheReaderRank(server string) int {
 	ownScore := balancer.Rendezvous(0, f.settings.Name+server)
 	rank := 0
-	for name, p := range f.peers {
-		if p.reachable(f.now) && !p.leaving && balancer.Rendezvous(0, name+server) > ownScore {
+	if f.arrangement.Flat() {
+		for name, n := range f.neighbors {
+			if n.reachable(f.now) && !n.leaving && balancer.Rendezvous(0, name+server) > ownScore {
+				rank++
+			}
+		}
+		return rank
+	}
+	readers := f.arrangement.Domain(f.cacheDomain(server))
+	if len(readers) == 0 {
+		readers = f.arrangement.Tops()
+	}
+	if !slices.Contains(readers, f.settings.Name) {
+		return cachetracker.NotReader
+	}
+	for _, name := range readers {
+		if f.peers[digest.ID(name)].alive(f.now) && balancer.Rendezvous(0, name+server) > ownScore {
 			rank++
 		}
 	}
+	if rank >= maxCacheReaders {
+		return cachetracker.NotReader
+	}
 	return rank
 }
 
+// cacheDomain returns the failure domain of a server or of the cache store.
+func (f *Forwarder) cacheDomain(server string) string {
+	if server == scheduler.StoreID {
+		return f.cacheStore().Domain
+	}
+	known, _ := f.servers.Server(server)
+	return known.Domain
+}
+
 // handleCacheRead applies a cache read of this instance and keeps its changes for the
 // next digest.
 func (f *Forwarder) handleCacheRead(read CacheRead) {
@@ -63,16 +96,17 @@
 	}
 	f.applyCacheRead(read.Server, f.caches.RecordRead(f.now, read.Server, result), result)
 	if result.Shareable() {
-		f.cacheDeltas[read.Server] = result.Delta(f.scheduler.IsShared)
+		f.addCacheDelta(digest.CacheDelta{Server: digest.ID(read.Server), Delta: result.Delta(f.scheduler.IsShared)}, relayer.Own)
 	}
 }
 
-// applyPeerCacheReads applies the cache changes that a peer has read.
-func (f *Forwarder) applyPeerCacheReads(deltas map[string]cachetracker.Delta) {
-	for _, server := range slices.Sorted(maps.Keys(deltas)) {
-		result := deltas[server].Result()
-		f.applyCacheRead(server, f.caches.ReceiveDelta(f.now, server, result), result)
-	}
+// applyPeerCacheRead applies the cache changes that a peer has read. It reports whether
+// they were new to this instance.
+func (f *Forwarder) applyPeerCacheRead(server string, delta cachetracker.Delta) bool {
+	result := delta.Result()
+	action := f.caches.ReceiveDelta(f.now, server, result)
+	f.applyCacheRead(server, action, result)
+	return action != cachetracker.Ignore
 }
 
 func (f *Forwarder) applyCacheRead(server string, action cachetracker.Action, result cachetracker.ReadResult) {
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -149,11 +149,11 @@
 func (c *cluster) startInstance(i int) {
 	c.instances[i] = forwarder.New(c.settings[i], fmt.Sprint("start-", i, "-", c.now), uint64(i+1))
 	c.step(i, forwarder.Tick{})
-	addresses := map[string]string{}
+	members := map[string]forwarder.Member{}
 	for _, settings := range c.settings {
-		addresses[settings.Name] = settings.PeerAddress
+		members[settings.Name] = forwarder.Member{Address: settings.PeerAddress, Domain: settings.Domain}
 	}
-	c.step(i, forwarder.PeersListed{Addresses: addresses})
+	c.step(i, forwarder.PeersListed{Members: members})
 	c.step(i, forwarder.StateRead{State: newDesiredState(1), ConfirmedAt: c.now})
 	c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
 	c.listServers(i)
@@ -235,8 +235,12 @@
 		c.recordFinalAction(action)
 	case forwarder.SendDigest:
 		for j, settings := range c.settings {
-			if slices.Contains(action.Addresses, settings.PeerAddress) {
-				c.after(2, func() { c.step(j, forwarder.DigestReceived{Digest: action.Digest}) })
+			for _, recipient := range action.Recipients {
+				if recipient.Address == settings.PeerAddress {
+					received := action.Digest
+					received.Echo = recipient.Echo
+					c.after(2, func() { c.step(j, forwarder.DigestReceived{Digest: received}) })
+				}
 			}
 		}
 	case forwarder.CheckHealth:
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
@@ -139,8 +140,18 @@
 	StoreResponded struct{}
 )
 
-// PeersListed is the list of instances in the store: addresses by name.
-type PeersListed struct{ Addresses map[string]string }
+// PeersListed is the list of instances in the store, by name.
+type PeersListed struct{ Members map[string]Member }
+
+// ReplicaUpdated reports that the objects of a kind were read. The source of the copy is 0
+// if it was the store.
+type ReplicaUpdated struct {
+	Kind replicator.Kind
+	Copy replicator.Copy
+}
+
+// ReplicasFetched reports the end of a FetchReplicas. Detail is the error, if there was one.
+type ReplicasFetched struct{ Detail string }
 
 // DigestReceived is a digest received from a peer.
 type DigestReceived struct{ Digest digest.Digest }
@@ -225,6 +236,8 @@
 func (StoreResponded) isEvent()     {}
 func (PeersListed) isEvent()        {}
 func (DigestReceived) isEvent()     {}
+func (ReplicaUpdated) isEvent()     {}
+func (ReplicasFetched) isEvent()    {}
 func (HealthChecked) isEvent()      {}
 func (LeaseRead) isEvent()          {}
 func (LeaseWritten) isEvent()       {}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -6,7 +6,8 @@
 // It composes the packages that decide: desired (route and team), tokenbucket (the
 // team's limit), scheduler (server selection), retrybudget (retry budget), quarantine
 // (requests that crash servers), cachetracker (cached prompt parts at servers), registry
-// (backend servers) and rollout (loading new weights into engines).
+// (backend servers), rollout (loading new weights into engines), organizer (with which
+// instances digests are exchanged) and replicator (from where the store's objects are read).
 //
 // The age of the desired state is the time since the store last confirmed it. With
 // strict key withdrawal, requests with a key are refused while the state is too old,
@@ -26,10 +27,15 @@
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/organizer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/outbox"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/quarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/retrybudget"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
@@ -54,6 +60,20 @@
 	defaultRetryAfter = clock.Second
 )
 
+// Notices to neighbors.
+const (
+	// noticePeriod is the time for which a notice is repeated: in several digests.
+	noticePeriod = 700 * clock.Millisecond
+	// sentNoticePeriod is the same for sent prompt parts, which are many.
+	sentNoticePeriod = 400 * clock.Millisecond
+	// noticeMemory is the time for which a repeated notice is ignored, and
+	// weightsNoticeMemory the same for versions of weights, which never return.
+	noticeMemory        = 1500 * clock.Millisecond
+	weightsNoticeMemory = 10 * clock.Second
+	// maxNotices limits the notices of a kind that are kept.
+	maxNotices = 1024
+)
+
 // Forwarder is the state of one instance. It is not safe for concurrent use.
 type Forwarder struct {
 	settings    instancesettings.Settings
@@ -84,27 +104,53 @@
 	rollout     *rollout.Controller
 	caches      *cachetracker.CacheTracker
 	// nextCacheScan is the time of the next scan for caches to read; cacheDeltas are
-	// the changes that this instance has read, for the next digest.
+	// the changes for the next digests.
 	nextCacheScan clock.Millis
-	cacheDeltas   map[string]cachetracker.Delta
+	cacheDeltas   []cacheDelta
 
 	// loadingSince is the time at which each engine was first seen to load weights;
 	// nextMoveCheck is the time of the next check for streams that delay it.
 	loadingSince  map[string]clock.Millis
 	nextMoveCheck clock.Millis
 
-	peers map[string]peer
-	// havePeers reports whether the peers have been listed.
-	havePeers     bool
+	// peers are the other listed instances by identifier, and arrangement their
+	// positions. havePeers reports whether they have been listed.
+	peers       map[uint32]peer
+	arrangement organizer.Arrangement
+	havePeers   bool
+	ownEntry    Member
+	// neighbors are the instances with which digests are exchanged, by name. upstream is
+	// the one above this instance; empty for none.
+	neighbors      map[string]neighbor
+	upstream       string
+	lastUpstreamAt clock.Millis
+	nextUpgrade    clock.Millis
+	probeIndex     int
+	// sent are the sums that were sent to neighbors. upstreamSince is the sequence number
+	// of the first digest that was sent to the current upstream.
+	sent          *outbox.Outbox
+	upstreamSince uint64
 	nextBroadcast clock.Millis
 	lastBroadcast clock.Millis
 	// broadcastFull reports whether the next digest includes the fields that seldom
 	// change.
 	broadcastFull bool
-	sequence      int64
-	// reportedWeights are the versions of weights that servers reported themselves and
-	// that differ from their entries in the store, by server and model.
-	reportedWeights map[string]map[string]int64
+	// admittedBelow and admittedElsewhere are the tokens that instances in this one's
+	// subtree, and all others, have admitted while this instance ran, by team.
+	admittedBelow     map[string]int64
+	admittedElsewhere map[string]int64
+	// teamNames and serverNames are the names by identifier in digests.
+	teamNames   map[uint32]string
+	serverNames map[uint32]string
+	// The notices are repeated in several digests.
+	unreachableNotices *relayer.Relayer[string]
+	recoveredNotices   *relayer.Relayer[string]
+	weightsNotices     *relayer.Relayer[digest.ReportedWeights]
+	sentNotices        *relayer.Relayer[sentPart]
+	// orders are the states of other instances that order engines, by name.
+	orders map[string]receivedOrders
+	// replicas decides from where the store's objects are read.
+	replicas *replicator.Replicator
 	// interruptions are the recently interrupted requests by server: they count as
 	// crashes if the server turns out to be down. crashedServers are the servers that
 	// crashed, by the fingerprint of a request that ran there.
@@ -118,23 +164,30 @@
 // New returns the state of an instance that has just started.
 func New(settings instancesettings.Settings, incarnation string, seed uint64) *Forwarder {
 	return &Forwarder{
-		settings:        settings,
-		incarnation:     incarnation,
-		randomState:     seed | 1,
-		servers:         registry.New(),
-		scheduler:       scheduler.New(),
-		limiter:         tokenbucket.New(),
-		retryBudget:     retrybudget.New(settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, settings.Bounds.RetryWindow),
-		quarantine:      quarantine.New(maxSuspects),
-		rollout:         rollout.New(settings.Name+"@"+settings.IP, settings.Bounds.MinOrderHandover),
-		caches:          cachetracker.New(),
-		cacheDeltas:     map[string]cachetracker.Delta{},
-		loadingSince:    map[string]clock.Millis{},
-		peers:           map[string]peer{},
-		reportedWeights: map[string]map[string]int64{},
-		interruptions:   map[string][]interruption{},
-		crashedServers:  map[string][]string{},
-		flights:         map[string]*flight{},
+		settings:      settings,
+		incarnation:   incarnation,
+		randomState:   seed | 1,
+		servers:       registry.New(),
+		scheduler:     scheduler.New(),
+		limiter:       tokenbucket.New(),
+		retryBudget:   retrybudget.New(settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, settings.Bounds.RetryWindow),
+		quarantine:    quarantine.New(maxSuspects),
+		rollout:       rollout.New(settings.Name+"@"+settings.IP, settings.Bounds.MinOrderHandover),
+		caches:        cachetracker.New(),
+		loadingSince:  map[string]clock.Millis{},
+		peers:         map[uint32]peer{},
+		arrangement:   organizer.Arrange(settings.Name, nil),
+		neighbors:     map[string]neighbor{},
+		sent:          outbox.New(digest.ID(incarnation)),
+		admittedBelow: map[string]int64{}, admittedElsewhere: map[string]int64{},
+		teamNames: map[uint32]string{}, serverNames: map[uint32]string{digest.ID(scheduler.StoreID): scheduler.StoreID},
+		unreachableNotices: relayer.New[string](noticePeriod, noticeMemory, maxNotices), recoveredNotices: relayer.New[string](noticePeriod, noticeMemory, maxNotices),
+		weightsNotices: relayer.New[digest.ReportedWeights](noticePeriod, weightsNoticeMemory, maxNotices),
+		sentNotices:    relayer.New[sentPart](sentNoticePeriod, noticeMemory, maxNotices),
+		orders:         map[string]receivedOrders{},
+		interruptions:  map[string][]interruption{},
+		crashedServers: map[string][]string{},
+		flights:        map[string]*flight{},
 	}
 }
 
@@ -145,6 +198,7 @@
 	f.actions = nil
 	if f.startedAt == 0 {
 		f.startedAt = now
+		f.replicas = replicator.New(now, digest.ID(f.settings.Name), replicaTiming(f.settings.Bounds.KeyWithdrawal))
 		f.log(eventlog.New(eventlog.InstanceStarted, "").With("instance", f.settings.Name).With("domain", f.settings.Domain).With("incarnation", f.incarnation))
 	}
 	f.handle(event)
@@ -192,6 +246,10 @@
 		f.handlePeersListed(event)
 	case DigestReceived:
 		f.handleDigest(event.Digest)
+	case ReplicaUpdated:
+		f.handleReplicaUpdated(event)
+	case ReplicasFetched:
+		f.handleReplicasFetched(event)
 	case CacheRead:
 		f.handleCacheRead(event)
 	case SettingsReloaded:
@@ -216,7 +274,8 @@
 	f.advanceRollout()
 	f.moveStreams()
 	f.readDueCaches()
-	f.broadcastDigest()
+	f.advanceReplicas()
+	f.broadcast()
 }
 
 func (f *Forwarder) emit(action Action) { f.actions = append(f.actions, action) }
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -3,7 +3,9 @@
 import (
 	"slices"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -63,10 +65,7 @@
 		f.scheduler.Forget(id)
 	}
 	f.servers.SetWeightVersion(id, model, version)
-	if f.reportedWeights[id] == nil {
-		f.reportedWeights[id] = map[string]int64{}
-	}
-	f.reportedWeights[id][model] = version
+	f.weightsNotices.Add(f.now, digest.ReportedWeights{Server: id, Model: model, Version: version}, relayer.Own)
 	f.broadcastNow()
 }
 
@@ -77,9 +76,9 @@
 	for _, id := range f.rollout.LoadingEngines() {
 		loading[id] = true
 	}
-	for _, p := range f.peers {
-		if p.reachable(f.now) {
-			for _, id := range p.loadingEngines {
+	for _, received := range f.orders {
+		if f.now.Since(received.renewedAt) < ordersTimeout {
+			for _, id := range received.orders.LoadingEngines {
 				loading[id] = true
 			}
 		}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -5,10 +5,13 @@
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/quarantine"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/retrybudget"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -23,6 +26,9 @@
 	// interruptionTTL is the time for which an interruption is kept, until it is known
 	// whether its server crashed.
 	interruptionTTL = 2 * clock.Second
+	// maxServerNames limits the identifiers of servers that are kept, also of removed
+	// ones.
+	maxServerNames = 8192
 	// maxInterruptions limits the interruptions kept for a server.
 	maxInterruptions = 64
 )
@@ -50,6 +56,10 @@
 			f.limiter.SetLimit(f.now, name, team.Rate, team.Burst, f.initialTokens(team))
 		}
 	}
+	f.teamNames = make(map[uint32]string, len(f.desired.Teams))
+	for name := range f.desired.Teams {
+		f.teamNames[digest.ID(name)] = name
+	}
 	f.scheduler.SetStoreCapacity(f.cacheStore().CacheTokens)
 	f.emit(SetLimits{Limits: f.desired.Limits})
 }
@@ -79,6 +89,7 @@
 }
 
 func (f *Forwarder) handleStoreFailed(failed StoreFailed) {
+	f.replicas.StoreFailed(f.now)
 	if f.storeDown {
 		return
 	}
@@ -88,6 +99,7 @@
 }
 
 func (f *Forwarder) handleStoreResponded() {
+	f.replicas.StoreResponded()
 	if f.storeDown {
 		f.storeDown = false
 		f.storeRecoveredAt = f.now
@@ -109,6 +121,13 @@
 		f.servers.Remove(f.now, changed.Entry.ID, f.expiryWindowEnd())
 		return
 	}
+	if len(f.serverNames) >= maxServerNames {
+		f.serverNames = map[uint32]string{digest.ID(scheduler.StoreID): scheduler.StoreID}
+		for _, server := range f.servers.All() {
+			f.serverNames[digest.ID(server.ID)] = server.ID
+		}
+	}
+	f.serverNames[digest.ID(changed.Entry.ID)] = changed.Entry.ID
 	previous, known := f.servers.Put(changed.Entry)
 	if known && previous.StartedAt != changed.Entry.StartedAt {
 		f.handleServerCrash(changed.Entry.ID)
@@ -127,7 +146,7 @@
 func (f *Forwarder) handleServerCrash(id string) {
 	f.scheduler.Forget(id)
 	f.caches.Forget(id)
-	delete(f.reportedWeights, id)
+	f.unreachableNotices.Add(f.now, id, relayer.Own)
 	f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id))
 	for _, interrupted := range f.interruptions[id] {
 		if f.now.Since(interrupted.at) <= interruptionTTL {
@@ -155,6 +174,7 @@
 		return
 	}
 	f.crashedServers[fingerprint] = append(f.crashedServers[fingerprint], server)
+	f.broadcastFull = true
 	if len(f.crashedServers) > maxSuspects {
 		clear(f.crashedServers)
 	}
@@ -175,7 +195,8 @@
 		server, ok := f.servers.Server(checked.Server)
 		if ok && server.Down() {
 			f.servers.RecordResult(f.now, checked.Server, false)
-			f.log(eventlog.New(eventlog.ServerRecovered, "").With("server", checked.Server))
+			f.recoveredNotices.Add(f.now, checked.Server, relayer.Own)
+			f.logRecovered(checked.Server)
 		}
 		return
 	}
@@ -184,6 +205,10 @@
 	}
 }
 
+func (f *Forwarder) logRecovered(id string) {
+	f.log(eventlog.New(eventlog.ServerRecovered, "").With("server", id))
+}
+
 // handleSettingsReloaded applies changed settings. New bounds take effect at once;
 // changes of the name and the addresses need a restart and are only logged.
 func (f *Forwarder) handleSettingsReloaded(settings instancesettings.Settings) {
--- a/internal/decision/instancesettings/settings.go
+++ b/internal/decision/instancesettings/settings.go
@@ -35,6 +35,9 @@
 	// FirstStart reports whether the whole cluster starts for the first time.
 	FirstStart bool
 
+	// Capacity is the processor time that the process may use, in thousandths of a core;
+	// 0 if unknown. Instances with more of it do more of the work for others.
+	Capacity int64
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int64
 	Bounds   Bounds
@@ -115,6 +118,9 @@
 			findings.Add(locate(field), "is no address: \""+addresses[field]+"\"", "give it as host:port")
 		}
 	}
+	if s.Capacity < 0 {
+		findings.Add(locate("capacity"), "is negative", "give the share of a core that the process may use")
+	}
 	if s.MemoryMB <= 0 {
 		findings.Add(locate("memory"), "is not positive", "give the megabytes that the process may use")
 	}
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -22,6 +22,9 @@
 	// healthCheckInterval is the time from a failed attempt to reach a server to its
 	// health check. The server receives no requests until a check succeeds.
 	healthCheckInterval = 500 * clock.Millisecond
+	// reportedCheckDelay is the longest time from a report that a server is down to the
+	// first health check, for each unit of the spacing.
+	reportedCheckDelay = 100 * clock.Millisecond
 	// errorHalfLife is the half-life of the error rate without new results.
 	errorHalfLife = 3 * clock.Second
 )
@@ -41,6 +44,8 @@
 	errorRate   float64      // errorRate is the error rate at errorRateAt.
 	errorRateAt clock.Millis
 	lastReached clock.Millis // lastReached is the end of the latest attempt that reached it; 0 for none.
+	// lastUnreachable is the time of this instance's latest failure to reach it.
+	lastUnreachable clock.Millis
 }
 
 // Down reports whether the server counts as unreachable.
@@ -59,11 +64,32 @@
 // Registry has the servers by identifier. It is not safe for concurrent use.
 type Registry struct {
 	servers map[string]Server
+	// sorted has the servers by identifier; nil after a change.
+	sorted []Server
+	// checkSpacing is the factor by which health checks are further apart than in a
+	// small cluster.
+	checkSpacing clock.Millis
+}
+
+// instancesPerSpacing is the number of instances that check a server, each at
+// healthCheckInterval, without slowing down one that is starting.
+const instancesPerSpacing = 10
+
+// SetInstances sets the number of instances. The more there are, the less often each of
+// them checks a server that is down; one that reaches it tells the others.
+func (r *Registry) SetInstances(count int) {
+	r.checkSpacing = clock.Millis(max(1, count/instancesPerSpacing))
+}
+
+// put stores a server.
+func (r *Registry) put(server Server) {
+	r.servers[server.ID] = server
+	r.sorted = nil
 }
 
 // New returns a Registry without servers.
 func New() *Registry {
-	return &Registry{servers: map[string]Server{}}
+	return &Registry{servers: map[string]Server{}, checkSpacing: 1}
 }
 
 // Put adds or updates a server from its entry, unless the entry is older than the known
@@ -79,7 +105,7 @@
 		updated.Entry = entry.withNewerWeights(before.Entry)
 		updated.expiresAt = 0
 	}
-	r.servers[entry.ID] = updated
+	r.put(updated)
 	return before, known
 }
 
@@ -104,10 +130,11 @@
 	}
 	if now >= expiresAt || server.Draining {
 		delete(r.servers, id)
+		r.sorted = nil
 		return
 	}
 	server.expiresAt = expiresAt
-	r.servers[id] = server
+	r.put(server)
 }
 
 // Replace puts the entries of a full list and removes all others.
@@ -126,9 +153,12 @@
 
 // Expire drops the servers whose entries were not put again before their expiry.
 func (r *Registry) Expire(now clock.Millis) {
-	maps.DeleteFunc(r.servers, func(_ string, server Server) bool {
-		return server.expiresAt != 0 && now >= server.expiresAt
-	})
+	for id, server := range r.servers {
+		if server.expiresAt != 0 && now >= server.expiresAt {
+			delete(r.servers, id)
+			r.sorted = nil
+		}
+	}
 }
 
 // Server returns the server with the identifier.
@@ -137,17 +167,24 @@
 	return server, ok
 }
 
-// All returns all servers, sorted by identifier.
+// All returns all servers, sorted by identifier. The caller must not change the slice.
 func (r *Registry) All() []Server {
-	return slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	if r.sorted == nil {
+		r.sorted = slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return r.sorted
 }
 
 // Available returns the servers of the service that accept new requests, sorted by
 // identifier. It includes those that are down.
 func (r *Registry) Available(now clock.Millis, service string) []Server {
-	return slices.DeleteFunc(r.All(), func(server Server) bool {
-		return server.Service != service || server.Draining || (server.expiresAt != 0 && now >= server.expiresAt)
-	})
+	var available []Server
+	for _, server := range r.All() {
+		if server.Service == service && !server.Draining && (server.expiresAt == 0 || now < server.expiresAt) {
+			available = append(available, server)
+		}
+	}
+	return available
 }
 
 // SetWeightVersion sets the version of the model's weights that a server has loaded.
@@ -157,7 +194,7 @@
 		return
 	}
 	server.Entry = server.Entry.WithWeightVersion(model, version)
-	r.servers[id] = server
+	r.put(server)
 }
 
 // MarkUnreachable marks the server as down after a failure that this instance itself
@@ -169,22 +206,37 @@
 	}
 	changed := !server.down
 	server.down = true
+	server.lastUnreachable = now
 	server.nextCheck = now.Add(healthCheckInterval)
-	r.servers[id] = server
+	r.put(server)
 	return changed
 }
 
 // MarkReportedUnreachable records that a peer can't reach the server. The server counts
 // as down until a health check, unless an attempt of this instance has reached it within
-// healthCheckInterval. It reports whether the server was marked as down.
-func (r *Registry) MarkReportedUnreachable(now clock.Millis, id string) bool {
+// healthCheckInterval. The check is due after a part of the time between two checks:
+// spread is a random number in [0, 1). It reports whether the server was marked as down.
+func (r *Registry) MarkReportedUnreachable(now clock.Millis, id string, spread float64) bool {
 	server, ok := r.servers[id]
 	if !ok || server.down || (server.lastReached != 0 && now.Since(server.lastReached) < healthCheckInterval) {
 		return false
 	}
 	server.down = true
-	server.nextCheck = now.Add(healthCheckInterval)
-	r.servers[id] = server
+	server.nextCheck = now.Add(clock.Millis(spread * float64(reportedCheckDelay*(r.checkSpacing-1))))
+	r.put(server)
+	return true
+}
+
+// MarkReportedRecovered records that a peer can reach the server again, unless this
+// instance itself failed to reach it within healthCheckInterval. It reports whether the
+// server was marked as up.
+func (r *Registry) MarkReportedRecovered(now clock.Millis, id string) bool {
+	server, ok := r.servers[id]
+	if !ok || !server.down || now.Since(server.lastUnreachable) < healthCheckInterval {
+		return false
+	}
+	server.down = false
+	r.put(server)
 	return true
 }
 
@@ -203,19 +255,19 @@
 	server.lastReached = now
 	server.errorRate = rate
 	server.errorRateAt = now
-	r.servers[id] = server
+	r.put(server)
 }
 
 // DueHealthChecks returns the servers that are down and due for a health check. Their
-// next check is due after two intervals, unless the outcome of this one is recorded
-// before.
+// next check is due after two intervals, or more in a large cluster, unless the outcome of
+// this one is recorded before.
 func (r *Registry) DueHealthChecks(now clock.Millis) []Server {
 	var due []Server
 	for _, server := range r.All() {
 		if server.down && now >= server.nextCheck {
 			due = append(due, server)
-			server.nextCheck = now.Add(2 * healthCheckInterval)
-			r.servers[server.ID] = server
+			server.nextCheck = now.Add(2 * healthCheckInterval * r.checkSpacing)
+			r.put(server)
 		}
 	}
 	return due
--- a/internal/decision/registry/registry_test.go
+++ b/internal/decision/registry/registry_test.go
@@ -99,8 +99,8 @@
 	servers := registry.New()
 	servers.Put(entry("s", 1))
 	servers.RecordResult(1000, "s", false)
-	require.False(t, servers.MarkReportedUnreachable(1200, "s"))
-	require.True(t, servers.MarkReportedUnreachable(1600, "s"))
+	require.False(t, servers.MarkReportedUnreachable(1200, "s", 0))
+	require.True(t, servers.MarkReportedUnreachable(1600, "s", 0))
 	server, _ := servers.Server("s")
 	require.True(t, server.Down())
 }
--- a/internal/decision/scheduler/load.go
+++ b/internal/decision/scheduler/load.go
@@ -9,10 +9,12 @@
 	MemoryTokens int64
 }
 
-func (l Load) plus(other Load) Load {
+// Plus returns the sum of both loads.
+func (l Load) Plus(other Load) Load {
 	return Load{Requests: l.Requests + other.Requests, PrefillTokens: l.PrefillTokens + other.PrefillTokens, MemoryTokens: l.MemoryTokens + other.MemoryTokens}
 }
 
-func (l Load) minus(other Load) Load {
+// Minus returns the load without the other one.
+func (l Load) Minus(other Load) Load {
 	return Load{Requests: l.Requests - other.Requests, PrefillTokens: l.PrefillTokens - other.PrefillTokens, MemoryTokens: l.MemoryTokens - other.MemoryTokens}
 }
--- a/internal/decision/scheduler/scheduler.go
+++ b/internal/decision/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -99,6 +100,8 @@
 	sharedParts map[uint64]struct{}
 	// storeCapacity is the memory of the cache store in tokens; 0 without a store.
 	storeCapacity int64
+	// instances is the number of instances that share the cache store's link.
+	instances int
 }
 
 // inFlightRequest is an in-flight request with its server.
@@ -122,7 +125,7 @@
 func (s *Scheduler) Begin(now clock.Millis, requestID string, choice Choice) {
 	s.End(requestID)
 	s.inFlight[requestID] = inFlightRequest{choice: choice, startedAt: now}
-	s.ownLoads[choice.Server] = s.ownLoads[choice.Server].plus(loadOf(choice))
+	s.ownLoads[choice.Server] = s.ownLoads[choice.Server].Plus(loadOf(choice))
 	if choice.request.plain() {
 		return
 	}
@@ -139,10 +142,11 @@
 	readyAt := now.Add(max(minPrefillTime, s.prefillTime(choice.Server, choice.Load.PrefillTokens+choice.UncachedTokens)))
 	for i, part := range choice.request.Parts {
 		key := partKey(choice.Salt, part.ID)
+		confirmed := cache.confirmedTokens(now, key) >= part.Tokens
 		cache.recordSent(now, readyAt, key, part.Tokens)
 		if i < len(choice.request.Parts)-1 {
 			s.markShared(key)
-			s.recentlySent = append(s.recentlySent, sentPart{sentAt: now, server: choice.Server, part: [2]uint64{key, uint64(part.Tokens)}})
+			s.recentlySent = append(s.recentlySent, sentPart{sentAt: now, server: choice.Server, part: [2]uint64{key, uint64(part.Tokens)}, confirmed: confirmed})
 		}
 		if choice.SaveToStore {
 			s.cacheOf(StoreID).recordSent(now, readyAt, key, part.Tokens)
@@ -184,7 +188,7 @@
 	inFlight.responseStarted = true
 	s.inFlight[requestID] = inFlight
 	server := inFlight.choice.Server
-	s.ownLoads[server] = s.ownLoads[server].plus(Load{PrefillTokens: -inFlight.choice.UncachedTokens})
+	s.ownLoads[server] = s.ownLoads[server].Plus(Load{PrefillTokens: -inFlight.choice.UncachedTokens})
 	expected := inFlight.choice.QueueMs + float64(inFlight.choice.UncachedTokens)/defaultPrefillRate
 	if inFlight.choice.request.plain() || expected < minExpectedMs {
 		return
@@ -205,7 +209,7 @@
 		released.PrefillTokens = 0
 	}
 	server := inFlight.choice.Server
-	s.ownLoads[server] = s.ownLoads[server].minus(released)
+	s.ownLoads[server] = s.ownLoads[server].Minus(released)
 	if s.ownLoads[server] == (Load{}) {
 		delete(s.ownLoads, server)
 	}
@@ -221,12 +225,31 @@
 	return s.ownLoads
 }
 
+// PlacedLoads returns the loads that this instance and the given peers have placed, by
+// server.
+func (s *Scheduler) PlacedLoads(now clock.Millis, peers []string) map[string]Load {
+	loads := maps.Clone(s.ownLoads)
+	for _, name := range peers {
+		peer, ok := s.peerLoads[name]
+		if !ok || now.Since(peer.receivedAt) >= peerLoadTimeout {
+			continue
+		}
+		for server, load := range peer.loads {
+			loads[server] = loads[server].Plus(load)
+		}
+	}
+	return loads
+}
+
+// ForgetLoads drops the loads of a peer.
+func (s *Scheduler) ForgetLoads(peer string) { delete(s.peerLoads, peer) }
+
 // ServerLoad returns the load that all instances have placed on the server.
 func (s *Scheduler) ServerLoad(now clock.Millis, server string) Load {
 	load := s.ownLoads[server]
 	for _, peer := range s.peerLoads {
 		if now.Since(peer.receivedAt) < peerLoadTimeout {
-			load = load.plus(peer.loads[server])
+			load = load.Plus(peer.loads[server])
 		}
 	}
 	return load
--- a/internal/decision/scheduler/sent.go
+++ b/internal/decision/scheduler/sent.go
@@ -12,6 +12,8 @@
 	sentAt clock.Millis
 	server string
 	part   [2]uint64 // part is the key and the number of tokens.
+	// confirmed is set if the server had already reported the part.
+	confirmed bool
 }
 
 const (
@@ -23,11 +25,12 @@
 )
 
 // RecentlySent returns the keys and the token counts of the parts that were sent within
-// sentBroadcastPeriod, by server.
-func (s *Scheduler) RecentlySent(now clock.Millis) map[string][][2]uint64 {
+// sentBroadcastPeriod, by server. With onlyNew it leaves out those that the server had
+// already reported.
+func (s *Scheduler) RecentlySent(now clock.Millis, onlyNew bool) map[string][][2]uint64 {
 	sent := map[string][][2]uint64{}
 	for _, recent := range s.recentlySent {
-		if now.Since(recent.sentAt) <= sentBroadcastPeriod && !slices.Contains(sent[recent.server], recent.part) {
+		if now.Since(recent.sentAt) <= sentBroadcastPeriod && !(onlyNew && recent.confirmed) && !slices.Contains(sent[recent.server], recent.part) {
 			sent[recent.server] = append(sent[recent.server], recent.part)
 		}
 	}
--- a/internal/decision/scheduler/sources.go
+++ b/internal/decision/scheduler/sources.go
@@ -85,15 +85,12 @@
 // this instance's requests, assuming that all reachable instances have equal shares of
 // its link.
 func (s *Scheduler) currentStoreBacklog(now clock.Millis) float64 {
-	instances := 1
-	for _, peer := range s.peerLoads {
-		if now.Since(peer.receivedAt) < peerLoadTimeout {
-			instances++
-		}
-	}
-	return max(0, s.storeBacklog-float64(now.Since(s.storeBacklogAt))*storeFetchRate/float64(instances))
+	return max(0, s.storeBacklog-float64(now.Since(s.storeBacklogAt))*storeFetchRate/float64(max(1, s.instances)))
 }
 
+// SetInstances sets the number of reachable instances.
+func (s *Scheduler) SetInstances(count int) { s.instances = count }
+
 // addStoreFetch adds a fetch from the cache store to the backlog.
 func (s *Scheduler) addStoreFetch(now clock.Millis, tokens int64) {
 	s.storeBacklog = s.currentStoreBacklog(now) + float64(tokens)
--- a/internal/decision/tokenbucket/tokenbucket.go
+++ b/internal/decision/tokenbucket/tokenbucket.go
@@ -177,8 +177,10 @@
 }
 
 // ReceivePeer updates the buckets with the tokens that a peer has admitted since its
-// start. A bucket that is not synced takes over the peer's level, if there is one.
-func (l *Limiter) ReceivePeer(now clock.Millis, name, incarnation string, admitted, levels map[string]int64) {
+// start. A bucket that is not synced takes over the peer's level, if there is one. It
+// returns the tokens that were subtracted, by team.
+func (l *Limiter) ReceivePeer(now clock.Millis, name, incarnation string, admitted, levels map[string]int64) map[string]int64 {
+	subtracted := map[string]int64{}
 	last, known := l.peers[name]
 	sameIncarnation := known && last.incarnation == incarnation
 	// A peer that was unreachable has used only its own share of the limits, which
@@ -200,8 +202,18 @@
 			used -= last.admitted[team]
 		}
 		b.level -= float64(used)
+		if used != 0 {
+			subtracted[team] = used
+		}
 	}
 	l.peers[name] = peer{incarnation: incarnation, admitted: maps.Clone(admitted), lastSeen: now}
+	return subtracted
+}
+
+// ForgetPeers drops the counts of peers that have not been received for the time. What
+// they report later counts from then on.
+func (l *Limiter) ForgetPeers(now, unheardFor clock.Millis) {
+	maps.DeleteFunc(l.peers, func(_ string, p peer) bool { return now.Since(p.lastSeen) > unheardFor })
 }
 
 // MarkSynced marks all buckets as synced: the instance has run long enough for the levels
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
@@ -32,6 +33,10 @@
 		e.meter.Observe(string(action.Histogram), action.Duration)
 	case forwarder.SendDigest:
 		e.sendDigest(action)
+	case forwarder.WatchStore:
+		e.watchStore(action.On)
+	case forwarder.FetchReplicas:
+		e.start(func() { e.fetchReplicas(action.Address) })
 	case forwarder.CheckHealth:
 		e.start(func() { e.checkHealth(action) })
 	case forwarder.ReadCache:
@@ -72,7 +77,7 @@
 	}
 }
 
-// sendDigest sends a digest to peers. Datagrams are not resent: the next digest
+// sendDigest sends a digest to neighbors. Datagrams are not resent: the next digest
 // replaces a lost one.
 func (e *Edge) sendDigest(send forwarder.SendDigest) {
 	datagram, err := send.Digest.Encode()
@@ -80,13 +85,18 @@
 		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
 		return
 	}
-	for _, peer := range send.Addresses {
-		address, err := parsePeerAddress(peer)
+	for _, recipient := range send.Recipients {
+		address, err := parsePeerAddress(recipient.Address)
 		if err != nil {
-			e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("address", peer).With("error", err))
+			e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("address", recipient.Address).With("error", err))
 			continue
 		}
-		if _, err := e.peerSocket.WriteTo(datagram, address); err != nil {
+		withEcho, err := digest.AppendEcho(datagram, recipient.Echo)
+		if err != nil {
+			e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
+			continue
+		}
+		if _, err := e.peerSocket.WriteTo(withEcho, address); err != nil {
 			e.meter.Add("datagramsUnsent", 1)
 		}
 	}
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -26,10 +26,12 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpserver"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/meter"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/objectcache"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/watcher"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -65,12 +67,13 @@
 	Codec
 	watcher.Store
 	Call(ctx context.Context, op objectstore.Op) objectstore.Response
-	// WatchedKinds returns the kinds of objects to watch, with a sink for each.
+	// WatchedKinds returns the kinds of objects to copy from the store, with a sink for
+	// each.
 	WatchedKinds(submit func(forwarder.Event), log func(eventlog.Entry)) []WatchedKind
-	// Register writes the instance's entry, which its peers list. Peers returns the
-	// addresses of all registered instances by name.
-	Register(ctx context.Context, name, address string) error
-	Peers(ctx context.Context) (map[string]string, error)
+	// Register writes the instance's entry, which its peers list. Peers returns all
+	// registered instances by name; they may be some seconds old.
+	Register(ctx context.Context, name string, member forwarder.Member) error
+	Peers(ctx context.Context) (map[string]forwarder.Member, error)
 	// RemovePeer removes a peer that no longer responds.
 	RemovePeer(ctx context.Context, name string) error
 	FetchReport(ctx context.Context, request rollout.RequestReport) rollout.Report
@@ -85,8 +88,9 @@
 	ReadyPath() string
 }
 
-// WatchedKind is a kind of objects in the store to watch.
+// WatchedKind is a kind of objects in the store of which the instance keeps copies.
 type WatchedKind struct {
+	ID         replicator.Kind
 	Kind       string
 	PollConfig watcher.PollConfig
 	Sink       watcher.Sink
@@ -108,6 +112,11 @@
 	// httpServer serves the callers.
 	httpServer *httpserver.Server
 	peerSocket net.PacketConn
+	// kinds are the kinds of the store's objects, of which objects has the copies.
+	// endWatch ends the watches of the store.
+	kinds    []WatchedKind
+	objects  *objectcache.Cache
+	endWatch context.CancelFunc
 
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -124,18 +133,16 @@
 		return nil, errors.Wrap(err, "edge.Start")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Edge{settings: settings, platform: platform, logger: logger, meter: meter.New(), ctx: ctx, cancel: cancel}
+	e := &Edge{settings: settings, platform: platform, logger: logger, meter: meter.New(), objects: objectcache.New(), endWatch: func() {}, ctx: ctx, cancel: cancel}
 	fwd := forwarder.New(settings, hex.EncodeToString(random[:8]), binary.LittleEndian.Uint64(random[8:]))
 	e.machine = newStateMachine(fwd, e.perform)
+	e.kinds = platform.WatchedKinds(e.machine.submit, e.log)
 	e.httpServer = httpserver.New(e, settings.MemoryMB<<20/bodyMemoryDivisor)
 	if err := e.listen(); err != nil {
 		e.Close()
 		return nil, err
 	}
 	e.machine.submit(forwarder.Tick{})
-	for _, watched := range platform.WatchedKinds(e.machine.submit, e.log) {
-		e.start(func() { watcher.New(platform, watched.Kind, watched.PollConfig, watched.Sink).Run(ctx) })
-	}
 	e.start(e.syncPeers)
 	e.start(e.receiveDigests)
 	return e, nil
@@ -154,6 +161,11 @@
 	if e.peerSocket, err = net.ListenPacket("udp", e.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "edge.Start: peers")
 	}
+	replicas := http.NewServeMux()
+	replicas.HandleFunc("GET "+replicasPath, e.serveReplicas)
+	if err := e.serve(e.settings.PeerAddress, replicas); err != nil {
+		return errors.Wrap(err, "edge.Start: copies for peers")
+	}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+e.platform.ReadyPath(), e.serveReadiness)
 	if err := e.serve(e.settings.ReadinessAddress, readiness); err != nil {
--- a/internal/runtime/edge/peers.go
+++ b/internal/runtime/edge/peers.go
@@ -15,14 +15,12 @@
 const (
 	// maxDatagramBytes is the size of the receive buffer: no UDP datagram is longer.
 	maxDatagramBytes = 64 << 10
-	// joinRetryInterval is the delay before a failed registration is retried.
-	joinRetryInterval = 500 * time.Millisecond
-	// initialListInterval is the time between two reads of the list of peers after the
-	// start, when other instances may be starting as well; listInterval is the time later.
-	initialListInterval = time.Second
-	listInterval        = 10 * time.Second
-	// initialLists is the number of reads before listInterval applies.
-	initialLists = 3
+	// joinInterval is the time between two attempts to register and to find peers.
+	joinInterval = time.Second
+	// maxJoinInterval limits that time, which grows with each attempt.
+	maxJoinInterval = 5 * time.Second
+	// cleanupInterval is the time between two searches for peers that no longer respond.
+	cleanupInterval = 10 * time.Second
 )
 
 // parsePeerAddress parses a peer's IP address and port. It resolves no host names.
@@ -34,39 +32,42 @@
 	return net.UDPAddrFromAddrPort(parsed), nil
 }
 
-// syncPeers registers the instance and reads the list of its peers repeatedly. It
-// removes peers that no longer respond.
+// syncPeers registers the instance, and lists its peers until it has a copy of their
+// entries, which then reports changes. It registers again if its entry is removed by
+// mistake, and removes the entries of peers that no longer respond.
 func (e *Edge) syncPeers() {
-	joined := false
-	reads := 0
+	interval := joinInterval
+	lastCleanup := time.Now()
 	for e.ctx.Err() == nil {
-		interval := listInterval
-		if !joined {
-			if err := e.platform.Register(e.ctx, e.settings.Name, e.settings.PeerAddress); err != nil {
+		entry, known := e.machine.ownEntry()
+		if !known {
+			members, err := e.platform.Peers(e.ctx)
+			if err != nil {
+				e.logPeersFailed("list", err)
+			} else {
+				entry = members[e.settings.Name]
+				e.machine.submit(forwarder.PeersListed{Members: members})
+			}
+		}
+		if self := e.self(); entry != self {
+			if err := e.platform.Register(e.ctx, e.settings.Name, self); err != nil {
 				e.logPeersFailed("join", err)
-				e.sleep(joinRetryInterval)
-				continue
 			}
-			joined = true
 		}
-		addresses, err := e.platform.Peers(e.ctx)
-		if err != nil {
-			e.logPeersFailed("list", err)
-		} else {
-			reads++
-			e.machine.submit(forwarder.PeersListed{Addresses: addresses})
-			// Registers again if another instance has removed this one by mistake. The
-			// first list may be older than the registration.
-			joined = addresses[e.settings.Name] == e.settings.PeerAddress || reads == 1
+		if time.Since(lastCleanup) > cleanupInterval {
+			lastCleanup = time.Now()
 			e.removeUnresponsivePeers()
 		}
-		if reads < initialLists {
-			interval = initialListInterval
-		}
 		e.sleep(interval)
+		interval = min(interval+joinInterval, maxJoinInterval)
 	}
 }
 
+// self returns the instance's own entry.
+func (e *Edge) self() forwarder.Member {
+	return forwarder.Member{Address: e.settings.PeerAddress, Domain: e.settings.Domain, Capacity: e.settings.Capacity}
+}
+
 func (e *Edge) removeUnresponsivePeers() {
 	for _, name := range e.machine.unresponsivePeers() {
 		if err := e.platform.RemovePeer(e.ctx, name); err != nil {
--- a/internal/runtime/edge/statemachine.go
+++ b/internal/runtime/edge/statemachine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -108,6 +109,21 @@
 	return m.forwarder.InFlight()
 }
 
+// replica returns the state of the copy of a kind, and the current time.
+func (m *stateMachine) replica(kind replicator.Kind) (replicator.Copy, clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.forwarder.Replica(kind), bootclock.Now()
+}
+
+// ownEntry returns the instance's own entry in the store. It reports false before there is
+// a copy of the entries.
+func (m *stateMachine) ownEntry() (forwarder.Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.forwarder.OwnEntry()
+}
+
 func (m *stateMachine) unresponsivePeers() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -13,6 +13,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -156,3 +157,27 @@
 	// The error is ignored: the connection is not used again.
 	e.closeOnce.Do(func() { _ = e.conn.Close() })
 }
+
+// Fetch sends a request and returns the body of its response, which must have the status
+// 200 and at most maxBytes bytes.
+func Fetch(ctx context.Context, timeout time.Duration, address string, request Request, maxBytes int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	exchange, err := Send(ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	defer exchange.Close()
+	response, err := exchange.ReadResponse()
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("response status %d to %s %s", response.StatusCode, request.Method, request.Target)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "read the response body")
+	}
+	return body, nil
+}
--- a/internal/runtime/watcher/watcher.go
+++ b/internal/runtime/watcher/watcher.go
@@ -87,11 +87,14 @@
 	return &Watcher{store: store, kind: kind, config: config, sink: sink}
 }
 
-// Run watches the kind until the context ends.
-func (w *Watcher) Run(ctx context.Context) {
+// Run lists the kind and watches it until the context ends.
+func (w *Watcher) Run(ctx context.Context) { w.RunSince(ctx, 0) }
+
+// RunSince watches the kind for changes after the revision until the context ends. It
+// lists the kind first if the revision is 0, or if the store no longer has the changes.
+func (w *Watcher) RunSince(ctx context.Context, since int64) {
 	retryDelay := initialRetryDelay
-	since := int64(0)
-	listed, failing := false, false
+	listed, failing := since > 0, false
 	for ctx.Err() == nil {
 		var err error
 		if listed {
