--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -86,9 +86,13 @@
 // advanceReplicas starts or ends the watch of the store, and fetches what a neighbor has.
 func (f *Forwarder) advanceReplicas() {
 	watchingBefore := f.replicas.Watching()
-	next := f.replicas.Next(f.now, f.arrangement.Rank(f.settings.Name), len(f.arrangement.Tops()))
+	rank := replicator.Unlisted
+	if f.ownEntry.Address != "" {
+		rank = f.arrangement.Rank(f.settings.Name)
+	}
+	next := f.replicas.Next(f.now, rank, len(f.arrangement.Tops()))
 	if next.Watch != watchingBefore {
-		f.log(eventlog.New(eventlog.WatchChanged, "").With("watching", next.Watch).With("rank", f.arrangement.Rank(f.settings.Name)).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
+		f.log(eventlog.New(eventlog.WatchChanged, "").With("watching", next.Watch).With("rank", rank).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
 		if !next.Watch {
 			f.storeDown = false
 		}
--- a/internal/decision/replicator/replicator.go
+++ b/internal/decision/replicator/replicator.go
@@ -52,6 +52,11 @@
 	// startDelay is the time from the start of an instance until it may watch the store:
 	// neighbors usually send the objects before that.
 	startDelay = 400 * clock.Millisecond
+	// unlistedDelay is the same for an instance that is not listed among the instances
+	// yet, and therefore has no rank. All of them may be starting. Each waits for a
+	// different time, up to unlistedSpread longer.
+	unlistedDelay  = 2500 * clock.Millisecond
+	unlistedSpread = 4 * clock.Second
 	// lowerStep replaces the step for instances that are not at the top level. There are
 	// many of them, and all fail if the store is down.
 	lowerStep = 250 * clock.Millisecond
@@ -209,6 +214,9 @@
 	}
 }
 
+// Unlisted is the rank of an instance that is not listed among the instances.
+const Unlisted = -1
+
 // Next returns what to do now. Rank is the instance's rank among all, and tops the number
 // of instances at the top level, whose ranks come first.
 func (r *Replicator) Next(now clock.Millis, rank, tops int) Next {
@@ -232,7 +240,7 @@
 	switch {
 	case betterWatches:
 		r.watching = false
-	case failing && (otherWatches || rank >= persistentRanks):
+	case failing && (otherWatches || rank >= persistentRanks || rank == Unlisted):
 		r.watching = false
 		r.watchAllowedAt = now.Add(retryDelay)
 	}
@@ -241,6 +249,10 @@
 // takeoverAt returns the time from which an instance of the rank watches the store, unless
 // the desired state is confirmed before.
 func (r *Replicator) takeoverAt(rank, tops int) clock.Millis {
+	if rank == Unlisted {
+		spread := clock.Millis(int64(r.self) % int64(unlistedSpread))
+		return max(r.startedAt, r.copies[State].ConfirmedAt).Add(unlistedDelay + spread)
+	}
 	delay := r.timing.Step * clock.Millis(min(rank, tops))
 	if rank > tops {
 		delay += lowerStep * clock.Millis(rank-tops)
--- a/internal/runtime/edge/peers.go
+++ b/internal/runtime/edge/peers.go
@@ -15,8 +15,9 @@
 const (
 	// maxDatagramBytes is the size of the receive buffer: no UDP datagram is longer.
 	maxDatagramBytes = 64 << 10
-	// joinInterval is the time between two attempts to register and to find peers.
-	joinInterval = time.Second
+	// joinInterval is the time between the first two attempts to register and to find
+	// peers.
+	joinInterval = 500 * time.Millisecond
 	// maxJoinInterval limits that time, which grows with each attempt.
 	maxJoinInterval = 5 * time.Second
 	// cleanupInterval is the time between two searches for peers that no longer respond.
@@ -59,7 +60,7 @@
 			e.removeUnresponsivePeers()
 		}
 		e.sleep(interval)
-		interval = min(interval+joinInterval, maxJoinInterval)
+		interval = min(2*interval, maxJoinInterval)
 	}
 }
 
