Roll out weights to as many engines at once as their age limit needs; bound the digests

Cause: two engines at a time take 25 s for 160 engines, past the 8 s in which old weights may serve; and each event ran the scans of all servers.

--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -16,9 +16,9 @@
 	// broadcastInterval is the time between two digests: short compared with the target
 	// time of a response and with the refill time of a burst.
 	broadcastInterval = 200 * clock.Millisecond
-	// intervalPerNeighbor limits the digests sent to all neighbors together to some 55 a
+	// intervalPerNeighbor limits the digests sent to all neighbors together to 50 a
 	// second.
-	intervalPerNeighbor = 18 * clock.Millisecond
+	intervalPerNeighbor = 20 * clock.Millisecond
 	// promptBroadcastInterval is the shortest time between two digests after a long
 	// prompt was sent: peers must not select the same engine meanwhile.
 	promptBroadcastInterval = 40 * clock.Millisecond
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -6,7 +6,10 @@
 	"slices"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
@@ -86,6 +89,13 @@
 	cacheFaultPercent int
 	faultRandom       *rand.Rand
 
+	// domains is the number of failure domains of the instances. cut reports whether two
+	// instances can't reach each other; nil for a network without cuts. traffic counts
+	// the digests that an instance has sent and received.
+	domains int
+	cut     func(from, to int) bool
+	traffic map[int]traffic
+
 	leaseRevision int64
 	leaseRecord   rollout.Record
 	logLines      []string
@@ -118,8 +128,17 @@
 	run func()
 }
 
+// traffic is a number of digests and of their bytes.
+type traffic struct{ sent, sentBytes, received, receivedBytes int }
+
 func newCluster(t *testing.T, seed uint64, instances int) *cluster {
+	return newClusterIn(t, seed, instances, 3)
+}
+
+// newClusterIn returns a cluster with instances in a number of failure domains.
+func newClusterIn(t *testing.T, seed uint64, instances, domains int) *cluster {
 	c := &cluster{
+		domains: domains, traffic: map[int]traffic{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
 		loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
@@ -132,7 +151,7 @@
 	}
 	for i := range instances {
 		settings := instancesettings.Defaults()
-		settings.Name, settings.IP, settings.Domain = fmt.Sprint("edge-", i), fmt.Sprint("10.0.0.", i), string(rune('a'+i%3))
+		settings.Name, settings.IP, settings.Domain = fmt.Sprint("edge-", i), fmt.Sprint("10.0.0.", i), string(rune('a'+i%domains))
 		settings.PeerAddress = settings.Name
 		settings.FirstStart = true
 		settings.Bounds.RetryExtra = 50
@@ -141,6 +160,9 @@
 		c.instances = append(c.instances, nil)
 		c.startInstance(i)
 	}
+	for i := range c.instances {
+		c.listPeers(i)
+	}
 	c.run(300)
 	return c
 }
@@ -149,14 +171,19 @@
 func (c *cluster) startInstance(i int) {
 	c.instances[i] = forwarder.New(c.settings[i], fmt.Sprint("start-", i, "-", c.now), uint64(i+1))
 	c.step(i, forwarder.Tick{})
+	c.listPeers(i)
+	c.step(i, forwarder.StateRead{State: newDesiredState(1), ConfirmedAt: c.now})
+	c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
+	c.listServers(i)
+}
+
+// listPeers delivers the list of instances.
+func (c *cluster) listPeers(i int) {
 	members := map[string]forwarder.Member{}
 	for _, settings := range c.settings {
 		members[settings.Name] = forwarder.Member{Address: settings.PeerAddress, Domain: settings.Domain}
 	}
 	c.step(i, forwarder.PeersListed{Members: members})
-	c.step(i, forwarder.StateRead{State: newDesiredState(1), ConfirmedAt: c.now})
-	c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
-	c.listServers(i)
 }
 
 func (c *cluster) listServers(i int) {
@@ -234,15 +261,7 @@
 	case forwarder.ForwardResponse, forwarder.Refuse, forwarder.AbortStream, forwarder.DropRequest:
 		c.recordFinalAction(action)
 	case forwarder.SendDigest:
-		for j, settings := range c.settings {
-			for _, recipient := range action.Recipients {
-				if recipient.Address == settings.PeerAddress {
-					received := action.Digest
-					received.Echo = recipient.Echo
-					c.after(2, func() { c.step(j, forwarder.DigestReceived{Digest: received}) })
-				}
-			}
-		}
+		c.sendDigest(i, action)
 	case forwarder.CheckHealth:
 		c.after(3, func() {
 			s := c.servers[action.Server]
@@ -262,6 +281,31 @@
 	}
 }
 
+// sendDigest delivers a digest to its recipients, as it is on the wire.
+func (c *cluster) sendDigest(from int, send forwarder.SendDigest) {
+	datagram, err := send.Digest.Encode()
+	require.NoError(c.t, err)
+	for _, recipient := range send.Recipients {
+		withEcho, err := digest.AppendEcho(datagram, recipient.Echo)
+		require.NoError(c.t, err)
+		sender := c.traffic[from]
+		sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+len(withEcho)
+		c.traffic[from] = sender
+		to := slices.IndexFunc(c.settings, func(settings instancesettings.Settings) bool { return settings.PeerAddress == recipient.Address })
+		if to < 0 || (c.cut != nil && c.cut(from, to)) {
+			continue
+		}
+		receiver := c.traffic[to]
+		receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+len(withEcho)
+		c.traffic[to] = receiver
+		c.after(2, func() {
+			received, err := digest.Decode(withEcho)
+			require.NoError(c.t, err)
+			c.step(to, forwarder.DigestReceived{Digest: received})
+		})
+	}
+}
+
 // sendRequest sends a request of the kind to an instance.
 func (c *cluster) sendRequest(i int, kind string) string {
 	id := fmt.Sprint(kind, "-", len(c.requests))
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -50,6 +50,9 @@
 	maxInFlight = 700
 	// maxSuspects limits the fingerprints tracked in the quarantine.
 	maxSuspects = 1024
+	// serverScanInterval is the time between two scans for servers that are due for a
+	// health check.
+	serverScanInterval = 50 * clock.Millisecond
 	// maxTickInterval is the time until the next step when nothing else is due.
 	maxTickInterval = 100 * clock.Millisecond
 	// bucketWarmup is the uptime after which an instance trusts its own token buckets:
@@ -108,6 +111,11 @@
 	nextCacheScan clock.Millis
 	cacheDeltas   []cacheDelta
 
+	// nextServerScan and nextRollout are the times of the next scan for health checks and
+	// of the next step of the rollout.
+	nextServerScan clock.Millis
+	nextRollout    clock.Millis
+
 	// loadingSince is the time at which each engine was first seen to load weights;
 	// nextMoveCheck is the time of the next check for streams that delay it.
 	loadingSince  map[string]clock.Millis
@@ -269,8 +277,11 @@
 		f.limiter.MarkSynced()
 	}
 	f.updateInstanceCounts()
-	f.checkDownServers()
 	f.checkFlights()
+	if f.now >= f.nextServerScan {
+		f.nextServerScan = f.now.Add(serverScanInterval)
+		f.checkDownServers()
+	}
 	f.advanceRollout()
 	f.moveStreams()
 	f.readDueCaches()
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -10,10 +10,15 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// rolloutTickInterval is the time between steps while a rollout is active.
-const rolloutTickInterval = 20 * clock.Millisecond
+const (
+	// rolloutTickInterval is the time between steps while a rollout is active.
+	rolloutTickInterval = 20 * clock.Millisecond
+	// idleRolloutInterval is the same while it is not.
+	idleRolloutInterval = 100 * clock.Millisecond
+)
 
 func (f *Forwarder) handleRollout(event Event) {
+	f.nextRollout = 0
 	switch event := event.(type) {
 	case WeightsPublished:
 		f.handleWeightsPublished(event)
@@ -88,7 +93,14 @@
 
 // advanceRollout performs the next steps of the rollout.
 func (f *Forwarder) advanceRollout() {
-	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown}
+	if f.now < f.nextRollout {
+		return
+	}
+	f.nextRollout = f.now.Add(idleRolloutInterval)
+	if f.rollout.HoldsLease(f.now) || len(f.rollout.LoadingEngines()) > 0 {
+		f.nextRollout = f.now.Add(rolloutTickInterval)
+	}
+	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown, MaxWeightsAge: f.settings.Bounds.MaxWeightsAge}
 	for _, server := range f.servers.All() {
 		if server.Draining || len(server.Entry.WeightVersions) == 0 {
 			continue
--- /dev/null
+++ b/internal/decision/forwarder/status.go
@@ -0,0 +1,35 @@
+package forwarder
+
+import "github.com/hyssopdoor/hyssopdoor/pkg/clock"
+
+// Status is what an operator may ask an instance about its place among the others.
+type Status struct {
+	// Listed is the number of instances that are listed, and Reachable that of those which
+	// this instance can reach, directly or through others; both include this one.
+	Listed    int `json:"listed"`
+	Reachable int `json:"reachable"`
+	// Top reports whether the instance is at the top level. Otherwise Upstream is the
+	// instance above it; empty for none. Below is the number of those directly below it.
+	Top      bool   `json:"top"`
+	Upstream string `json:"upstream"`
+	Below    int    `json:"below"`
+	// WatchesStore reports whether the instance watches the store, and HoldsLease whether
+	// it may order engines to load weights.
+	WatchesStore bool `json:"watchesStore"`
+	HoldsLease   bool `json:"holdsLease"`
+	// StateVersion is the version of the desired state, and StateAge the time in
+	// milliseconds since it was last known to be current.
+	StateVersion int64        `json:"stateVersion"`
+	StateAge     clock.Millis `json:"stateAge"`
+}
+
+// StatusAt returns the status at now.
+func (f *Forwarder) StatusAt(now clock.Millis) Status {
+	f.now = max(f.now, now)
+	return Status{
+		Listed: f.instanceCount(), Reachable: f.reachableCount(),
+		Top: f.actsAsTop(), Upstream: f.upstream, Below: len(f.neighborsIn(below)),
+		WatchesStore: f.replicas != nil && f.replicas.Watching(), HoldsLease: f.rollout.HoldsLease(f.now),
+		StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
+	}
+}
--- a/internal/decision/rollout/jobs.go
+++ b/internal/decision/rollout/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -80,21 +81,36 @@
 	for id, job := range c.jobs {
 		engine, listed := engines[id]
 		done := engine.WeightVersions[job.model] >= job.version
+		if done {
+			c.recordLoad(now, job)
+		}
 		if !listed || engine.Down || engine.StartedAt != job.engineStartedAt || done || now.Since(job.startedAt) > jobTimeout {
 			delete(c.jobs, id)
 		}
 	}
 }
 
-// loadLimit returns the maximum number of engines that may load at a time.
-func loadLimit(view View) int {
+// loadLimit returns the maximum number of engines that may load at a time: few, or as many
+// as are needed so that all have loaded in time.
+func (c *Controller) loadLimit(view View) int {
 	up := 0
 	for _, engine := range view.Engines {
 		if !engine.Down {
 			up++
 		}
 	}
-	return max(1, min(maxConcurrentLoads, up/enginesPerLoad))
+	needed := 0
+	if view.MaxWeightsAge > 0 {
+		needed = int(math.Ceil(float64(up) * c.loadTime / float64(view.MaxWeightsAge*rolloutTenths/10)))
+	}
+	return max(1, min(maxConcurrentLoads, up/enginesPerLoad), min(needed, up/enginesPerLargeLoad))
+}
+
+// recordLoad records the time that an engine took to load.
+func (c *Controller) recordLoad(now clock.Millis, job job) {
+	if job.accepted {
+		c.loadTime += loadTimeWeight * (float64(now.Since(job.startedAt)) - c.loadTime)
+	}
 }
 
 // advanceJobs starts jobs, up to the limit except for engines that are TooOld, and requests
@@ -149,7 +165,11 @@
 		job.accepted = job.accepted || (report.Busy && job.phase == loading)
 		job.nextPollAt = now.Add(pollInterval)
 		return nil
-	case report.StartedAt != 0 && job.engineStartedAt != 0 && report.StartedAt != job.engineStartedAt, report.WeightVersions[job.model] >= job.version:
+	case report.WeightVersions[job.model] >= job.version:
+		c.recordLoad(now, job)
+		delete(c.jobs, server)
+		return nil
+	case report.StartedAt != 0 && job.engineStartedAt != 0 && report.StartedAt != job.engineStartedAt:
 		delete(c.jobs, server)
 		return nil
 	case job.phase == loading && now.Since(job.startedAt) < job.reportDelay():
--- a/internal/decision/rollout/rollout.go
+++ b/internal/decision/rollout/rollout.go
@@ -34,6 +34,15 @@
 	// engines, but at least one.
 	maxConcurrentLoads = 2
 	enginesPerLoad     = 3
+	// rolloutTenths is the part of the age limit of weights, in tenths, in which all
+	// engines shall have loaded new ones. Where that takes more than maxConcurrentLoads
+	// at a time, up to one in enginesPerLargeLoad engines load.
+	rolloutTenths       = 6
+	enginesPerLargeLoad = 5
+	// assumedLoadTime is the time from an order until the engine has loaded, until one
+	// was observed; loadTimeWeight is the weight of the latest observation.
+	assumedLoadTime = 700.0
+	loadTimeWeight  = 0.2
 	// acquireDelayPerRank delays the acquisition of the lease, for each instance of a
 	// lower rank.
 	acquireDelayPerRank = 300 * clock.Millisecond
@@ -80,6 +89,8 @@
 	Rank int
 	// StoreReachable reports whether the store can be reached.
 	StoreReachable bool
+	// MaxWeightsAge is the time within which all engines must have loaded new weights.
+	MaxWeightsAge clock.Millis
 }
 
 // Controller is one instance's state of the rollout. It is not safe for concurrent use.
@@ -91,12 +102,13 @@
 	peerHoldsUntil clock.Millis              // peerHoldsUntil is the time up to which a peer counts as the holder.
 	outdatedSince  clock.Millis              // outdatedSince is the time since which there are outdated engines or jobs; 0 for none.
 	lastRelayed    Update                    // lastRelayed is the latest update that a peer requested.
+	loadTime       float64                   // loadTime is the moving average of the time of a load, in milliseconds.
 }
 
 // New returns the Controller of the instance self. MinHandover is the minimum time
 // between the orders of two holders.
 func New(self string, minHandover clock.Millis) *Controller {
-	return &Controller{lease: lease{self: self, minHandover: minHandover}, versions: map[string]versionHistory{}, jobs: map[string]job{}, pausedUntil: map[string]clock.Millis{}}
+	return &Controller{lease: lease{self: self, minHandover: minHandover}, versions: map[string]versionHistory{}, jobs: map[string]job{}, pausedUntil: map[string]clock.Millis{}, loadTime: assumedLoadTime}
 }
 
 // LoadingEngines returns the engines that this instance is updating, without those that
@@ -163,7 +175,7 @@
 	if now >= c.lease.nextWriteAt && !c.lease.callInFlight {
 		steps = append(steps, c.writeLease(now))
 	}
-	return append(steps, c.advanceJobs(now, outdated, loadLimit(view))...)
+	return append(steps, c.advanceJobs(now, outdated, c.loadLimit(view))...)
 }
 
 // readLease reads the lease once, also without work, so that the time since its last
