Tell the cache stores of failure domains apart, and forget the caches of removed servers

The test for it found a second fault: a removed engine still counted as a source of cached parts. Change: a store is identified by its service; caches of removed servers are dropped. The test failed first for each cause.

--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -212,7 +212,7 @@
 	message.Loads = make(map[uint32][3]int64, len(loads))
 	for server, load := range loads {
 		if load != (scheduler.Load{}) {
-			message.Loads[digest.ID(server)] = [3]int64{int64(load.Requests), load.PrefillTokens, load.MemoryTokens}
+			message.Loads[f.digestID(server)] = [3]int64{int64(load.Requests), load.PrefillTokens, load.MemoryTokens}
 		}
 	}
 }
@@ -232,7 +232,7 @@
 	message.ReportedWeights = f.weightsNotices.Recent(f.now, upTo)
 	message.SentParts = map[uint32][][2]uint64{}
 	for server, parts := range f.scheduler.RecentlySent(f.now, !f.arrangement.Flat()) {
-		message.SentParts[digest.ID(server)] = parts
+		message.SentParts[f.digestID(server)] = parts
 	}
 	for _, sent := range f.sentNotices.Recent(f.now, upTo) {
 		message.SentParts[sent.server] = append(message.SentParts[sent.server], sent.part)
--- a/internal/decision/forwarder/caches.go
+++ b/internal/decision/forwarder/caches.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// digestID returns the identifier of a server in digests. Instances of different failure
+// domains use different cache stores, so that a store is identified by its service.
+func (f *Forwarder) digestID(server string) uint32 {
+	if server == scheduler.StoreID {
+		return digest.ID(scheduler.StoreID + "/" + f.cacheStore().Name)
+	}
+	return digest.ID(server)
+}
+
+// resetServerNames sets the identifiers of the known servers.
+func (f *Forwarder) resetServerNames() {
+	f.serverNames = map[uint32]string{f.digestID(scheduler.StoreID): scheduler.StoreID}
+	for _, server := range f.servers.All() {
+		f.serverNames[digest.ID(server.ID)] = server.ID
+	}
+}
+
 // maxCacheReaders is the number of instances that may read a server's cache in a cluster
 // in which not all instances exchange digests with each other.
 const maxCacheReaders = 3
@@ -96,7 +113,7 @@
 	}
 	f.applyCacheRead(read.Server, f.caches.RecordRead(f.now, read.Server, result), result)
 	if result.Shareable() {
-		f.addCacheDelta(digest.CacheDelta{Server: digest.ID(read.Server), Delta: result.Delta(f.scheduler.IsShared)}, relayer.Own)
+		f.addCacheDelta(digest.CacheDelta{Server: f.digestID(read.Server), Delta: result.Delta(f.scheduler.IsShared)}, relayer.Own)
 	}
 }
 
--- a/internal/decision/forwarder/caches_test.go
+++ b/internal/decision/forwarder/caches_test.go
@@ -7,8 +7,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -36,6 +39,9 @@
 func (c *cluster) readCache(i int, read cachetracker.ReadRequest) {
 	c.cacheReads[read.Server]++
 	s := c.servers[read.Server]
+	if read.Server == scheduler.StoreID {
+		s = c.servers[read.Address]
+	}
 	c.after(5, func() {
 		result := forwarder.CacheRead{Server: read.Server, Full: read.Full, Since: read.Since, Epoch: s.entry.StartedAt, LastChange: int64(len(s.cacheChanges))}
 		result.Failed = s.down || c.faultRandom.IntN(100) < c.cacheFaultPercent
@@ -104,3 +110,32 @@
 	}
 	return true
 }
+
+// TestStoresOfDomainsDiffer verifies that an instance does not take the contents of
+// another failure domain's cache store for those of its own.
+func TestStoresOfDomainsDiffer(t *testing.T) {
+	c := newClusterIn(t, 1, 2, 2)
+	state := newDesiredState(2)
+	for i, domain := range []string{"a", "b"} {
+		name := "store-" + domain
+		state.Services[name] = desired.Service{Name: name, CacheStoreAddress: name, Domain: domain, CacheTokens: 700_000}
+		c.servers["store-"+domain] = &server{entry: registry.Entry{ID: name, StartedAt: int64(i + 1)}}
+	}
+	for i := range c.instances {
+		c.step(i, forwarder.StateRead{State: state, ConfirmedAt: c.now})
+	}
+	c.run(clock.Second)
+	first := c.sendRequest(1, "stream")
+	require.Equal(t, "store-b", c.requests[first].lastDispatch.SaveAddress)
+	c.run(clock.Second)
+	// The engine that has the parts leaves, as seen by the other instance.
+	c.step(0, forwarder.ServerChanged{Entry: c.servers[c.requests[first].lastDispatch.Server].entry, Removed: true})
+	c.requests["second"] = &request{instance: 0, kind: "stream", parts: c.requests[first].parts}
+	c.step(0, forwarder.RequestArrived{Request: forwarder.Request{
+		ID: "second", Host: host, Method: "POST", Path: "/stream/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: "second",
+		Model: model, PromptTokens: 1000, OutputTokens: 20, PromptParts: c.requests[first].parts,
+	}})
+	dispatch := c.requests["second"].lastDispatch
+	require.Equal(t, "store-a", dispatch.SaveAddress, "its own store does not have the parts: %+v\n%s", dispatch, c.logOf("second"))
+	require.NotContains(t, dispatch.FetchAddress, "store")
+}
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -212,7 +212,7 @@
 	sent := make(map[string][][2]uint64, len(message.SentParts))
 	for _, id := range slices.Sorted(maps.Keys(message.SentParts)) {
 		server, ok := f.serverNames[id]
-		if !ok {
+		if _, known := f.servers.Server(server); !ok || (!known && server != scheduler.StoreID) {
 			continue
 		}
 		for _, part := range message.SentParts[id] {
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -200,7 +200,7 @@
 		neighbors:     map[string]neighbor{},
 		sent:          outbox.New(digest.ID(incarnation)),
 		admittedBelow: map[string]int64{}, admittedElsewhere: map[string]int64{},
-		teamNames: map[uint32]string{}, serverNames: map[uint32]string{digest.ID(scheduler.StoreID): scheduler.StoreID},
+		teamNames: map[uint32]string{}, serverNames: map[uint32]string{},
 		unreachableNotices: relayer.New[string](noticePeriod, noticeMemory, maxNotices), recoveredNotices: relayer.New[string](noticePeriod, noticeMemory, maxNotices),
 		weightsNotices: relayer.New[digest.ReportedWeights](noticePeriod, weightsNoticeMemory, maxNotices),
 		sentNotices:    relayer.New[sentPart](sentNoticePeriod, noticeMemory, maxNotices),
@@ -287,7 +287,9 @@
 
 // runDueWork does the work that depends on time alone.
 func (f *Forwarder) runDueWork() {
-	f.servers.Expire(f.now)
+	if f.servers.Expire(f.now) {
+		f.forgetRemoved()
+	}
 	if f.now.Since(f.startedAt) >= bucketWarmup {
 		f.limiter.MarkSynced()
 	}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -60,6 +60,7 @@
 	for name := range f.desired.Teams {
 		f.teamNames[digest.ID(name)] = name
 	}
+	f.resetServerNames()
 	f.scheduler.SetStoreCapacity(f.cacheStore().CacheTokens)
 	f.emit(SetLimits{Limits: f.desired.Limits})
 }
@@ -113,6 +114,16 @@
 		f.handleServerChanged(ServerChanged{Entry: entry})
 	}
 	f.servers.Replace(f.now, listed.Entries, f.expiryWindowEnd())
+	f.forgetRemoved()
+}
+
+// forgetRemoved drops the caches of servers that were removed, so that nothing is fetched
+// from there.
+func (f *Forwarder) forgetRemoved() {
+	f.scheduler.Retain(func(id string) bool {
+		_, known := f.servers.Server(id)
+		return known || id == scheduler.StoreID
+	})
 }
 
 func (f *Forwarder) handleServerChanged(changed ServerChanged) {
@@ -120,13 +131,11 @@
 		f.keepers = nil
 		f.log(eventlog.New(eventlog.ServerListed, "").With("server", changed.Entry.ID).With("state", "removed").With("lapsed", f.now < f.expiryWindowEnd()))
 		f.servers.Remove(f.now, changed.Entry.ID, f.expiryWindowEnd())
+		f.forgetRemoved()
 		return
 	}
 	if len(f.serverNames) >= maxServerNames {
-		f.serverNames = map[uint32]string{digest.ID(scheduler.StoreID): scheduler.StoreID}
-		for _, server := range f.servers.All() {
-			f.serverNames[digest.ID(server.ID)] = server.ID
-		}
+		f.resetServerNames()
 	}
 	f.serverNames[digest.ID(changed.Entry.ID)] = changed.Entry.ID
 	previous, known := f.servers.Put(changed.Entry)
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -151,14 +151,18 @@
 	}
 }
 
-// Expire drops the servers whose entries were not put again before their expiry.
-func (r *Registry) Expire(now clock.Millis) {
+// Expire drops the servers whose entries were not put again before their expiry. It reports
+// whether there were any.
+func (r *Registry) Expire(now clock.Millis) bool {
+	expired := false
 	for id, server := range r.servers {
 		if server.expiresAt != 0 && now >= server.expiresAt {
 			delete(r.servers, id)
 			r.sorted = nil
+			expired = true
 		}
 	}
+	return expired
 }
 
 // Server returns the server with the identifier.
--- a/internal/decision/scheduler/scheduler.go
+++ b/internal/decision/scheduler/scheduler.go
@@ -261,3 +261,9 @@
 	delete(s.caches, server)
 	delete(s.slowdowns, server)
 }
+
+// Retain drops the views of all servers except those for which keep returns true.
+func (s *Scheduler) Retain(keep func(server string) bool) {
+	maps.DeleteFunc(s.caches, func(server string, _ *serverCache) bool { return !keep(server) })
+	maps.DeleteFunc(s.slowdowns, func(server string, _ float64) bool { return !keep(server) })
+}
