Take over the watch of the store before a desired state may be out of date

Change: wait, takeover and steps follow from the shorter of the bounds for new states and withdrawn keys. Conclusion: mended at its cause; the other bounds on ages are longer.

--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -219,7 +219,7 @@
 	f.actions = nil
 	if f.startedAt == 0 {
 		f.startedAt = now
-		f.replicas = replicator.New(now, digest.ID(f.settings.Name), replicaTiming(f.settings.Bounds.KeyWithdrawal))
+		f.replicas = replicator.New(now, digest.ID(f.settings.Name), replicator.NewTiming(f.settings.Bounds.ConfigApply, f.settings.Bounds.KeyWithdrawal))
 		f.log(eventlog.New(eventlog.InstanceStarted, "").With("instance", f.settings.Name).With("domain", f.settings.Domain).With("incarnation", f.incarnation))
 	}
 	f.handle(event)
--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -4,23 +4,8 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
-	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// The takeover of the watch of the store, in hundredths of the bound for withdrawn keys:
-// with ten instances at the top level, the last one begins before requests must be
-// refused because their keys may have been withdrawn.
-const (
-	takeoverHundredths = 45
-	takeoverStepParts  = 3
-	hundred            = 100
-)
-
-// replicaTiming returns the times of the watch of the store for the settings.
-func replicaTiming(keyWithdrawal clock.Millis) replicator.Timing {
-	return replicator.Timing{Takeover: keyWithdrawal * takeoverHundredths / hundred, Step: keyWithdrawal * takeoverStepParts / hundred}
-}
-
 // mergeReplicas compares the sender's copies of the store's objects with this instance's.
 // The age of a copy counts from the time at which this instance sent the digest that the
 // sender had received before.
--- a/internal/decision/replicator/replicator.go
+++ b/internal/decision/replicator/replicator.go
@@ -18,7 +18,7 @@
 //
 // # Usage
 //
-//	copies := replicator.New(now, replicator.Timing{Confirm: 1500, Takeover: 2300, Step: 150})
+//	copies := replicator.New(now, self, replicator.NewTiming(configApply, keyWithdrawal))
 //	copies.Offer(now, offer)
 //	copies.Updated(now, replicator.State, revision, confirmedAt)
 //	next := copies.Next(now, rank, tops)
@@ -79,12 +79,33 @@
 
 // Timing has the times that follow from the settings.
 type Timing struct {
+	// Wait is the longest time for which a watch of the desired state waits for a change.
+	Wait clock.Millis
 	// Takeover is the age of the desired state from which the instance of rank 0 watches
 	// the store; each further rank waits for one more Step.
 	Takeover clock.Millis
 	Step     clock.Millis
 }
 
+// The times in hundredths of the shortest bound on the age of the desired state. In normal
+// operation an age is at most the wait and the time of some digests; the last instance at
+// the top level takes over early enough for the others to get what has changed.
+const (
+	waitHundredths     = 25
+	takeoverHundredths = 55
+	stepHundredths     = 2
+	// keyAgeDivisor is the part of the bound for withdrawn keys that counts as a bound on
+	// the age: their requests still take some time to reach a server.
+	keyAgeDivisor = 2
+)
+
+// NewTiming returns the times for the bounds: configApply is the time within which a new
+// desired state must be in use, and keyWithdrawal that for the withdrawal of a key.
+func NewTiming(configApply, keyWithdrawal clock.Millis) Timing {
+	bound := max(1, min(configApply, keyWithdrawal/keyAgeDivisor))
+	return Timing{Wait: max(1, bound*waitHundredths/100), Takeover: bound * takeoverHundredths / 100, Step: bound * stepHundredths / 100}
+}
+
 // Copy is the state of the instance's copy of one kind.
 type Copy struct {
 	// Revision is the revision of the store up to which the copy has all changes. There
--- a/internal/decision/replicator/replicator_test.go
+++ b/internal/decision/replicator/replicator_test.go
@@ -10,16 +10,17 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-var timing = replicator.Timing{Takeover: 2250, Step: 150}
-
 const (
-	watchWait = clock.Second
-	hopDelay  = 250 * clock.Millisecond
-	tops      = 10
-	// maxAge is the age of the desired state from which requests are refused.
-	maxAge = 4500 * clock.Millisecond
+	// configApply is the time from the acceptance of a desired state until all instances
+	// use it, and keyWithdrawal that until a withdrawn key is no longer used.
+	configApply   = 2 * clock.Second
+	keyWithdrawal = 5 * clock.Second
+	hopDelay      = 200 * clock.Millisecond
+	tops          = 10
 )
 
+var timing = replicator.NewTiming(configApply, keyWithdrawal)
+
 // instance is a simulated instance: the next poll of the store while it watches.
 type instance struct {
 	copies   *replicator.Replicator
@@ -56,7 +57,7 @@
 				continue
 			}
 			s.poll(rank, in)
-			if s.now%250 == clock.Millis(rank%25)*10+1 {
+			if s.now%200 == clock.Millis(rank%20)*10+1 {
 				s.offer(rank, in)
 			}
 			if s.now.Since(start) > warmup {
@@ -72,7 +73,7 @@
 		return
 	}
 	in.polls++
-	in.nextPoll = s.now.Add(watchWait)
+	in.nextPoll = s.now.Add(timing.Wait)
 	if in.cutOff {
 		in.copies.StoreFailed(s.now)
 		return
@@ -116,14 +117,14 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSimulation(count)
 			oldest := s.run(60*clock.Second, 5*clock.Second)
-			require.LessOrEqual(t, s.polls(), 75, "calls for one kind in 60 s")
-			require.Less(t, oldest, 2*clock.Second, "age of a copy in normal operation")
+			require.LessOrEqual(t, s.polls(), int(66*clock.Second/timing.Wait), "calls for one kind in 60 s")
+			require.Less(t, oldest, configApply, "age of a copy in normal operation")
 		})
 	}
 }
 
-// TestTakeover verifies that no copy becomes too old while the instances that watch die,
-// or lose the store, one after another and together.
+// TestTakeover verifies that no copy becomes older than a desired state may be while the
+// instances that watch die, or lose the store, one after another and together.
 func TestTakeover(t *testing.T) {
 	tests := map[string]func(s *simulation, rank int){
 		"dies":            func(s *simulation, rank int) { s.instances[rank].dead = true },
@@ -135,12 +136,12 @@
 			s.run(10*clock.Second, 0)
 			for rank := range 4 {
 				fail(s, rank)
-				require.Less(t, s.run(10*clock.Second, 0), maxAge, "after the loss of rank %d", rank)
+				require.Less(t, s.run(10*clock.Second, 0), configApply, "after the loss of rank %d", rank)
 			}
 			fail(s, 4)
 			fail(s, 5)
 			fail(s, 6)
-			require.Less(t, s.run(10*clock.Second, 0), maxAge, "after the loss of three at once")
+			require.Less(t, s.run(10*clock.Second, 0), configApply, "after the loss of three at once")
 		})
 	}
 }
@@ -162,7 +163,7 @@
 	}
 	s.run(4*clock.Second, 0)
 	require.LessOrEqual(t, s.polls()-before, 100, "calls in the 4 s after its return")
-	require.Less(t, s.run(5*clock.Second, 0), 2*clock.Second)
+	require.Less(t, s.run(5*clock.Second, 0), configApply)
 }
 
 // TestStartWithoutRank verifies that instances which are not listed yet wait for
