Let the keeper of an engine also tell what the engine has cached

Change: the keeper is told of the parts of each prompt, reads the engine's cache, and replies with the prefix that the engine has; asked are the owner, its stand-in and the cheapest other engine. The test failed first (6,000 tokens read instead of 3,000). Encoding of datagrams moves to the runtime, as decision packages must not import its library.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -7,9 +7,7 @@
 //
 // # Usage
 //
-//	datagram := state.Encode()
-//	datagram = digest.AppendEcho(datagram, echo)
-//	state, err := digest.Decode(datagram)
+//	message := digest.Digest{Name: "edge-1", Incarnation: digest.ID(incarnation), Sequence: 1, Scope: digest.Subtree}
 package digest
 
 import (
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -1,11 +1,11 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -80,9 +80,9 @@
 	Recipients []Recipient
 }
 
-// SendBacklogs sends a message about the backlogs of engines to a peer.
-type SendBacklogs struct {
-	Message backlogmessage.Message
+// SendToKeeper sends a message to a keeper of engines, or its reply.
+type SendToKeeper struct {
+	Message keepermessage.Message
 	Address string
 }
 
@@ -138,7 +138,7 @@
 func (AbortStream) isAction()     {}
 func (DropRequest) isAction()     {}
 func (SendDigest) isAction()      {}
-func (SendBacklogs) isAction()    {}
+func (SendToKeeper) isAction()    {}
 func (WatchStore) isAction()      {}
 func (FetchReplicas) isAction()   {}
 func (CheckHealth) isAction()     {}
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -28,11 +28,11 @@
 )
 
 // assignServer selects a server and sends the request there, makes it wait, or refuses
-// it. In a large cluster it asks the keepers of the engines' backlogs first.
+// it. In a large cluster it asks the keepers of some engines first.
 func (f *Forwarder) assignServer(fl *flight) {
 	request, candidates := f.schedulerRequest(fl), f.candidates(fl)
 	f.scheduler.ExcludeSources(f.excludedSources())
-	if !f.queryBacklogs(fl, request, candidates) {
+	if !f.queryKeepers(fl, request, candidates) {
 		f.endQuery(fl)
 		f.chooseServer(fl, request, candidates)
 	}
@@ -77,7 +77,7 @@
 	fl.possibleRuns++
 	fl.expectedStartMs = choice.CostMs
 	f.scheduler.Begin(f.now, fl.id(), choice)
-	f.reportAdded(choice)
+	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.scheduleCheck(fl)
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
--- a/internal/decision/forwarder/caches.go
+++ b/internal/decision/forwarder/caches.go
@@ -59,8 +59,8 @@
 const maxCacheReaders = 3
 
 // cacheReaderRank returns this instance's rank among the reachable instances for
-// reading the server's cache; rank 0 reads first. In a large cluster the instances of the
-// server's failure domain read it.
+// reading the server's cache; rank 0 reads first. In a large cluster the keeper of an
+// engine reads it, or else others of its failure domain.
 func (f *Forwarder) cacheReaderRank(server string) int {
 	ownScore := balancer.Rendezvous(0, f.settings.Name+server)
 	rank := 0
@@ -79,6 +79,11 @@
 	if !slices.Contains(readers, f.settings.Name) {
 		return cachetracker.NotReader
 	}
+	if keeper, _ := f.keeperOf(server); keeper == f.settings.Name {
+		return 0
+	} else if f.peers[digest.ID(keeper)].alive(f.now) {
+		rank++
+	}
 	for _, name := range readers {
 		if f.peers[digest.ID(name)].alive(f.now) && balancer.Rendezvous(0, name+server) > ownScore {
 			rank++
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
@@ -18,6 +17,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -270,8 +270,8 @@
 		c.recordFinalAction(action)
 	case forwarder.SendDigest:
 		c.sendDigest(i, action)
-	case forwarder.SendBacklogs:
-		c.sendBacklogs(i, action)
+	case forwarder.SendToKeeper:
+		c.sendToKeeper(i, action)
 	case forwarder.CheckHealth:
 		c.after(3, func() {
 			s := c.servers[action.Server]
@@ -293,13 +293,13 @@
 
 // sendDigest delivers a digest to its recipients, as it is on the wire.
 func (c *cluster) sendDigest(from int, send forwarder.SendDigest) {
-	datagram, err := send.Digest.Encode()
+	encoded, err := datagram.EncodeDigest(send.Digest)
 	require.NoError(c.t, err)
 	if send.Digest.Scope == digest.All && send.Digest.WithLoads {
 		c.lastAll = send.Digest
 	}
 	for _, recipient := range send.Recipients {
-		withEcho, err := digest.AppendEcho(datagram, recipient.Echo)
+		withEcho, err := datagram.AppendEcho(encoded, recipient.Echo)
 		require.NoError(c.t, err)
 		sender := c.traffic[from]
 		sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+len(withEcho)
@@ -312,31 +312,31 @@
 		receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+len(withEcho)
 		c.traffic[to] = receiver
 		c.after(2, func() {
-			received, err := digest.Decode(withEcho)
+			received, err := datagram.DecodeDigest(withEcho)
 			require.NoError(c.t, err)
 			c.step(to, forwarder.DigestReceived{Digest: received})
 		})
 	}
 }
 
-// sendBacklogs delivers a message about backlogs, as it is on the wire.
-func (c *cluster) sendBacklogs(from int, send forwarder.SendBacklogs) {
-	datagram, err := send.Message.Encode()
+// sendToKeeper delivers a message to or from a keeper, as it is on the wire.
+func (c *cluster) sendToKeeper(from int, send forwarder.SendToKeeper) {
+	encoded, err := datagram.EncodeKeeperMessage(send.Message)
 	require.NoError(c.t, err)
 	sender := c.traffic[from]
-	sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+len(datagram)
+	sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+len(encoded)
 	c.traffic[from] = sender
 	to := c.instanceAt(send.Address)
 	if to < 0 || (c.cut != nil && c.cut(from, to)) {
 		return
 	}
 	receiver := c.traffic[to]
-	receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+len(datagram)
+	receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+len(encoded)
 	c.traffic[to] = receiver
 	c.after(2, func() {
-		received, err := backlogmessage.Decode(datagram)
+		received, err := datagram.DecodeKeeperMessage(encoded)
 		require.NoError(c.t, err)
-		c.step(to, forwarder.BacklogsReceived{Message: received})
+		c.step(to, forwarder.KeeperMessageReceived{Message: received})
 	})
 }
 
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -1,10 +1,10 @@
 package forwarder
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
@@ -144,8 +144,8 @@
 // PeersListed is the list of instances in the store, by name.
 type PeersListed struct{ Members map[string]Member }
 
-// BacklogsReceived is a message about the backlogs of engines received from a peer.
-type BacklogsReceived struct{ Message backlogmessage.Message }
+// KeeperMessageReceived is a message to or from a keeper of engines.
+type KeeperMessageReceived struct{ Message keepermessage.Message }
 
 // ReplicaUpdated reports that the objects of a kind were read. The source of the copy is 0
 // if it was the store.
@@ -227,28 +227,28 @@
 // DrainRequested asks the instance to drain before it stops.
 type DrainRequested struct{}
 
-func (RequestArrived) isEvent()     {}
-func (CallerDisconnected) isEvent() {}
-func (StreamStarted) isEvent()      {}
-func (AttemptEnded) isEvent()       {}
-func (StateRead) isEvent()          {}
-func (StateConfirmed) isEvent()     {}
-func (ServersListed) isEvent()      {}
-func (ServerChanged) isEvent()      {}
-func (WeightsPublished) isEvent()   {}
-func (StoreFailed) isEvent()        {}
-func (StoreResponded) isEvent()     {}
-func (PeersListed) isEvent()        {}
-func (DigestReceived) isEvent()     {}
-func (BacklogsReceived) isEvent()   {}
-func (ReplicaUpdated) isEvent()     {}
-func (ReplicasFetched) isEvent()    {}
-func (HealthChecked) isEvent()      {}
-func (LeaseRead) isEvent()          {}
-func (LeaseWritten) isEvent()       {}
-func (EngineReported) isEvent()     {}
-func (OrderReplied) isEvent()       {}
-func (CacheRead) isEvent()          {}
-func (SettingsReloaded) isEvent()   {}
-func (Tick) isEvent()               {}
-func (DrainRequested) isEvent()     {}
+func (RequestArrived) isEvent()        {}
+func (CallerDisconnected) isEvent()    {}
+func (StreamStarted) isEvent()         {}
+func (AttemptEnded) isEvent()          {}
+func (StateRead) isEvent()             {}
+func (StateConfirmed) isEvent()        {}
+func (ServersListed) isEvent()         {}
+func (ServerChanged) isEvent()         {}
+func (WeightsPublished) isEvent()      {}
+func (StoreFailed) isEvent()           {}
+func (StoreResponded) isEvent()        {}
+func (PeersListed) isEvent()           {}
+func (DigestReceived) isEvent()        {}
+func (KeeperMessageReceived) isEvent() {}
+func (ReplicaUpdated) isEvent()        {}
+func (ReplicasFetched) isEvent()       {}
+func (HealthChecked) isEvent()         {}
+func (LeaseRead) isEvent()             {}
+func (LeaseWritten) isEvent()          {}
+func (EngineReported) isEvent()        {}
+func (OrderReplied) isEvent()          {}
+func (CacheRead) isEvent()             {}
+func (SettingsReloaded) isEvent()      {}
+func (Tick) isEvent()                  {}
+func (DrainRequested) isEvent()        {}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -161,7 +161,7 @@
 	// orders are the states of other instances that order engines, by name.
 	orders map[string]receivedOrders
 	// keeper has the backlogs of the engines that this instance keeps. queries are the
-	// choices that wait for backlogs, by their identifier, and silentKeepers the times
+	// choices that wait for keepers, by their identifier, and silentKeepers the times
 	// until which keepers that did not reply are not asked.
 	// keepers are the keepers of all engines; nil when they must be assigned anew.
 	keeper        *backlogkeeper.Keeper
@@ -267,8 +267,8 @@
 		f.handlePeersListed(event)
 	case DigestReceived:
 		f.handleDigest(event.Digest)
-	case BacklogsReceived:
-		f.handleBacklogs(event.Message)
+	case KeeperMessageReceived:
+		f.handleKeeperMessage(event.Message)
 	case ReplicaUpdated:
 		f.handleReplicaUpdated(event)
 	case ReplicasFetched:
--- a/internal/decision/forwarder/backlogs.go
+++ b/internal/decision/forwarder/keepers.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogkeeper"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -14,58 +14,62 @@
 const (
 	// queriedChoices is the number of engines whose keepers are asked before a prompt is
 	// sent.
-	queriedChoices = 2
+	queriedChoices = 3
 	// queryTimeout is the time after which the choice is made without the replies that
 	// are missing: several round trips between failure domains.
 	queryTimeout = 15 * clock.Millisecond
 	// silentKeeperPause is the time for which a keeper that has not replied is not asked.
 	silentKeeperPause = 3 * clock.Second
-	// minAddedWork is the shortest prefill that is reported to the keeper.
-	minAddedWork = 2 * clock.Millisecond
 )
 
-// query is a choice of an engine that waits for the backlogs of the cheapest ones.
+// query is a choice of an engine that waits for the replies of keepers.
 type query struct {
 	id       uint64
 	deadline clock.Millis
 	// servers are the engines to choose from.
 	servers []string
 	// keepers are the keepers whose replies are missing, by address.
-	keepers  map[string]string
-	backlogs map[string]clock.Millis
+	keepers map[string]string
+	known   map[string]scheduler.Known
 }
 
-// queryBacklogs asks the keepers of the cheapest engines for their backlogs. It reports
-// false if the choice can be made at once: all instances exchange digests with each other,
-// or there is nothing to choose.
-func (f *Forwarder) queryBacklogs(fl *flight, request scheduler.Request, candidates []scheduler.Candidate) bool {
+// queryKeepers asks the keepers of some engines for their state. It reports false if the
+// choice can be made at once: all instances exchange digests with each other, or there is
+// nothing to choose.
+func (f *Forwarder) queryKeepers(fl *flight, request scheduler.Request, candidates []scheduler.Candidate) bool {
 	if !fl.hasPrompt() || f.arrangement.Flat() || len(candidates) < 2 {
 		return false
 	}
-	fl.query = &query{id: f.nextQueryID(), deadline: f.now.Add(queryTimeout), keepers: map[string]string{}, backlogs: map[string]clock.Millis{}}
-	entries := map[string][]backlogmessage.Entry{}
-	for _, choice := range f.scheduler.Cheapest(f.now, request, candidates, queriedChoices, fl.id()) {
+	fl.query = &query{id: f.nextQueryID(), deadline: f.now.Add(queryTimeout), keepers: map[string]string{}, known: map[string]scheduler.Known{}}
+	entries := map[string][]keepermessage.Entry{}
+	for _, choice := range f.scheduler.Shortlist(f.now, request, candidates, queriedChoices, fl.id()) {
 		fl.query.servers = append(fl.query.servers, choice.Server)
+		parts := request.SharedPartKeys(choice.Salt)
 		switch name, address := f.keeperOf(choice.Server); {
 		case name == f.settings.Name:
-			fl.query.backlogs[choice.Server] = f.keeper.Backlog(f.now, choice.Server)
+			fl.query.known[choice.Server] = f.knownState(choice.Server, parts)
 		case address != "":
 			fl.query.keepers[address] = name
-			entries[address] = append(entries[address], backlogmessage.Entry{Server: digest.ID(choice.Server)})
+			entries[address] = append(entries[address], keepermessage.Entry{Server: digest.ID(choice.Server), Parts: parts})
 		}
 	}
 	if len(entries) == 0 {
 		return false
 	}
 	for _, address := range slices.Sorted(maps.Keys(entries)) {
-		message := backlogmessage.Message{Kind: backlogmessage.Query, Address: f.settings.PeerAddress, ID: fl.query.id, Entries: entries[address]}
-		f.emit(SendBacklogs{Message: message, Address: address})
+		message := keepermessage.Message{Kind: keepermessage.Query, Address: f.settings.PeerAddress, ID: fl.query.id, Entries: entries[address]}
+		f.emit(SendToKeeper{Message: message, Address: address})
 	}
 	f.queries[fl.query.id] = fl
 	fl.waiting, fl.checkAt = true, fl.query.deadline
 	return true
 }
 
+// knownState returns the state of an engine that this instance keeps.
+func (f *Forwarder) knownState(server string, parts [][2]uint64) scheduler.Known {
+	return scheduler.Known{BacklogMs: float64(f.keeper.Backlog(f.now, server)), CachedTokens: f.scheduler.CachedPrefix(f.now, server, parts)}
+}
+
 func (f *Forwarder) nextQueryID() uint64 {
 	f.queryID++
 	return f.queryID
@@ -125,33 +129,35 @@
 	return f.arrangement.Tops()
 }
 
-// handleBacklogs handles a message about backlogs.
-func (f *Forwarder) handleBacklogs(message backlogmessage.Message) {
+// handleKeeperMessage handles a query, a reply or a report.
+func (f *Forwarder) handleKeeperMessage(message keepermessage.Message) {
 	switch message.Kind {
-	case backlogmessage.Query:
-		reply := backlogmessage.Message{Kind: backlogmessage.Reply, Address: f.settings.PeerAddress, ID: message.ID}
+	case keepermessage.Query:
+		reply := keepermessage.Message{Kind: keepermessage.Reply, Address: f.settings.PeerAddress, ID: message.ID}
 		for _, entry := range message.Entries {
-			reply.Entries = append(reply.Entries, backlogmessage.Entry{Server: entry.Server, Time: f.keeper.Backlog(f.now, f.serverNames[entry.Server])})
+			known := f.knownState(f.serverNames[entry.Server], entry.Parts)
+			reply.Entries = append(reply.Entries, keepermessage.Entry{Server: entry.Server, Time: clock.Millis(known.BacklogMs), CachedTokens: known.CachedTokens})
 		}
-		f.emit(SendBacklogs{Message: reply, Address: message.Address})
-	case backlogmessage.Added:
+		f.emit(SendToKeeper{Message: reply, Address: message.Address})
+	case keepermessage.Added:
 		for _, entry := range message.Entries {
 			if server, ok := f.serverNames[entry.Server]; ok {
 				f.keeper.Add(f.now, server, entry.Time)
+				f.scheduler.ReceiveSent(f.now, map[string][][2]uint64{server: entry.Parts})
 			}
 		}
-	case backlogmessage.Reply:
-		f.handleBacklogReply(message)
+	case keepermessage.Reply:
+		f.handleKeeperReply(message)
 	}
 }
 
-func (f *Forwarder) handleBacklogReply(reply backlogmessage.Message) {
+func (f *Forwarder) handleKeeperReply(reply keepermessage.Message) {
 	fl, ok := f.queries[reply.ID]
 	if !ok {
 		return
 	}
 	for _, entry := range reply.Entries {
-		fl.query.backlogs[f.serverNames[entry.Server]] = entry.Time
+		fl.query.known[f.serverNames[entry.Server]] = scheduler.Known{BacklogMs: float64(entry.Time), CachedTokens: entry.CachedTokens}
 	}
 	delete(fl.query.keepers, reply.Address)
 	if len(fl.query.keepers) == 0 {
@@ -159,7 +165,7 @@
 	}
 }
 
-// chooseQueried makes the choice for which backlogs were asked. Keepers that have not
+// chooseQueried makes the choice for which keepers were asked. Keepers that have not
 // replied are not asked for some time.
 func (f *Forwarder) chooseQueried(fl *flight) {
 	asked := fl.query
@@ -175,8 +181,8 @@
 		return !slices.Contains(asked.servers, candidate.Server)
 	})
 	for i, candidate := range candidates {
-		if backlog, known := asked.backlogs[candidate.Server]; known {
-			candidates[i].BacklogKnown, candidates[i].BacklogMs = true, float64(backlog)
+		if known, ok := asked.known[candidate.Server]; ok {
+			candidates[i].Known = &known
 		}
 	}
 	f.chooseServer(fl, f.schedulerRequest(fl), candidates)
@@ -194,18 +200,19 @@
 }
 
 // reportAdded tells the engine's keeper of a prompt that is sent.
-func (f *Forwarder) reportAdded(choice scheduler.Choice) {
-	work := f.scheduler.PrefillTime(choice.Server, choice.UncachedTokens)
-	if f.arrangement.Flat() || work < minAddedWork {
+func (f *Forwarder) reportAdded(choice scheduler.Choice, request scheduler.Request) {
+	if f.arrangement.Flat() || request.PromptTokens == 0 {
 		return
 	}
+	work := f.scheduler.PrefillTime(choice.Server, choice.UncachedTokens)
+	parts := request.SharedPartKeys(choice.Salt)
 	name, address := f.keeperOf(choice.Server)
 	if name == f.settings.Name {
 		f.keeper.Add(f.now, choice.Server, work)
 		return
 	}
 	if address != "" {
-		entries := []backlogmessage.Entry{{Server: digest.ID(choice.Server), Time: work}}
-		f.emit(SendBacklogs{Message: backlogmessage.Message{Kind: backlogmessage.Added, Address: f.settings.PeerAddress, Entries: entries}, Address: address})
+		entries := []keepermessage.Entry{{Server: digest.ID(choice.Server), Time: work, Parts: parts}}
+		f.emit(SendToKeeper{Message: keepermessage.Message{Kind: keepermessage.Added, Address: f.settings.PeerAddress, Entries: entries}, Address: address})
 	}
 }
--- a/internal/decision/forwarder/scale_test.go
+++ b/internal/decision/forwarder/scale_test.go
@@ -169,3 +169,19 @@
 		})
 	}
 }
+
+// TestKeepersKnowCaches sends prompts with the same subject through many instances, one
+// after another and faster than digests arrive. Its parts must be read once, by the engine
+// that owns them, and found there by all others.
+func TestKeepersKnowCaches(t *testing.T) {
+	c := newClusterIn(t, 1, 67, 3)
+	c.run(2 * clock.Second)
+	c.sendPrompt(0, "first")
+	c.run(200)
+	for i := range 10 {
+		id := fmt.Sprint("later-", i)
+		c.sendPrompt(20+i, id)
+		c.run(20)
+		require.Contains(t, c.logOf(id), "missed=3000 ", "only its own part is read")
+	}
+}
--- a/internal/decision/scheduler/choice.go
+++ b/internal/decision/scheduler/choice.go
@@ -25,14 +25,21 @@
 	MaxStartDelayMs float64
 	// MemoryTokens is the number of tokens that the server can hold; 0 if unknown.
 	MemoryTokens int64
-	// BacklogMs is the time in milliseconds that the server still takes for earlier
-	// prompts, if BacklogKnown is set. Otherwise it is estimated from the known load.
-	BacklogMs    float64
-	BacklogKnown bool
+	// Known has what the server's keeper knows of it; nil if that must be estimated from
+	// what this instance knows.
+	Known *Known
 	// Slots is the number of requests that it runs at once; 0 if unknown.
 	Slots int
 }
 
+// Known is the state of a server as its keeper knows it.
+type Known struct {
+	// BacklogMs is the time in milliseconds that it still takes for earlier prompts.
+	BacklogMs float64
+	// CachedTokens is the length of the request's prefix that it has cached.
+	CachedTokens int64
+}
+
 // Choice is a server with the estimated cost of the request there.
 type Choice struct {
 	Candidate
@@ -71,16 +78,32 @@
 	}), true
 }
 
-// costStep is the difference between costs, in milliseconds, below which Cheapest treats
+// costStep is the difference between costs, in milliseconds, below which Shortlist treats
 // them as equal: the loads that they are estimated from are not more accurate.
 const costStep = 10
 
-// Cheapest returns the count cheapest candidates at which the request starts in time, the
-// cheapest first. Of those with about equal costs it prefers others for each request.
-func (s *Scheduler) Cheapest(now clock.Millis, request Request, candidates []Candidate, count int, requestID string) []Choice {
+// Shortlist returns the candidates whose keepers should be asked about the request: the
+// owner of its shared parts, the server that owns them while the owner does not serve, and
+// the cheapest of the others. Of those with about equal costs it prefers others for each
+// request.
+func (s *Scheduler) Shortlist(now clock.Millis, request Request, candidates []Candidate, count int, requestID string) []Choice {
 	choices := s.choices(now, request, candidates)
+	owner := ownerOf(request, candidates)
+	second := ownerOf(request, slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server == owner }))
+	class := func(c Choice) int {
+		switch {
+		case owner == "":
+			return 0
+		case c.Server == owner:
+			return -2
+		case c.Server == second:
+			return -1
+		default:
+			return 0
+		}
+	}
 	slices.SortFunc(choices, func(a, b Choice) int {
-		return cmp.Or(cmp.Compare(int(a.CostMs/costStep), int(b.CostMs/costStep)),
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(int(a.CostMs/costStep), int(b.CostMs/costStep)),
 			cmp.Compare(balancer.Rendezvous(0, requestID+a.Server), balancer.Rendezvous(0, requestID+b.Server)))
 	})
 	return choices[:min(count, len(choices))]
@@ -93,7 +116,7 @@
 	choices := make([]Choice, 0, len(candidates))
 	for _, candidate := range candidates {
 		if _, ok := sourcesBySalt[candidate.Salt]; !ok && !request.plain() {
-			sourcesBySalt[candidate.Salt] = s.findSources(now, request, candidate.Salt)
+			sourcesBySalt[candidate.Salt] = s.findSources(now, request, candidate.Salt).withKnown(candidates, candidate.Salt)
 		}
 		choice := s.estimate(now, request, candidate, candidate.Server == owner, sourcesBySalt[candidate.Salt])
 		if choice.startsInTime() {
@@ -130,6 +153,9 @@
 		return choice
 	}
 	cached := s.cachedPrefix(now, request, candidate.Salt, candidate.Server, (*serverCache).cachedTokens)
+	if candidate.Known != nil {
+		cached = max(cached, candidate.Known.CachedTokens)
+	}
 	// A source is set even if the server should have the parts: it may have evicted
 	// them, and a source that is not needed costs it a millisecond.
 	source, fetchable := available.bestExcept(candidate.Server)
@@ -148,8 +174,8 @@
 	choice.UncachedTokens = max(0, request.PromptTokens-cached)
 	slowdown := s.slowdown(candidate.Server)
 	choice.QueueMs = slowdown * float64(choice.Load.PrefillTokens) / defaultPrefillRate
-	if candidate.BacklogKnown {
-		choice.QueueMs = candidate.BacklogMs
+	if candidate.Known != nil {
+		choice.QueueMs = candidate.Known.BacklogMs
 	}
 	if excess := choice.Load.MemoryTokens + choice.UncachedTokens + request.OutputTokens - candidate.MemoryTokens; candidate.MemoryTokens > 0 && excess > 0 {
 		choice.QueueMs += saturationCost + float64(excess)/defaultPrefillRate
--- a/internal/decision/scheduler/sent.go
+++ b/internal/decision/scheduler/sent.go
@@ -47,3 +47,31 @@
 		}
 	}
 }
+
+// SharedPartKeys returns the keys and the tokens of the request's shared parts under a
+// salt, in order.
+func (r Request) SharedPartKeys(salt string) [][2]uint64 {
+	var keys [][2]uint64
+	for _, part := range r.sharedParts() {
+		keys = append(keys, [2]uint64{partKey(salt, part.ID), uint64(part.Tokens)})
+	}
+	return keys
+}
+
+// CachedPrefix returns the length, in tokens, of the prefix of the parts, given by their
+// keys and tokens, that the server has or will have after their prefill.
+func (s *Scheduler) CachedPrefix(now clock.Millis, server string, parts [][2]uint64) int64 {
+	cache, ok := s.caches[server]
+	if !ok {
+		return 0
+	}
+	var prefix int64
+	for _, part := range parts {
+		cached, tokens := cache.cachedTokens(now, part[0]), int64(part[1])
+		if cached == 0 || cached < tokens-blockTokens {
+			return prefix + cached
+		}
+		prefix += tokens
+	}
+	return prefix
+}
--- a/internal/decision/scheduler/sources.go
+++ b/internal/decision/scheduler/sources.go
@@ -59,6 +59,28 @@
 	return found
 }
 
+// withKnown returns the sources with those candidates of which the keepers know that they
+// have a longer prefix.
+func (s sources) withKnown(candidates []Candidate, salt string) sources {
+	for _, candidate := range candidates {
+		if candidate.Known == nil || candidate.Salt != salt || candidate.Known.CachedTokens == 0 {
+			continue
+		}
+		next := source{server: candidate.Server, tokens: candidate.Known.CachedTokens, confirmed: candidate.Known.CachedTokens, recentlyUsed: true}
+		switch {
+		case next.server == s.best.server:
+			if next.ranksAbove(s.best) {
+				s.best = next
+			}
+		case next.ranksAbove(s.best):
+			s.best, s.second = next, s.best
+		case next.ranksAbove(s.second):
+			s.second = next
+		}
+	}
+	return s
+}
+
 func (s *Scheduler) sourceAt(now clock.Millis, request Request, salt, server string) source {
 	found := source{server: server, tokens: s.cachedPrefix(now, request, salt, server, (*serverCache).fetchableTokens)}
 	if found.tokens > 0 {
--- a/internal/decision/digest/codec.go
+++ b/internal/runtime/datagram/digest.go
@@ -1,4 +1,4 @@
-package digest
+package datagram
 
 import (
 	"maps"
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -16,9 +17,9 @@
 // format is the version of the meaning of the fields. A new field needs no new format.
 const format = 1
 
-// Encode returns the digest as a datagram. Its fields are in a fixed order, so that equal
-// digests have equal datagrams.
-func (d Digest) Encode() ([]byte, error) {
+// EncodeDigest returns the digest as a datagram. Its fields are in a fixed order, so that
+// equal digests have equal datagrams.
+func EncodeDigest(d digest.Digest) ([]byte, error) {
 	message := &edgev1.Digest{
 		Format: format, Name: d.Name, Domain: d.Domain, Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, Top: d.Top, Probe: d.Probe,
@@ -52,7 +53,7 @@
 		delta.Keys, delta.Tokens = splitPairs(change.Delta.Changes)
 		message.CacheDeltas = append(message.CacheDeltas, delta)
 	}
-	d.encodeRollout(message)
+	encodeRollout(d, message)
 	for _, fingerprint := range slices.Sorted(maps.Keys(d.CrashedServers)) {
 		message.Crashes = append(message.Crashes, &edgev1.Crash{Fingerprint: fingerprint, Servers: d.CrashedServers[fingerprint]})
 	}
@@ -66,12 +67,12 @@
 	}
 	datagram, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	if err != nil {
-		return nil, errors.Wrap(err, "digest.Encode")
+		return nil, errors.Wrap(err, "datagram.EncodeDigest")
 	}
 	return datagram, nil
 }
 
-func (d Digest) encodeRollout(message *edgev1.Digest) {
+func encodeRollout(d digest.Digest, message *edgev1.Digest) {
 	for _, orders := range d.Orders {
 		update := orders.RelayRequest
 		message.Orders = append(message.Orders, &edgev1.Orders{
@@ -89,29 +90,29 @@
 	}
 }
 
-// AppendEcho returns the datagram with the echo. It does not change the argument.
-func AppendEcho(datagram []byte, echo Echo) ([]byte, error) {
+// AppendEcho returns the digest's datagram with the echo. It does not change the argument.
+func AppendEcho(datagram []byte, echo digest.Echo) ([]byte, error) {
 	appended, err := proto.MarshalOptions{}.MarshalAppend(slices.Clip(datagram), &edgev1.Digest{EchoIncarnation: echo.Incarnation, EchoSequence: echo.Sequence})
 	if err != nil {
-		return nil, errors.Wrap(err, "digest.AppendEcho")
+		return nil, errors.Wrap(err, "datagram.AppendEcho")
 	}
 	return appended, nil
 }
 
-// Decode decodes and validates a datagram.
-func Decode(datagram []byte) (Digest, error) {
+// DecodeDigest decodes and validates a datagram.
+func DecodeDigest(datagram []byte) (digest.Digest, error) {
 	var message edgev1.Digest
 	if err := proto.Unmarshal(datagram, &message); err != nil {
-		return Digest{}, errors.Wrap(err, "digest.Decode")
+		return digest.Digest{}, errors.Wrap(err, "datagram.DecodeDigest")
 	}
 	if err := validate(&message); err != nil {
-		return Digest{}, err
+		return digest.Digest{}, err
 	}
-	d := Digest{
+	d := digest.Digest{
 		Name: message.GetName(), Domain: message.GetDomain(), Address: message.GetAddress(),
-		Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(), Scope: Scope(message.GetScope()),
+		Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(), Scope: digest.Scope(message.GetScope()),
 		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), Top: message.GetTop(), Probe: message.GetProbe(),
-		Echo:      Echo{Incarnation: message.GetEchoIncarnation(), Sequence: message.GetEchoSequence()},
+		Echo:      digest.Echo{Incarnation: message.GetEchoIncarnation(), Sequence: message.GetEchoSequence()},
 		WithLoads: message.GetWithLoads(), Members: int(message.GetMembers()), MemberIDs: message.GetMemberIds(),
 		UnreachableServers: message.GetUnreachableServers(), RecoveredServers: message.GetRecoveredServers(),
 		Lease: rollout.Observation{Revision: message.GetLease().GetRevision(), Holder: message.GetLease().GetHolder(), Writes: message.GetLease().GetWrites()},
@@ -132,35 +133,35 @@
 		d.SentParts[sent.GetServer()] = joinPairs(sent.GetKeys(), sent.GetTokens())
 	}
 	for _, delta := range message.GetCacheDeltas() {
-		d.CacheDeltas = append(d.CacheDeltas, CacheDelta{Server: delta.GetServer(), Delta: cachetracker.Delta{
+		d.CacheDeltas = append(d.CacheDeltas, digest.CacheDelta{Server: delta.GetServer(), Delta: cachetracker.Delta{
 			Epoch: delta.GetEpoch(), Since: delta.GetSince(), LastChange: delta.GetLastChange(), Changes: joinPairs(delta.GetKeys(), delta.GetTokens()),
 		}})
 	}
-	d.decodeRollout(&message)
+	decodeRollout(&d, &message)
 	for _, crash := range message.GetCrashes() {
 		d.CrashedServers[crash.GetFingerprint()] = crash.GetServers()
 	}
 	for _, replica := range message.GetReplicas() {
-		d.Replicas = append(d.Replicas, Replica{
+		d.Replicas = append(d.Replicas, digest.Replica{
 			Kind: int(replica.GetKind()), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
 		})
 	}
 	if outage := message.GetOutage(); outage != nil {
-		d.Outage = Outage{Known: true, SinceStart: clock.Millis(outage.GetStartedMs()), SinceEnd: clock.Millis(outage.GetEndedMs()), Ended: outage.GetEnded()}
+		d.Outage = digest.Outage{Known: true, SinceStart: clock.Millis(outage.GetStartedMs()), SinceEnd: clock.Millis(outage.GetEndedMs()), Ended: outage.GetEnded()}
 	}
 	return d, nil
 }
 
-func (d *Digest) decodeRollout(message *edgev1.Digest) {
+func decodeRollout(d *digest.Digest, message *edgev1.Digest) {
 	for _, orders := range message.GetOrders() {
 		update := orders.GetRelayRequest()
-		d.Orders = append(d.Orders, Orders{
+		d.Orders = append(d.Orders, digest.Orders{
 			Holder: orders.GetHolder(), Count: orders.GetCount(), HoldsLease: orders.GetHoldsLease(), LoadingEngines: orders.GetLoadingEngines(),
 			RelayRequest: rollout.Update{Record: rollout.Record{Holder: update.GetHolder(), Writes: update.GetWrites()}, IfRevision: update.GetIfRevision()},
 		})
 	}
 	for _, reported := range message.GetReportedWeights() {
-		d.ReportedWeights = append(d.ReportedWeights, ReportedWeights{Server: reported.GetServer(), Model: reported.GetModel(), Version: reported.GetVersion()})
+		d.ReportedWeights = append(d.ReportedWeights, digest.ReportedWeights{Server: reported.GetServer(), Model: reported.GetModel(), Version: reported.GetVersion()})
 	}
 	for _, published := range message.GetPublishedWeights() {
 		if d.WeightsAges[published.GetModel()] == nil {
@@ -175,19 +176,19 @@
 	servers := len(message.GetLoadServers())
 	switch {
 	case message.GetFormat() != format:
-		return errors.Errorf("digest.Decode: format %d is unknown; this instance reads format %d", message.GetFormat(), format)
+		return errors.Errorf("datagram.DecodeDigest: format %d is unknown; this instance reads format %d", message.GetFormat(), format)
 	case message.GetName() == "" || message.GetIncarnation() == 0:
-		return errors.New("digest.Decode: the name or the incarnation is missing")
+		return errors.New("datagram.DecodeDigest: the name or the incarnation is missing")
 	case message.GetScope() != edgev1.Scope_SCOPE_SUBTREE && message.GetScope() != edgev1.Scope_SCOPE_ALL:
-		return errors.Errorf("digest.Decode: scope %d is unknown", message.GetScope())
+		return errors.Errorf("datagram.DecodeDigest: scope %d is unknown", message.GetScope())
 	case len(message.GetTeams()) != len(message.GetAdmitted()) || len(message.GetLevelTeams()) != len(message.GetLevels()):
-		return errors.New("digest.Decode: the teams and their values differ in number")
+		return errors.New("datagram.DecodeDigest: the teams and their values differ in number")
 	case servers != len(message.GetLoadRequests()) || servers != len(message.GetLoadPrefillTokens()) || servers != len(message.GetLoadMemoryTokens()):
-		return errors.New("digest.Decode: the servers and their loads differ in number")
+		return errors.New("datagram.DecodeDigest: the servers and their loads differ in number")
 	}
 	for _, replica := range message.GetReplicas() {
 		if replica.GetAgeMs() < 0 || replica.GetRevision() < 0 || replica.GetThrough() < replica.GetRevision() {
-			return errors.New("digest.Decode: a replica's age or revision is out of range")
+			return errors.New("datagram.DecodeDigest: a replica's age or revision is out of range")
 		}
 	}
 	return nil
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -1,12 +1,12 @@
 package edge
 
 import (
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
 )
 
 // perform performs one action. It is called with the state machine locked and must
@@ -33,8 +33,8 @@
 		e.meter.Observe(string(action.Histogram), action.Duration)
 	case forwarder.SendDigest:
 		e.sendDigest(action)
-	case forwarder.SendBacklogs:
-		e.sendBacklogs(action)
+	case forwarder.SendToKeeper:
+		e.sendToKeeper(action)
 	case forwarder.WatchStore:
 		e.watchStore(action.On)
 	case forwarder.FetchReplicas:
@@ -82,13 +82,13 @@
 // sendDigest sends a digest to neighbors. Datagrams are not resent: the next digest
 // replaces a lost one.
 func (e *Edge) sendDigest(send forwarder.SendDigest) {
-	datagram, err := send.Digest.Encode()
+	encoded, err := datagram.EncodeDigest(send.Digest)
 	if err != nil {
 		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
 		return
 	}
 	for _, recipient := range send.Recipients {
-		withEcho, err := digest.AppendEcho(datagram, recipient.Echo)
+		withEcho, err := datagram.AppendEcho(encoded, recipient.Echo)
 		if err != nil {
 			e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
 			continue
@@ -97,23 +97,23 @@
 	}
 }
 
-// sendBacklogs sends a message about backlogs to a peer. It is not resent either.
-func (e *Edge) sendBacklogs(send forwarder.SendBacklogs) {
-	datagram, err := send.Message.Encode()
+// sendToKeeper sends a message to or from a keeper. It is not resent either.
+func (e *Edge) sendToKeeper(send forwarder.SendToKeeper) {
+	encoded, err := datagram.EncodeKeeperMessage(send.Message)
 	if err != nil {
 		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
 		return
 	}
-	e.sendDatagram(datagram, send.Address)
+	e.sendDatagram(encoded, send.Address)
 }
 
-func (e *Edge) sendDatagram(datagram []byte, peer string) {
+func (e *Edge) sendDatagram(encoded []byte, peer string) {
 	address, err := parsePeerAddress(peer)
 	if err != nil {
 		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("address", peer).With("error", err))
 		return
 	}
-	if _, err := e.peerSocket.WriteTo(datagram, address); err != nil {
+	if _, err := e.peerSocket.WriteTo(encoded, address); err != nil {
 		e.meter.Add("datagramsUnsent", 1)
 	}
 }
--- a/internal/runtime/edge/peers.go
+++ b/internal/runtime/edge/peers.go
@@ -7,10 +7,9 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogmessage"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
 )
 
 const (
@@ -114,12 +113,12 @@
 	}
 }
 
-// decodeDatagram decodes a digest or a message about backlogs.
-func decodeDatagram(datagram []byte) (forwarder.Event, error) {
-	if backlogmessage.Is(datagram) {
-		message, err := backlogmessage.Decode(datagram)
-		return forwarder.BacklogsReceived{Message: message}, err
+// decodeDatagram decodes a digest or a message of a keeper.
+func decodeDatagram(received []byte) (forwarder.Event, error) {
+	if datagram.IsKeeperMessage(received) {
+		message, err := datagram.DecodeKeeperMessage(received)
+		return forwarder.KeeperMessageReceived{Message: message}, err
 	}
-	received, err := digest.Decode(datagram)
-	return forwarder.DigestReceived{Digest: received}, err
+	message, err := datagram.DecodeDigest(received)
+	return forwarder.DigestReceived{Digest: message}, err
 }
