--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -77,7 +77,7 @@
 	}
 	next := f.replicas.Next(f.now, rank, len(f.arrangement.Tops()))
 	if next.Watch != watchingBefore {
-		f.log(eventlog.New(eventlog.WatchChanged, "").With("watching", next.Watch).With("rank", rank).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
+		f.log(eventlog.New(eventlog.WatchChanged, "").With("instance", f.settings.Name).With("watching", next.Watch).With("rank", rank).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
 		if !next.Watch {
 			f.storeDown = false
 		}
--- a/internal/decision/replicator/replicator.go
+++ b/internal/decision/replicator/replicator.go
@@ -94,16 +94,17 @@
 	waitHundredths     = 25
 	takeoverHundredths = 55
 	stepHundredths     = 2
-	// keyAgeDivisor is the part of the bound for withdrawn keys that counts as a bound on
-	// the age: their requests still take some time to reach a server.
-	keyAgeDivisor = 2
+	// keyAgeHundredths is the part of the bound for withdrawn keys that counts as a bound
+	// on the age: their requests still take some time to reach a server.
+	keyAgeHundredths = 70
+	hundred          = 100
 )
 
 // NewTiming returns the times for the bounds: configApply is the time within which a new
 // desired state must be in use, and keyWithdrawal that for the withdrawal of a key.
 func NewTiming(configApply, keyWithdrawal clock.Millis) Timing {
-	bound := max(1, min(configApply, keyWithdrawal/keyAgeDivisor))
-	return Timing{Wait: max(1, bound*waitHundredths/100), Takeover: bound * takeoverHundredths / 100, Step: bound * stepHundredths / 100}
+	bound := max(1, min(configApply, keyWithdrawal*keyAgeHundredths/hundred))
+	return Timing{Wait: max(1, bound*waitHundredths/hundred), Takeover: bound * takeoverHundredths / hundred, Step: bound * stepHundredths / hundred}
 }
 
 // Copy is the state of the instance's copy of one kind.
--- /dev/null
+++ b/internal/runtime/datagram/datagram_test.go
@@ -0,0 +1,112 @@
+package datagram_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
+	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// newDigest returns a digest with all fields.
+func newDigest() digest.Digest {
+	return digest.Digest{
+		Name: "edge-1", Domain: "a", Address: "10.0.0.1:7600", Incarnation: 9, Sequence: 4, Scope: digest.Subtree, Leaving: true, StoreDown: true, Top: true,
+		Members: 3, MemberIDs: []uint32{1, 2}, Admitted: map[uint32]int64{5: -7}, BucketLevels: map[uint32]int64{6: -8},
+		WithLoads: true, Loads: map[uint32][3]int64{11: {1, 2, 3}}, SentParts: map[uint32][][2]uint64{12: {{13, 14}}},
+		CacheDeltas:        []digest.CacheDelta{{Server: 15, Delta: cachetracker.Delta{Epoch: 1, Since: 2, LastChange: 3, Changes: [][2]uint64{{4, 0}}}}},
+		UnreachableServers: []string{"s1"}, RecoveredServers: []string{"s2"},
+		Orders: []digest.Orders{{
+			Holder: "edge-2", Count: 7, HoldsLease: true, LoadingEngines: []string{"e1"},
+			RelayRequest: rollout.Update{Record: rollout.Record{Holder: "edge-2", Writes: 3}, IfRevision: 44},
+		}},
+		Lease: rollout.Observation{Revision: 44, Holder: "edge-2", Writes: 2}, ReportedWeights: []digest.ReportedWeights{{Server: "e1", Model: "m", Version: 3}},
+		WeightsAges: map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
+		Replicas: []digest.Replica{{Kind: 1, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
+	}
+}
+
+// TestDigestRoundTrip verifies that all fields arrive, with the echo that is appended for
+// one receiver.
+func TestDigestRoundTrip(t *testing.T) {
+	sent := newDigest()
+	encoded, err := datagram.EncodeDigest(sent)
+	require.NoError(t, err)
+	for _, echo := range []digest.Echo{{Incarnation: 3, Sequence: 9}, {Incarnation: 4, Sequence: 1}} {
+		withEcho, err := datagram.AppendEcho(encoded, echo)
+		require.NoError(t, err)
+		received, err := datagram.DecodeDigest(withEcho)
+		require.NoError(t, err)
+		sent.Echo = echo
+		require.Equal(t, sent, received)
+		require.False(t, datagram.IsKeeperMessage(withEcho))
+	}
+}
+
+// TestUnknownFields verifies that a digest of a newer build, with fields that this one does
+// not know, is read, and that one of another format is dropped.
+func TestUnknownFields(t *testing.T) {
+	encoded, err := datagram.EncodeDigest(newDigest())
+	require.NoError(t, err)
+	newer := append(encoded, 0xc2, 0x3e, 0x03, 'n', 'e', 'w') // field 1000
+	received, err := datagram.DecodeDigest(newer)
+	require.NoError(t, err)
+	require.Equal(t, newDigest(), received)
+}
+
+// TestInvalidDigests verifies that digests which can't be used are errors.
+func TestInvalidDigests(t *testing.T) {
+	tests := map[string]func(message *edgev1.Digest){
+		"another format":            func(m *edgev1.Digest) { m.Format = 2 },
+		"no name":                   func(m *edgev1.Digest) { m.Name = "" },
+		"no incarnation":            func(m *edgev1.Digest) { m.Incarnation = 0 },
+		"no scope":                  func(m *edgev1.Digest) { m.Scope = 0 },
+		"an unknown scope":          func(m *edgev1.Digest) { m.Scope = 7 },
+		"teams without counts":      func(m *edgev1.Digest) { m.Admitted = nil },
+		"levels without teams":      func(m *edgev1.Digest) { m.LevelTeams = nil },
+		"servers without loads":     func(m *edgev1.Digest) { m.LoadRequests = nil },
+		"a negative age":            func(m *edgev1.Digest) { m.Replicas[0].AgeMs = -1 },
+		"a revision that goes back": func(m *edgev1.Digest) { m.Replicas[0].Through = 1 },
+	}
+	valid, err := datagram.EncodeDigest(newDigest())
+	require.NoError(t, err)
+	for name, spoil := range tests {
+		t.Run(name, func(t *testing.T) {
+			var message edgev1.Digest
+			require.NoError(t, proto.Unmarshal(valid, &message))
+			spoil(&message)
+			encoded, err := proto.Marshal(&message)
+			require.NoError(t, err)
+			_, err = datagram.DecodeDigest(encoded)
+			require.Error(t, err)
+		})
+	}
+	_, err = datagram.DecodeDigest([]byte(`{"name":"an instance of the build before"}`))
+	require.Error(t, err)
+	_, err = datagram.DecodeDigest(valid[:len(valid)-1])
+	require.Error(t, err, "a datagram that ends within a field")
+}
+
+// TestKeeperMessageRoundTrip verifies that all fields of a message arrive.
+func TestKeeperMessageRoundTrip(t *testing.T) {
+	sent := keepermessage.Message{Kind: keepermessage.Query, Address: "10.0.0.1:7600", ID: 8, Entries: []keepermessage.Entry{
+		{Server: 3, Time: 40, CachedTokens: 700, Parts: [][2]uint64{{5, 400}, {6, 300}}}, {Server: 4},
+	}}
+	encoded, err := datagram.EncodeKeeperMessage(sent)
+	require.NoError(t, err)
+	require.True(t, datagram.IsKeeperMessage(encoded))
+	received, err := datagram.DecodeKeeperMessage(encoded)
+	require.NoError(t, err)
+	require.Equal(t, sent, received)
+	for name, invalid := range map[string][]byte{"nothing": nil, "another kind": {0, 8, 9}, "torn": encoded[:len(encoded)-2], "no marker": encoded[1:]} {
+		_, err := datagram.DecodeKeeperMessage(invalid)
+		require.Error(t, err, name)
+	}
+}
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -136,6 +136,7 @@
 	e := &Edge{settings: settings, platform: platform, logger: logger, meter: meter.New(), objects: objectcache.New(), endWatch: func() {}, ctx: ctx, cancel: cancel}
 	fwd := forwarder.New(settings, hex.EncodeToString(random[:8]), binary.LittleEndian.Uint64(random[8:]))
 	e.machine = newStateMachine(fwd, e.perform)
+	e.meter.Gauge("status", func() any { return e.machine.status() })
 	e.kinds = platform.WatchedKinds(e.machine.submit, e.log)
 	e.httpServer = httpserver.New(e, settings.MemoryMB<<20/bodyMemoryDivisor)
 	if err := e.listen(); err != nil {
--- a/internal/runtime/edge/statemachine.go
+++ b/internal/runtime/edge/statemachine.go
@@ -116,6 +116,13 @@
 	return m.forwarder.Replica(kind), bootclock.Now()
 }
 
+func (m *stateMachine) status() forwarder.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = max(m.now, bootclock.Now())
+	return m.forwarder.StatusAt(m.now)
+}
+
 // ownEntry returns the instance's own entry in the store. It reports false before there is
 // a copy of the entries.
 func (m *stateMachine) ownEntry() (forwarder.Member, bool) {
