--- a/internal/decision/cachetracker/delta.go
+++ b/internal/decision/cachetracker/delta.go
@@ -2,11 +2,11 @@
 
 // Delta is a read result as it is broadcast in digests.
 type Delta struct {
-	Epoch      int64 `json:"epoch"`
-	Since      int64 `json:"since"`
-	LastChange int64 `json:"next"`
+	Epoch      int64
+	Since      int64
+	LastChange int64
 	// Changes are pairs of part key and tokens.
-	Changes [][2]uint64 `json:"changes,omitempty"`
+	Changes [][2]uint64
 }
 
 // Delta returns the result for a digest, with the changes whose key passes the filter.
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
@@ -96,8 +95,6 @@
 	domains int
 	cut     func(from, to int) bool
 	traffic map[int]traffic
-	// lastAll is the latest digest about all instances.
-	lastAll digest.Digest
 
 	leaseRevision int64
 	leaseRecord   rollout.Record
@@ -295,23 +292,10 @@
 func (c *cluster) sendDigest(from int, send forwarder.SendDigest) {
 	encoded, err := datagram.EncodeDigest(send.Digest)
 	require.NoError(c.t, err)
-	if send.Digest.Scope == digest.All && send.Digest.WithLoads {
-		c.lastAll = send.Digest
-	}
 	for _, recipient := range send.Recipients {
 		withEcho, err := datagram.AppendEcho(encoded, recipient.Echo)
 		require.NoError(c.t, err)
-		sender := c.traffic[from]
-		sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+len(withEcho)
-		c.traffic[from] = sender
-		to := c.instanceAt(recipient.Address)
-		if to < 0 || (c.cut != nil && c.cut(from, to)) {
-			continue
-		}
-		receiver := c.traffic[to]
-		receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+len(withEcho)
-		c.traffic[to] = receiver
-		c.after(2, func() {
+		c.deliver(from, recipient.Address, len(withEcho), func(to int) {
 			received, err := datagram.DecodeDigest(withEcho)
 			require.NoError(c.t, err)
 			c.step(to, forwarder.DigestReceived{Digest: received})
@@ -323,21 +307,27 @@
 func (c *cluster) sendToKeeper(from int, send forwarder.SendToKeeper) {
 	encoded, err := datagram.EncodeKeeperMessage(send.Message)
 	require.NoError(c.t, err)
+	c.deliver(from, send.Address, len(encoded), func(to int) {
+		received, err := datagram.DecodeKeeperMessage(encoded)
+		require.NoError(c.t, err)
+		c.step(to, forwarder.KeeperMessageReceived{Message: received})
+	})
+}
+
+// deliver counts a datagram and delivers it to the instance at the address, unless a cut
+// separates the two.
+func (c *cluster) deliver(from int, address string, bytes int, receive func(to int)) {
 	sender := c.traffic[from]
-	sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+len(encoded)
+	sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+bytes
 	c.traffic[from] = sender
-	to := c.instanceAt(send.Address)
+	to := c.instanceAt(address)
 	if to < 0 || (c.cut != nil && c.cut(from, to)) {
 		return
 	}
 	receiver := c.traffic[to]
-	receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+len(encoded)
+	receiver.received, receiver.receivedBytes = receiver.received+1, receiver.receivedBytes+bytes
 	c.traffic[to] = receiver
-	c.after(2, func() {
-		received, err := datagram.DecodeKeeperMessage(encoded)
-		require.NoError(c.t, err)
-		c.step(to, forwarder.KeeperMessageReceived{Message: received})
-	})
+	c.after(2, func() { receive(to) })
 }
 
 // instanceAt returns the instance with the peer address; -1 if there is none.
--- a/internal/decision/forwarder/scale_test.go
+++ b/internal/decision/forwarder/scale_test.go
@@ -43,14 +43,10 @@
 			clear(c.traffic)
 			c.sendPrompts(seconds * clock.Second)
 			most := traffic{}
-			for i, seen := range c.traffic {
-				if seen.received > seconds*maxPerSecond {
-					t.Logf("instance %d: %+v %+v", i, seen, c.instances[i].StatusAt(c.now))
-				}
+			for _, seen := range c.traffic {
 				most.sent, most.received = max(most.sent, seen.sent), max(most.received, seen.received)
 				most.sentBytes, most.receivedBytes = max(most.sentBytes, seen.sentBytes), max(most.receivedBytes, seen.receivedBytes)
 			}
-			c.logLargestFields()
 			t.Logf("most in %d s: %+v", seconds, most)
 			require.LessOrEqual(t, most.sent, seconds*maxPerSecond)
 			require.LessOrEqual(t, most.received, seconds*maxPerSecond)
@@ -60,19 +56,6 @@
 	}
 }
 
-// logLargestFields logs the parts of the latest digest about all instances.
-func (c *cluster) logLargestFields() {
-	last := c.lastAll
-	parts, deltas := 0, 0
-	for _, sent := range last.SentParts {
-		parts += len(sent)
-	}
-	for _, delta := range last.CacheDeltas {
-		deltas += len(delta.Delta.Changes)
-	}
-	c.t.Logf("loads %d, members %d, teams %d, sent parts %d of %d servers, deltas %d with %d changes", len(last.Loads), len(last.MemberIDs), len(last.Admitted), parts, len(last.SentParts), len(last.CacheDeltas), deltas)
-}
-
 // requireReachable verifies that each running instance counts as many instances as it can
 // reach.
 func (c *cluster) requireReachable(want func(i int) int, message string) {
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -66,8 +66,8 @@
 	servers map[string]Server
 	// sorted has the servers by identifier; nil after a change.
 	sorted []Server
-	// checkSpacing is the factor by which health checks are further apart than in a
-	// small cluster.
+	// checkSpacing is the factor by which the health checks of this instance are further
+	// apart than in a small cluster.
 	checkSpacing clock.Millis
 }
 
