--- a/internal/decision/rollout/lease.go
+++ b/internal/decision/rollout/lease.go
@@ -60,16 +60,16 @@
 
 // Observation is an observed state of the lease's object.
 type Observation struct {
-	Revision int64 
+	Revision int64
 	Holder   string
-	Writes   int64 
+	Writes   int64
 }
 
 // Update is an update of the lease on condition of its revision. The zero Update means
 // no update.
 type Update struct {
 	Record     Record
-	IfRevision int64 
+	IfRevision int64
 }
 
 // lease is the instance's view of the lease. Only a conditional update of the object
