--- a/internal/decision/backlogkeeper/backlogkeeper.go
+++ b/internal/decision/backlogkeeper/backlogkeeper.go
@@ -4,8 +4,8 @@
 // Load pattern: hundreds of instances send long prompts to the same engines, each a few a
 // second. What they learn of each other's prompts by digests is some hundred milliseconds
 // old, as long as the prefill of a long prompt, so that they would choose the same engine.
-// Each engine therefore has one keeper, which is told of every prompt that is sent there,
-// and asked before one is sent.
+// Each engine therefore has one keeper, which receives a report of each prompt sent there,
+// and a query before one is sent.
 //
 // A backlog shrinks with time. A message that is lost, or a keeper that restarts, makes it
 // too small for the time of some prompts, which costs quality only.
