--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -93,8 +93,10 @@
 	// instances can't reach each other; nil for a network without cuts. traffic counts
 	// the digests that an instance has sent and received.
 	domains int
-	cut     func(from, to int) bool
-	traffic map[int]traffic
+	// subjects is the number of second prompt parts that the prompts share.
+	subjects int
+	cut      func(from, to int) bool
+	traffic  map[int]traffic
 
 	leaseRevision int64
 	leaseRecord   rollout.Record
@@ -141,7 +143,7 @@
 // engine for two instances, but at least six.
 func newClusterIn(t *testing.T, seed uint64, instances, domains int) *cluster {
 	c := &cluster{
-		domains: domains, traffic: map[int]traffic{},
+		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
 		loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
@@ -342,7 +344,7 @@
 	arrived := forwarder.Request{ID: id, Host: host, Method: "POST", Path: "/" + kind + "/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: id}
 	if kind == "stream" || kind == "once" {
 		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
-		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%max(7, len(c.instances))), Tokens: 300}, {ID: id, Tokens: 300}}
+		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%c.subjects), Tokens: 300}, {ID: id, Tokens: 300}}
 	}
 	c.requests[id].parts = arrived.PromptParts
 	if c.stopped[i] {
--- a/internal/decision/forwarder/scale_test.go
+++ b/internal/decision/forwarder/scale_test.go
@@ -28,32 +28,49 @@
 	}
 }
 
-// TestDigestsDoNotGrowWithInstances verifies that the digests that an instance sends and
+// TestDigestsDoNotGrowWithInstances verifies that the datagrams that an instance sends and
 // receives are bounded, however many instances there are.
 func TestDigestsDoNotGrowWithInstances(t *testing.T) {
+	for name, scale := range scales {
+		t.Run(name, func(t *testing.T) {
+			newClusterIn(t, 1, scale.instances, scale.domains).requireBoundedTraffic()
+		})
+	}
+}
+
+// TestDigestsWithHotSubjects verifies the same while all prompts share seven subjects, so
+// that the keepers of their owners are asked about each prompt.
+func TestDigestsWithHotSubjects(t *testing.T) {
+	for name, scale := range scales {
+		t.Run(name, func(t *testing.T) {
+			c := newClusterIn(t, 1, scale.instances, scale.domains)
+			c.subjects = 7
+			c.requireBoundedTraffic()
+		})
+	}
+}
+
+// requireBoundedTraffic sends prompts and verifies the datagrams of each instance.
+func (c *cluster) requireBoundedTraffic() {
+	c.t.Helper()
 	const (
 		seconds        = 4
 		maxPerSecond   = 60
 		maxBytesSecond = 60_000
 	)
-	for name, scale := range scales {
-		t.Run(name, func(t *testing.T) {
-			c := newClusterIn(t, 1, scale.instances, scale.domains)
-			c.sendPrompts(3 * clock.Second)
-			clear(c.traffic)
-			c.sendPrompts(seconds * clock.Second)
-			most := traffic{}
-			for _, seen := range c.traffic {
-				most.sent, most.received = max(most.sent, seen.sent), max(most.received, seen.received)
-				most.sentBytes, most.receivedBytes = max(most.sentBytes, seen.sentBytes), max(most.receivedBytes, seen.receivedBytes)
-			}
-			t.Logf("most in %d s: %+v", seconds, most)
-			require.LessOrEqual(t, most.sent, seconds*maxPerSecond)
-			require.LessOrEqual(t, most.received, seconds*maxPerSecond)
-			require.LessOrEqual(t, most.sentBytes, seconds*maxBytesSecond)
-			require.LessOrEqual(t, most.receivedBytes, seconds*maxBytesSecond)
-		})
+	c.sendPrompts(3 * clock.Second)
+	clear(c.traffic)
+	c.sendPrompts(seconds * clock.Second)
+	most := traffic{}
+	for _, seen := range c.traffic {
+		most.sent, most.received = max(most.sent, seen.sent), max(most.received, seen.received)
+		most.sentBytes, most.receivedBytes = max(most.sentBytes, seen.sentBytes), max(most.receivedBytes, seen.receivedBytes)
 	}
+	c.t.Logf("most in %d s: %+v", seconds, most)
+	require.LessOrEqual(c.t, most.sent, seconds*maxPerSecond)
+	require.LessOrEqual(c.t, most.received, seconds*maxPerSecond)
+	require.LessOrEqual(c.t, most.sentBytes, seconds*maxBytesSecond)
+	require.LessOrEqual(c.t, most.receivedBytes, seconds*maxBytesSecond)
 }
 
 // requireReachable verifies that each running instance counts as many instances as it can
