--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -10,6 +10,7 @@
 	RequestAnswered    Number = 1003
 	RequestAbandoned   Number = 1004
 	RequestReplayed    Number = 1005
+	ResponseIncomplete Number = 1006
 	RouteChosen        Number = 1101
 	AttemptFailed      Number = 1102
 	AttemptFirstToken  Number = 1103
@@ -65,6 +66,7 @@
 	RequestAnswered:    "requestAnswered",
 	RequestAbandoned:   "requestAbandoned",
 	RequestReplayed:    "requestReplayed",
+	ResponseIncomplete: "responseIncomplete",
 	RouteChosen:        "routeChosen",
 	AttemptFailed:      "attemptFailed",
 	AttemptFirstToken:  "attemptFirstToken",
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -46,6 +48,7 @@
 		}
 	}()
 	handler := &requestHandler{edge: e, inbound: inbound, response: response, request: request, callerRequestID: callerRequestID}
+	defer handler.logIncomplete(time.Now())
 	e.machine.submit(forwarder.RequestArrived{Request: request})
 	for {
 		select {
@@ -99,6 +102,19 @@
 	return true
 }
 
+// logIncomplete logs that the response is incomplete, unless the caller has disconnected.
+func (h *requestHandler) logIncomplete(arrivedAt time.Time) {
+	if h.response.Completed() {
+		return
+	}
+	select {
+	case <-h.inbound.Disconnected:
+	default:
+		entry := eventlog.New(eventlog.ResponseIncomplete, h.request.ID).With("started", h.response.Started())
+		h.edge.log(entry.With("lastEvent", h.lastEventID).With("after", clock.Millis(time.Since(arrivedAt).Milliseconds())))
+	}
+}
+
 func (h *requestHandler) dispatch(dispatch forwarder.Dispatch) {
 	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
 	defer cancel()
