Keep a silent attempt until another server has responded

Callers saw streams end without their end, and lookups refused with 502, although their server was sound and had only been silent for about a second. Beside a change of the desired state this counted as a lost request.

Cause: an attempt was given up before the alternative was certain. The reader of a resumable stream had a read deadline of 1 s; only after it the state machine looked for a server, time and retry budget, and closed the caller's connection if one was missing. abandonSilentAttempt and moveStreams asked for candidates and budget first, but cancelled the attempt before the other server had taken the request; if that was down or declined, nothing was left.

Change: silence is an event of the state machine (StreamSilent), no longer the end of the read. The request is sent to another server beside the silent attempt, and whichever continues the response first is kept; the other one is cancelled at that moment. Streams that leave an engine for new weights move in the same way. A stream that was resumed reports its first event too: before, an attempt after the first one counted as silent although its events were forwarded. An attempt that is cancelled before its connection is opened no longer runs.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -16,6 +16,7 @@
 	AttemptFirstToken  Number = 1103
 	AnswerDropped      Number = 1104
 	StreamMoved        Number = 1105
+	AlternativeTried   Number = 1106
 	TokensTaken        Number = 1201
 	TokensRefused      Number = 1202
 	TokensReturned     Number = 1203
@@ -72,6 +73,7 @@
 	AttemptFirstToken:  "attemptFirstToken",
 	AnswerDropped:      "answerDropped",
 	StreamMoved:        "streamMoved",
+	AlternativeTried:   "alternativeTried",
 	TokensTaken:        "tokensTaken",
 	TokensRefused:      "tokensRefused",
 	TokensReturned:     "tokensReturned",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -41,9 +41,12 @@
 	// LastEventID is the identifier of the event after which a stream resumes; empty
 	// for a new stream.
 	LastEventID string
-	// IdleTimeout is the longest pause between two events, after which the attempt
-	// counts as interrupted; 0 for none, where the stream can't be resumed elsewhere.
-	IdleTimeout clock.Millis
+	// SilenceLimit is the time without an event after which StreamSilent is reported; 0
+	// for none, where the stream can't be resumed elsewhere.
+	SilenceLimit clock.Millis
+	// Alternative reports whether the attempt runs beside the current one. It forwards
+	// nothing if that one sends the next part of the response first.
+	Alternative bool
 	// Stream reports whether events are forwarded as they arrive.
 	Stream bool
 }
@@ -54,9 +57,12 @@
 	Attempt int
 }
 
-// ForwardResponse sends the caller the server's response to the current attempt; for a
-// stream, its end.
-type ForwardResponse struct{ Request string }
+// ForwardResponse sends the caller the server's response to the attempt; for a stream, its
+// end.
+type ForwardResponse struct {
+	Request string
+	Attempt int
+}
 
 // Refuse sends the caller an error response of the proxy itself.
 type Refuse struct {
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -14,6 +14,7 @@
 	statusUnauthorized    = 401
 	statusNotFound        = 404
 	statusTooManyRequests = 429
+	statusInternalError   = 500
 	statusBadGateway      = 502
 	statusUnavailable     = 503
 	statusTimeout         = 504
@@ -126,7 +127,7 @@
 		}
 	}
 	entry := eventlog.New(eventlog.RequestRefused, fl.id()).With("code", reason).With("status", status).With("notRun", fl.possibleRuns == 0)
-	entry = entry.With("retryAfter", retryAfter).With("attempts", fl.attempt).With("server", fl.server)
+	entry = entry.With("retryAfter", retryAfter).With("attempts", fl.attempts).With("server", fl.server)
 	f.log(entry.With("after", f.now.Since(fl.arrivedAt)).With("passed", fl.partDelivered))
 	f.emit(ObserveDuration{Histogram: HistogramRefusal, Duration: f.now.Since(fl.arrivedAt)})
 	if fl.possibleRuns == 0 && fl.acquired > 0 {
@@ -144,7 +145,8 @@
 }
 
 func (f *Forwarder) removeFlight(fl *flight) {
-	f.scheduler.End(fl.id())
+	f.dropAlternative(fl)
+	f.scheduler.End(fl.attemptKey(fl.attempt))
 	f.endQuery(fl)
 	delete(f.flights, fl.id())
 }
@@ -161,13 +163,14 @@
 	if fl.attemptActive && fl.route.Kind == desired.Unsafe {
 		return
 	}
-	f.cancelAttempt(fl)
+	f.cancelAttempts(fl)
 	f.removeFlight(fl)
 	f.emit(DropRequest{Request: id})
 }
 
-// cancelAttempt cancels the current attempt, if there is one.
-func (f *Forwarder) cancelAttempt(fl *flight) {
+// cancelAttempts cancels the current attempt and the alternative, if there are any.
+func (f *Forwarder) cancelAttempts(fl *flight) {
+	f.dropAlternative(fl)
 	if fl.attemptActive {
 		fl.attemptActive = false
 		f.emit(CancelAttempt{Request: fl.id(), Attempt: fl.attempt})
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -52,36 +52,47 @@
 		f.waitForServer(fl)
 		return
 	}
-	if fl.hasPrompt() && clock.Millis(choice.QueueMs) > fl.remaining(f.now) {
+	if fl.queueTooLong(choice, f.now) {
 		f.refuse(fl, ReasonDeadlineTooClose, clock.Millis(choice.QueueMs)/2+f.jitteredRetryAfter())
 		return
 	}
 	f.dispatch(fl, choice)
 }
 
+// queueTooLong reports whether the request would wait at the server until its deadline.
+func (fl *flight) queueTooLong(choice scheduler.Choice, now clock.Millis) bool {
+	return fl.hasPrompt() && clock.Millis(choice.QueueMs) > fl.remaining(now)
+}
+
 // jitteredRetryAfter returns a random retry delay, so that callers do not retry all at
 // once.
 func (f *Forwarder) jitteredRetryAfter() clock.Millis {
 	return defaultRetryAfter/2 + clock.Millis(f.jitter(int64(defaultRetryAfter)))
 }
 
-// dispatch starts an attempt at the chosen server.
+// dispatch starts the next attempt at the chosen server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
-	server, _ := f.servers.Server(choice.Server)
 	fl.waiting, fl.waitDeadline = false, 0
-	fl.attempt++
+	fl.attempt = f.startAttempt(fl, choice, false)
 	fl.server = choice.Server
 	fl.attemptActive = true
 	fl.streamStarted = false
+	fl.expectedStartMs = choice.CostMs
+	f.scheduleCheck(fl)
+}
+
+// startAttempt sends the request to the chosen server, as the next attempt or as an
+// alternative to the current one. It returns the attempt's number.
+func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) int {
+	server, _ := f.servers.Server(choice.Server)
+	fl.attempts++
 	fl.triedServers[choice.Server] = true
 	fl.possibleRuns++
-	fl.expectedStartMs = choice.CostMs
-	f.scheduler.Begin(f.now, fl.id(), choice)
+	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.reportAdded(choice, f.schedulerRequest(fl))
-	f.scheduleCheck(fl)
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
-	entry = entry.With("attempt", fl.attempt).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
+	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
 	entry = entry.With("weights", server.Entry.WeightVersions[fl.request.Model]).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
@@ -90,33 +101,44 @@
 		saveAddress = f.cacheStore().CacheStoreAddress
 	}
 	f.emit(Dispatch{
-		Request: fl.id(), Attempt: fl.attempt,
+		Request: fl.id(), Attempt: fl.attempts,
 		Server: choice.Server, Address: server.Address,
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
-		Stream: fl.route.Kind == desired.Stream, IdleTimeout: f.idleTimeout(fl),
+		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative,
 	})
+	return fl.attempts
 }
 
 // canRetry reports whether a request that may have run may be sent again.
 func (f *Forwarder) canRetry(fl *flight) bool {
-	return fl.route.Repeatable() && fl.possibleRuns < max(1, fl.route.MaxAttempts) && fl.attempt < maxAttempts
+	return fl.route.Repeatable() && fl.possibleRuns < max(1, fl.route.MaxAttempts) && fl.attempts < maxAttempts
 }
 
 func (f *Forwarder) handleStreamStarted(event StreamStarted) {
+	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
+		f.replaceAttempt(fl)
+	}
 	fl, ok := f.currentAttempt(event.Request, event.Attempt)
 	if !ok {
 		return
 	}
+	if !fl.partDelivered {
+		f.emit(ObserveDuration{Histogram: HistogramFirstEvent, Duration: f.now.Since(fl.arrivedAt)})
+	}
 	fl.streamStarted = true
 	fl.partDelivered = true
-	f.scheduler.ResponseStarted(f.now, fl.id())
-	f.emit(ObserveDuration{Histogram: HistogramFirstEvent, Duration: f.now.Since(fl.arrivedAt)})
+	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
 	f.scheduleCheck(fl)
 	f.log(eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("after", f.now.Since(fl.arrivedAt)))
 }
 
+// isAlternative reports whether the attempt is the flight's alternative.
+func (fl *flight) isAlternative(attempt int) bool {
+	return fl.alternative != nil && fl.alternative.number == attempt
+}
+
 // currentAttempt returns the flight if the given attempt is its active one.
 func (f *Forwarder) currentAttempt(id string, attempt int) (*flight, bool) {
 	fl, ok := f.flights[id]
@@ -127,6 +149,10 @@
 }
 
 func (f *Forwarder) handleAttemptEnded(event AttemptEnded) {
+	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
+		f.handleAlternativeEnded(fl, event)
+		return
+	}
 	fl, ok := f.currentAttempt(event.Request, event.Attempt)
 	if !ok {
 		return
@@ -139,7 +165,7 @@
 	if event.WeightsVersion > 0 && fl.hasPrompt() {
 		f.recordWeights(fl.server, fl.request.Model, event.WeightsVersion)
 	}
-	f.scheduler.End(fl.id())
+	f.scheduler.End(fl.attemptKey(fl.attempt))
 	if event.Outcome == OutcomeCompleted {
 		f.handleCompletedAttempt(fl, event)
 		return
@@ -152,14 +178,18 @@
 func (f *Forwarder) handleCompletedAttempt(fl *flight, event AttemptEnded) {
 	failed := event.Status >= 500
 	f.servers.RecordResult(f.now, fl.server, failed)
+	if failed && fl.alternative != nil {
+		f.replaceAttempt(fl)
+		return
+	}
 	if failed && f.canRetry(fl) && !fl.callerDisconnected && f.retry(fl) == "" {
 		return
 	}
 	entry := eventlog.New(eventlog.RequestAnswered, fl.id()).With("server", fl.server).With("status", event.Status)
-	f.log(entry.With("attempts", fl.attempt).With("after", f.now.Since(fl.arrivedAt)))
+	f.log(entry.With("attempts", fl.attempts).With("after", f.now.Since(fl.arrivedAt)))
 	f.emit(ObserveDuration{Histogram: histogramResponsePrefix + Histogram(fl.route.Kind.String()), Duration: f.now.Since(fl.arrivedAt)})
 	f.removeFlight(fl)
-	f.emit(ForwardResponse{Request: fl.id()})
+	f.emit(ForwardResponse{Request: fl.id(), Attempt: fl.attempt})
 }
 
 // retry sends the request to another server if time, a server and retry budget are
@@ -168,7 +198,7 @@
 	if fl.remaining(f.now) < minRemaining {
 		return ReasonDeadlineTooClose
 	}
-	if fl.attempt >= maxAttempts || (len(f.candidates(fl)) == 0 && !f.serverExpected(fl)) {
+	if fl.attempts >= maxAttempts || (len(f.candidates(fl)) == 0 && !f.serverExpected(fl)) {
 		return ReasonNoServer
 	}
 	if !f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
@@ -178,22 +208,29 @@
 	return ""
 }
 
-func (f *Forwarder) handleFailedAttempt(fl *flight, event AttemptEnded) {
-	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("failure", event.Outcome)
+// recordFailure logs a failed attempt and records what it shows about the server.
+func (f *Forwarder) recordFailure(fl *flight, event AttemptEnded, server string) {
+	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", server).With("attempt", event.Attempt).With("failure", event.Outcome)
 	f.log(entry.With("status", event.Status).With("detail", event.Detail).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 	switch event.Outcome {
 	case OutcomeNotSent:
-		if f.servers.MarkUnreachable(f.now, fl.server) {
-			f.handleServerCrash(fl.server)
+		if f.servers.MarkUnreachable(f.now, server) {
+			f.handleServerCrash(server)
 		}
 	case OutcomeDeclined, OutcomeMisdirected:
-		f.servers.RecordResult(f.now, fl.server, false)
+		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
-		f.servers.RecordResult(f.now, fl.server, true)
-		f.recordInterruption(fl)
-		f.checkHealth(fl.server)
-	case OutcomeCorrupted:
-		f.servers.RecordResult(f.now, fl.server, true)
+		f.servers.RecordResult(f.now, server, true)
+		f.recordInterruption(fl, server)
+		f.checkHealth(server)
+	case OutcomeCorrupted, OutcomeCompleted:
+		f.servers.RecordResult(f.now, server, true)
+	}
+}
+
+func (f *Forwarder) handleFailedAttempt(fl *flight, event AttemptEnded) {
+	if event.Outcome != OutcomeSuperseded {
+		f.recordFailure(fl, event, fl.server)
 	}
 	if event.Outcome.notRun() {
 		fl.possibleRuns--
@@ -202,6 +239,10 @@
 		f.refuse(fl, ReasonServerFailed, 0)
 		return
 	}
+	if fl.alternative != nil {
+		f.replaceAttempt(fl)
+		return
+	}
 	retryable := event.Outcome.notRun() || f.canRetry(fl)
 	if fl.partDelivered && !fl.route.Resumable {
 		retryable = false
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -51,12 +51,19 @@
 // CallerDisconnected reports that the caller has disconnected.
 type CallerDisconnected struct{ Request string }
 
-// StreamStarted reports that the first event of a stream was sent to the caller.
+// StreamStarted reports that the first event of an attempt was sent to the caller.
 type StreamStarted struct {
 	Request string
 	Attempt int
 }
 
+// StreamSilent reports that an attempt that has started has sent no event for its silence
+// limit. It is repeated while the silence lasts.
+type StreamSilent struct {
+	Request string
+	Attempt int
+}
+
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Request string
@@ -94,11 +101,13 @@
 	// OutcomeCorrupted means that the response is corrupted or belongs to another
 	// request.
 	OutcomeCorrupted
+	// OutcomeSuperseded means that another attempt has continued the response.
+	OutcomeSuperseded
 )
 
 // String returns the outcome's name as it is logged.
 func (o Outcome) String() string {
-	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt"}[o]
+	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt", "superseded"}[o]
 }
 
 // notRun reports whether the request has certainly not run in the attempt.
@@ -230,6 +239,7 @@
 func (RequestArrived) isEvent()        {}
 func (CallerDisconnected) isEvent()    {}
 func (StreamStarted) isEvent()         {}
+func (StreamSilent) isEvent()          {}
 func (AttemptEnded) isEvent()          {}
 func (StateRead) isEvent()             {}
 func (StateConfirmed) isEvent()        {}
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -20,10 +20,13 @@
 	// checkAt is the time of the flight's next check for timeouts.
 	checkAt clock.Millis
 
-	// attempt is the number of the latest attempt, from 1; possibleRuns counts the
-	// attempts in which the request may have run.
+	// attempt is the number of the current attempt, from 1; attempts is the number of all.
+	// possibleRuns counts those in which the request may have run.
 	attempt      int
+	attempts     int
 	possibleRuns int
+	// alternative is an attempt beside the current one; nil for none.
+	alternative *alternative
 	// waiting reports whether the request waits for a server; at waitDeadline it is
 	// refused if none is available.
 	waiting       bool
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -247,6 +247,8 @@
 		f.handleDisconnect(event.Request)
 	case StreamStarted:
 		f.handleStreamStarted(event)
+	case StreamSilent:
+		f.handleStreamSilent(event)
 	case AttemptEnded:
 		f.handleAttemptEnded(event)
 	case StateRead:
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -36,11 +35,8 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.flights)) {
 		fl := f.flights[id]
-		if overdue[fl.server] && fl.movable() && f.canRetry(fl) && len(f.candidates(fl)) > 0 && f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
-			f.log(eventlog.New(eventlog.StreamMoved, fl.id()).With("server", fl.server).With("after", f.now.Since(fl.arrivedAt)))
-			f.cancelAttempt(fl)
-			f.scheduler.End(fl.id())
-			f.assignServer(fl)
+		if overdue[fl.server] && fl.movable() {
+			f.tryAlternative(fl, reasonWeights)
 		}
 	}
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -171,11 +171,11 @@
 }
 
 // recordInterruption keeps the request until it is known whether the server crashed.
-func (f *Forwarder) recordInterruption(fl *flight) {
-	recent := append(f.interruptions[fl.server], interruption{fingerprint: fl.request.Fingerprint, at: f.now})
-	f.interruptions[fl.server] = recent[max(0, len(recent)-maxInterruptions):]
-	if server, ok := f.servers.Server(fl.server); ok && server.Down() {
-		f.recordCrash(fl.request.Fingerprint, fl.server)
+func (f *Forwarder) recordInterruption(fl *flight, id string) {
+	recent := append(f.interruptions[id], interruption{fingerprint: fl.request.Fingerprint, at: f.now})
+	f.interruptions[id] = recent[max(0, len(recent)-maxInterruptions):]
+	if server, ok := f.servers.Server(id); ok && server.Down() {
+		f.recordCrash(fl.request.Fingerprint, id)
 	}
 }
 
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -53,7 +52,7 @@
 			continue
 		}
 		if f.now >= fl.deadline {
-			f.cancelAttempt(fl)
+			f.cancelAttempts(fl)
 			f.refuse(fl, ReasonTimeout, 0)
 			continue
 		}
@@ -65,41 +64,37 @@
 			f.assignServer(fl)
 			continue
 		}
-		f.abandonSilentAttempt(fl)
-	}
-}
-
-// abandonSilentAttempt cancels an attempt that does not respond in time and retries at
-// another server, if there is one and the retry budget allows it. Otherwise the attempt
-// continues until the request's deadline.
-func (f *Forwarder) abandonSilentAttempt(fl *flight) {
-	fl.checkAt = fl.deadline
-	if len(f.candidates(fl)) == 0 || !f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
-		return
+		if !f.tryAlternative(fl, reasonSilent) {
+			fl.checkAt = min(fl.deadline, f.now.Add(silenceCheckInterval))
+		}
 	}
-	f.log(eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("failure", "silent"))
-	f.servers.RecordResult(f.now, fl.server, true)
-	f.checkHealth(fl.server)
-	f.cancelAttempt(fl)
-	f.scheduler.End(fl.id())
-	f.assignServer(fl)
 }
 
 const (
-	// idleTimeoutFactor is the idle timeout of a stream that can be resumed elsewhere,
+	// silenceCheckInterval is the time between two checks whether there is an alternative
+	// to a silent attempt.
+	silenceCheckInterval = 250 * clock.Millisecond
+	// silenceLimitFactor is the silence limit of a stream that can be resumed elsewhere,
 	// as a multiple of the target time between events.
-	idleTimeoutFactor = 2
-	// minIdleTimeout is the shortest idle timeout: engines pause streams for other
+	silenceLimitFactor = 2
+	// minSilenceLimit is the shortest silence limit: engines pause streams for other
 	// prompts.
-	minIdleTimeout = clock.Second
+	minSilenceLimit = clock.Second
 )
 
-// idleTimeout returns the idle timeout of the next attempt; 0 for none.
-func (f *Forwarder) idleTimeout(fl *flight) clock.Millis {
+// silenceLimit returns the time without an event after which an alternative is tried; 0 if
+// there can be none.
+func (f *Forwarder) silenceLimit(fl *flight) clock.Millis {
 	if !f.canRetry(fl) {
 		return 0
 	}
-	return max(minIdleTimeout, idleTimeoutFactor*fl.route.EventGapTarget)
+	return max(minSilenceLimit, silenceLimitFactor*fl.route.EventGapTarget)
+}
+
+func (f *Forwarder) handleStreamSilent(event StreamSilent) {
+	if fl, ok := f.currentAttempt(event.Request, event.Attempt); ok && fl.movable() {
+		f.tryAlternative(fl, reasonSilent)
+	}
 }
 
 // scheduleCheck sets the time of the flight's next check: its deadline, or earlier the
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -14,6 +14,10 @@
 func (e *Edge) perform(action forwarder.Action) {
 	switch action := action.(type) {
 	case forwarder.Dispatch:
+		if action.Alternative {
+			e.machine.startAlternative(action)
+			return
+		}
 		e.machine.deliver(action.Request, action)
 	case forwarder.CancelAttempt:
 		e.machine.cancelAttempt(action)
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -28,44 +28,86 @@
 	eventBufferBytes = 2 << 10
 )
 
+// openStream is a stream whose events have not been read to their end.
+type openStream struct {
+	// result is the event for the state machine, without its outcome.
+	result       forwarder.AttemptEnded
+	head         ResponseHead
+	events       *eventReader
+	exchange     *httpclient.Exchange
+	silenceLimit clock.Millis
+	cancel       context.CancelFunc // cancel releases the attempt's context; nil for none.
+	// first is the first event of an alternative, or firstErr the end of its stream, if
+	// hasFirst is set. started reports whether StreamStarted was submitted.
+	first    []byte
+	firstErr error
+	hasFirst bool
+	started  bool
+}
+
+func (s *openStream) close() {
+	s.exchange.Close()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// next returns the next event, as eventReader.next does.
+func (s *openStream) next() ([]byte, error) {
+	if s.hasFirst {
+		s.hasFirst = false
+		return s.first, s.firstErr
+	}
+	return s.events.next()
+}
+
 // attempt sends the request to a server and reads the response. It returns the event for
-// the state machine.
-func (h *requestHandler) attempt(ctx context.Context, dispatch forwarder.Dispatch) forwarder.AttemptEnded {
+// the state machine, or a stream whose head has been read.
+func (h *requestHandler) attempt(ctx context.Context, dispatch forwarder.Dispatch) (forwarder.AttemptEnded, *openStream) {
 	result := forwarder.AttemptEnded{Request: h.request.ID, Attempt: dispatch.Attempt}
 	exchange, err := httpclient.Send(ctx, dispatch.Address, h.edge.platform.EncodeRequest(h.inbound, dispatch))
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
-		return withOutcome(result, forwarder.OutcomeNotSent, err)
+		return withOutcome(result, forwarder.OutcomeNotSent, err), nil
 	}
 	if err != nil {
-		return withOutcome(result, forwarder.OutcomeInterrupted, err)
+		return withOutcome(result, forwarder.OutcomeInterrupted, err), nil
 	}
-	defer exchange.Close()
 	response, err := exchange.ReadResponse()
 	if err != nil {
-		return withOutcome(result, outcomeOfReadError(err), err)
+		exchange.Close()
+		return withOutcome(result, outcomeOfReadError(err), err), nil
 	}
 	head := h.edge.platform.DecodeResponse(response, h.callerRequestID)
 	result.Status = response.StatusCode
 	result.WeightsVersion = head.WeightsVersion
+	if dispatch.Stream && response.StatusCode == http.StatusOK && isUsable(head, response) {
+		events := &eventReader{reader: bufio.NewReaderSize(response.Body, eventBufferBytes)}
+		return result, &openStream{result: result, head: head, events: events, exchange: exchange, silenceLimit: dispatch.SilenceLimit}
+	}
+	defer exchange.Close()
 	switch {
 	case head.Misdirected:
-		return withOutcome(result, forwarder.OutcomeMisdirected, nil)
+		return withOutcome(result, forwarder.OutcomeMisdirected, nil), nil
 	case head.Declined:
-		return withOutcome(result, forwarder.OutcomeDeclined, nil)
-	case !head.MatchesRequest, response.StatusCode < http.StatusMultipleChoices && !head.Signed:
-		return withOutcome(result, forwarder.OutcomeCorrupted, nil)
+		return withOutcome(result, forwarder.OutcomeDeclined, nil), nil
+	case !isUsable(head, response):
+		return withOutcome(result, forwarder.OutcomeCorrupted, nil), nil
 	case response.StatusCode == http.StatusServiceUnavailable, response.StatusCode == http.StatusTooManyRequests:
 		// The status would tell the caller that the request was not executed, which the
 		// server did not confirm.
-		return withOutcome(result, forwarder.OutcomeInterrupted, errors.New("the server is busy but did not confirm that it has not executed the request"))
-	case dispatch.Stream && response.StatusCode == http.StatusOK:
-		return h.stream(result, head, &eventReader{reader: bufio.NewReaderSize(response.Body, eventBufferBytes), exchange: exchange, idleTimeout: dispatch.IdleTimeout}, response.StatusCode)
+		return withOutcome(result, forwarder.OutcomeInterrupted, errors.New("the server is busy but did not confirm that it has not executed the request")), nil
 	default:
-		return h.bufferResponse(result, head, response)
+		return h.bufferResponse(result, head, response), nil
 	}
 }
 
+// isUsable reports whether the response belongs to the request and was executed by the
+// server.
+func isUsable(head ResponseHead, response *http.Response) bool {
+	return !head.Misdirected && !head.Declined && head.MatchesRequest && (response.StatusCode >= http.StatusMultipleChoices || head.Signed)
+}
+
 // outcomeOfReadError distinguishes an invalid response from a broken connection.
 func outcomeOfReadError(err error) forwarder.Outcome {
 	if strings.Contains(err.Error(), "malformed") {
@@ -91,36 +133,44 @@
 	if len(body) > maxResponseBytes {
 		return withOutcome(result, forwarder.OutcomeCorrupted, errors.Errorf("the response body is longer than %d bytes", maxResponseBytes))
 	}
-	h.buffered = &bufferedResponse{status: response.StatusCode, header: head.Header, body: body}
+	h.mu.Lock()
+	h.buffered[result.Attempt] = &bufferedResponse{status: response.StatusCode, header: head.Header, body: body}
+	h.mu.Unlock()
 	return withOutcome(result, forwarder.OutcomeCompleted, nil)
 }
 
 // stream forwards each event to the caller as soon as it is complete.
-func (h *requestHandler) stream(result forwarder.AttemptEnded, head ResponseHead, events *eventReader, status int) forwarder.AttemptEnded {
+func (h *requestHandler) stream(stream *openStream) forwarder.AttemptEnded {
+	result := stream.result
+	silence := newSilenceTimer(stream.silenceLimit.Duration(), func() {
+		h.edge.machine.submit(forwarder.StreamSilent{Request: result.Request, Attempt: result.Attempt})
+	})
+	defer silence.stop()
 	for {
-		event, err := events.next()
-		result.LastEventID = h.lastEventID
-		result.Delivered = h.streamStarted
+		event, err := stream.next()
+		id, _ := eventID(event)
+		ended := err == io.EOF && len(event) == 0
+		result.Delivered, result.LastEventID = h.streamStarted, h.lastEventID
 		switch {
-		case err == io.EOF && len(event) == 0:
-			return withOutcome(result, forwarder.OutcomeCompleted, nil)
-		case err != nil:
+		case err != nil && !ended:
 			return withOutcome(result, forwarder.OutcomeInterrupted, err)
+		case !h.claim(result.Attempt, id):
+			return withOutcome(result, forwarder.OutcomeSuperseded, nil)
+		case ended:
+			return withOutcome(result, forwarder.OutcomeCompleted, nil)
 		}
-		first := !h.streamStarted
-		if first {
+		silence.eventReceived()
+		if !h.streamStarted {
 			h.streamStarted = true
-			h.response.WriteHead(status, head.Header)
+			h.response.WriteHead(result.Status, stream.head.Header)
 		}
 		if !h.response.WriteChunk(event) {
 			// The caller has disconnected; Handle submits that event.
 			result.Delivered = true
 			return withOutcome(result, forwarder.OutcomeInterrupted, errors.New("writing to the caller failed"))
 		}
-		if id, ok := eventID(event); ok {
-			h.lastEventID = id
-		}
-		if first {
+		if !stream.started {
+			stream.started = true
 			h.edge.machine.submit(forwarder.StreamStarted{Request: result.Request, Attempt: result.Attempt})
 		}
 	}
@@ -128,21 +178,12 @@
 
 // eventReader reads the events of a stream.
 type eventReader struct {
-	reader      *bufio.Reader
-	exchange    *httpclient.Exchange
-	idleTimeout clock.Millis // idleTimeout limits the time between two events; 0 means no limit.
-	started     bool
+	reader *bufio.Reader
 }
 
 // next reads one event including the empty line that ends it. At the end of the stream
 // it returns io.EOF, together with the bytes of an incomplete event if there are any.
 func (r *eventReader) next() ([]byte, error) {
-	if r.started && r.idleTimeout > 0 {
-		if err := r.exchange.SetReadDeadline(time.Now().Add(r.idleTimeout.Duration())); err != nil {
-			return nil, err
-		}
-	}
-	r.started = true
 	var event []byte
 	for {
 		line, err := r.reader.ReadSlice('\n')
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,8 +49,11 @@
 		case <-handled:
 		}
 	}()
-	handler := &requestHandler{edge: e, inbound: inbound, response: response, request: request, callerRequestID: callerRequestID}
+	handler := newRequestHandler(e, inbound, response, request, callerRequestID)
 	defer handler.logIncomplete(time.Now())
+	e.machine.handleAlternatives(request.ID, func(dispatch forwarder.Dispatch) {
+		e.start(func() { handler.runAlternative(dispatch) })
+	})
 	e.machine.submit(forwarder.RequestArrived{Request: request})
 	for {
 		select {
@@ -56,6 +61,8 @@
 			if handler.perform(action) {
 				return
 			}
+		case adopted := <-handler.adopted:
+			handler.forwardAttempt(adopted)
 		case <-e.ctx.Done():
 			return
 		}
@@ -70,15 +77,31 @@
 	request         forwarder.Request
 	callerRequestID string // callerRequestID is the identifier from the caller; empty if it sent none.
 
-	// buffered is the response of the last attempt. It is held back until the state
-	// machine decides whether to forward it or to retry the request.
-	buffered *bufferedResponse
+	// adopted passes an alternative that continues the response to the handler's goroutine,
+	// the only one that writes to the caller.
+	adopted chan *openStream
+
+	mu sync.Mutex
+	// owner is the attempt whose events are forwarded. alternatives cancel the attempts that
+	// take its place if they send the next event, by number.
+	owner        int
+	alternatives map[int]context.CancelFunc
+	// buffered are the responses by attempt. They are held back until the state machine
+	// decides whether to forward one or to retry the request.
+	buffered map[int]*bufferedResponse
 	// streamStarted reports whether events have been forwarded to the caller.
 	// lastEventID is the identifier of the last one.
 	streamStarted bool
 	lastEventID   string
 }
 
+func newRequestHandler(e *Edge, inbound *httpserver.InboundRequest, response *httpserver.ResponseWriter, request forwarder.Request, callerRequestID string) *requestHandler {
+	return &requestHandler{
+		edge: e, inbound: inbound, response: response, request: request, callerRequestID: callerRequestID,
+		adopted: make(chan *openStream, maxActions), alternatives: map[int]context.CancelFunc{}, buffered: map[int]*bufferedResponse{},
+	}
+}
+
 // bufferedResponse is the complete response of a server.
 type bufferedResponse struct {
 	status int
@@ -93,7 +116,7 @@
 		h.dispatch(action)
 		return false
 	case forwarder.ForwardResponse:
-		h.forwardResponse()
+		h.forwardResponse(action.Attempt)
 	case forwarder.Refuse:
 		refuse(h.response, action)
 	default:
@@ -115,24 +138,133 @@
 	}
 }
 
+// dispatch runs an attempt and forwards its events. It returns when the attempt has ended.
 func (h *requestHandler) dispatch(dispatch forwarder.Dispatch) {
 	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
 	defer cancel()
 	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, cancel)
-	h.buffered = nil
+	h.mu.Lock()
+	h.owner = dispatch.Attempt
+	if h.lastEventID != "" {
+		dispatch.LastEventID = h.lastEventID
+	}
+	h.mu.Unlock()
+	result, stream := h.attempt(ctx, dispatch)
+	if stream == nil {
+		h.edge.machine.submit(result)
+		return
+	}
+	h.forwardAttempt(stream)
+}
+
+// forwardAttempt forwards the events of a stream until its attempt ends.
+func (h *requestHandler) forwardAttempt(stream *openStream) {
+	result := h.stream(stream)
+	stream.close()
+	h.edge.machine.submit(result)
+}
+
+// runAlternative runs an attempt beside the current one. It hands the attempt over to the
+// handler's goroutine if it sends the next event of the response.
+func (h *requestHandler) runAlternative(dispatch forwarder.Dispatch) {
+	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
+	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, cancel)
+	h.mu.Lock()
+	h.alternatives[dispatch.Attempt] = cancel
 	if h.lastEventID != "" {
 		dispatch.LastEventID = h.lastEventID
 	}
-	h.edge.machine.submit(h.attempt(ctx, dispatch))
+	h.mu.Unlock()
+	result, stream := h.attempt(ctx, dispatch)
+	if stream != nil {
+		stream.cancel = cancel
+		if result = h.adopt(stream); result.Outcome == 0 {
+			return
+		}
+		stream.close()
+	}
+	cancel()
+	if !h.removeAlternative(dispatch.Attempt) {
+		result = withOutcome(result, forwarder.OutcomeSuperseded, nil)
+	}
+	h.edge.machine.submit(result)
+}
+
+// adopt reads the first event of an alternative and hands the stream over if no event of
+// the current attempt came before it. It returns no outcome then.
+func (h *requestHandler) adopt(stream *openStream) forwarder.AttemptEnded {
+	stream.first, stream.firstErr = stream.events.next()
+	if stream.firstErr != nil && !(stream.firstErr == io.EOF && len(stream.first) == 0) {
+		return withOutcome(stream.result, forwarder.OutcomeInterrupted, stream.firstErr)
+	}
+	stream.hasFirst, stream.started = true, true
+	if !h.takeOver(stream.result.Attempt) {
+		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
+	}
+	h.edge.machine.submit(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt})
+	h.adopted <- stream
+	return stream.result
+}
+
+// takeOver makes an alternative the attempt whose events are forwarded. It reports false
+// if another attempt has sent an event before.
+func (h *requestHandler) takeOver(attempt int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.alternatives[attempt]; !ok {
+		return false
+	}
+	delete(h.alternatives, attempt)
+	h.owner = attempt
+	h.cancelAlternatives()
+	return true
+}
+
+// cancelAlternatives cancels the alternatives, as they would repeat the event that another
+// attempt has sent. The caller holds the lock.
+func (h *requestHandler) cancelAlternatives() {
+	for _, cancel := range h.alternatives {
+		cancel()
+	}
+	clear(h.alternatives)
+}
+
+// removeAlternative removes an alternative that has failed. It reports false if another
+// attempt has sent an event before.
+func (h *requestHandler) removeAlternative(attempt int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ok := h.alternatives[attempt]
+	delete(h.alternatives, attempt)
+	return ok
+}
+
+// claim reports whether the attempt may forward its next event, or its end, after which the
+// identifier of the last event is id. The alternatives are cancelled.
+func (h *requestHandler) claim(attempt int, id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owner != attempt {
+		return false
+	}
+	h.cancelAlternatives()
+	if id != "" {
+		h.lastEventID = id
+	}
+	return true
 }
 
-func (h *requestHandler) forwardResponse() {
+// forwardResponse forwards the response, or the end of the stream.
+func (h *requestHandler) forwardResponse(attempt int) {
 	if h.streamStarted {
 		h.response.Finish()
 		return
 	}
-	if h.buffered != nil {
-		h.response.WriteResponse(h.buffered.status, h.buffered.header, h.buffered.body)
+	h.mu.Lock()
+	buffered := h.buffered[attempt]
+	h.mu.Unlock()
+	if buffered != nil {
+		h.response.WriteResponse(buffered.status, buffered.header, buffered.body)
 	}
 }
 
--- a/internal/runtime/edge/statemachine.go
+++ b/internal/runtime/edge/statemachine.go
@@ -30,8 +30,12 @@
 // pendingRequest is a request whose handler waits for actions.
 type pendingRequest struct {
 	actions chan forwarder.Action
-	cancel  context.CancelFunc // cancel ends the current attempt.
-	attempt int
+	// cancels end the running attempts, by number. cancelled are the numbers of those
+	// whose cancellation was requested.
+	cancels   map[int]context.CancelFunc
+	cancelled map[int]bool
+	// startAlternative starts an attempt beside the current one. It must not block.
+	startAlternative func(forwarder.Dispatch)
 }
 
 func newStateMachine(fwd *forwarder.Forwarder, perform func(forwarder.Action)) *stateMachine {
@@ -62,23 +66,40 @@
 	if _, ok := m.requests[id]; ok || m.closed {
 		return nil, false
 	}
-	request := &pendingRequest{actions: make(chan forwarder.Action, maxActions)}
+	request := &pendingRequest{actions: make(chan forwarder.Action, maxActions), cancels: map[int]context.CancelFunc{}, cancelled: map[int]bool{}}
 	m.requests[id] = request
 	return request.actions, true
 }
 
-// setCancel sets the function that cancels the request's current attempt.
-func (m *stateMachine) setCancel(id string, attempt int, cancel context.CancelFunc) {
+// handleAlternatives sets the function that starts the request's alternatives.
+func (m *stateMachine) handleAlternatives(id string, start func(forwarder.Dispatch)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if request, ok := m.requests[id]; ok {
-		request.cancel, request.attempt = cancel, attempt
+		request.startAlternative = start
+	}
+}
+
+// setCancel sets the function that cancels an attempt of the request. It calls the
+// function at once if the attempt was cancelled before it began.
+func (m *stateMachine) setCancel(id string, attempt int, cancel context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	request, ok := m.requests[id]
+	if !ok || request.cancelled[attempt] {
+		cancel()
+		return
 	}
+	request.cancels[attempt] = cancel
 }
 
+// unregister removes a request and cancels its attempts.
 func (m *stateMachine) unregister(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, cancel := range m.requests[id].cancels {
+		cancel()
+	}
 	delete(m.requests, id)
 }
 
@@ -89,10 +110,22 @@
 	}
 }
 
-// cancelAttempt cancels the request's current attempt. The caller holds the lock.
+// startAlternative starts an attempt beside the current one. The caller holds the lock.
+func (m *stateMachine) startAlternative(dispatch forwarder.Dispatch) {
+	if request, ok := m.requests[dispatch.Request]; ok && request.startAlternative != nil {
+		request.startAlternative(dispatch)
+	}
+}
+
+// cancelAttempt cancels an attempt of the request. The caller holds the lock.
 func (m *stateMachine) cancelAttempt(cancel forwarder.CancelAttempt) {
-	if request, ok := m.requests[cancel.Request]; ok && request.cancel != nil && request.attempt == cancel.Attempt {
-		request.cancel()
+	request, ok := m.requests[cancel.Request]
+	if !ok {
+		return
+	}
+	request.cancelled[cancel.Attempt] = true
+	if running, ok := request.cancels[cancel.Attempt]; ok {
+		running()
 	}
 }
 
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -135,14 +135,6 @@
 	}
 }
 
-// SetReadDeadline sets the deadline for reading the server's next bytes.
-func (e *Exchange) SetReadDeadline(deadline time.Time) error {
-	if err := e.conn.SetReadDeadline(deadline); err != nil {
-		return errors.Wrap(err, "set the read deadline")
-	}
-	return nil
-}
-
 // Close ends the exchange and its connection.
 func (e *Exchange) Close() {
 	e.closeConn()
