--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
@@ -82,6 +83,12 @@
 	// the time that an engine takes to load new weights.
 	streamDuration clock.Millis
 	loadDuration   clock.Millis
+	// firstEventDelays are the delays of the first event of a stream, by kind of request;
+	// 0 for a short one.
+	firstEventDelays map[string]clock.Millis
+	// changeReply changes the reply of a keeper and reports whether it is sent; nil for no
+	// change.
+	changeReply func(reply *keepermessage.Message) bool
 
 	// cacheReads counts the cache reads by server; cacheFaultPercent is the percentage
 	// of them that fail, and of those that lose changes.
@@ -307,6 +314,9 @@
 
 // sendToKeeper delivers a message to or from a keeper, as it is on the wire.
 func (c *cluster) sendToKeeper(from int, send forwarder.SendToKeeper) {
+	if send.Message.Kind == keepermessage.Reply && c.changeReply != nil && !c.changeReply(&send.Message) {
+		return
+	}
 	encoded, err := datagram.EncodeKeeperMessage(send.Message)
 	require.NoError(c.t, err)
 	c.deliver(from, send.Address, len(encoded), func(to int) {
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -64,11 +64,11 @@
 	if dispatch.Stream && c.streamDuration > 0 {
 		delay = c.streamDuration
 	}
-	end(delay, forwarder.OutcomeCompleted, status)
+	end(delay+c.firstEventDelays[r.kind], forwarder.OutcomeCompleted, status)
 }
 
 func (c *cluster) startStream(i int, dispatch forwarder.Dispatch, r *request) {
-	c.after(10, func() {
+	c.after(10+c.firstEventDelays[r.kind], func() {
 		if r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 {
 			r.partDelivered = true
 			c.step(i, forwarder.StreamStarted{Request: dispatch.Request, Attempt: dispatch.Attempt})
