Add failing tests of timeouts on connections that are only quiet

TestLimitsChangeWhileIdle: a connection takes its limits before it waits for the first request, so that one that was opened before the body limit was raised refuses a request within the new limit with 413. The case with an earlier request on the connection passes.

TestIdleTimeoutIsRaisedWhileIdle: a connection that waits while the idle timeout is raised is closed at the old one.

--- a/internal/runtime/httpserver/httpserver_test.go
+++ b/internal/runtime/httpserver/httpserver_test.go
@@ -310,3 +310,49 @@
 
 // Addr returns an empty address.
 func (l *singleConnListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestLimitsChangeWhileIdle verifies that a request on a connection that was open and idle
+// while the limits changed is read within the new ones.
+func TestLimitsChangeWhileIdle(t *testing.T) {
+	for name, requestsBefore := range map[string]int{"before the first request": 0, "after a request": 1} {
+		t.Run(name, func(t *testing.T) {
+			server, _, address := startServer(t)
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			post := func(size int) int {
+				_, err := fmt.Fprintf(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+				require.NoError(t, err)
+				response, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, response.Body)
+				require.NoError(t, err)
+				return response.StatusCode
+			}
+			for range requestsBefore {
+				require.Equal(t, http.StatusOK, post(10))
+			}
+			time.Sleep(100 * time.Millisecond)
+			server.SetLimits(desired.Limits{HeaderBytes: 2048, BodyBytes: 5000, HeaderTimeout: 300 * clock.Millisecond, IdleTimeout: 700 * clock.Millisecond})
+			require.Equal(t, http.StatusOK, post(4000))
+		})
+	}
+}
+
+// TestIdleTimeoutIsRaisedWhileIdle verifies that a connection which is idle while the idle
+// timeout is raised stays open for the new one.
+func TestIdleTimeoutIsRaisedWhileIdle(t *testing.T) {
+	server, _, address := startServer(t)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	time.Sleep(100 * time.Millisecond)
+	server.SetLimits(desired.Limits{HeaderBytes: 2048, BodyBytes: 1000, HeaderTimeout: 300 * clock.Millisecond, IdleTimeout: 2 * clock.Second})
+	time.Sleep(time.Second)
+	_, err = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
