Forward streams that end without an event

A caller that resumed a stream after its last event got no response at all: its connection was closed, although the server had answered with a complete stream without events and the log said requestAnswered with status 200. Cause: the head of a stream was written with its first event only, and forwardResponse writes nothing for a stream that has not started. Now the end of the stream writes the head, too.

--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -157,13 +157,11 @@
 		case !h.claim(result.Attempt, id):
 			return withOutcome(result, forwarder.OutcomeSuperseded, nil)
 		case ended:
+			h.writeStreamHead(result.Status, stream.head)
 			return withOutcome(result, forwarder.OutcomeCompleted, nil)
 		}
 		silence.eventReceived()
-		if !h.streamStarted {
-			h.streamStarted = true
-			h.response.WriteHead(result.Status, stream.head.Header)
-		}
+		h.writeStreamHead(result.Status, stream.head)
 		if !h.response.WriteChunk(event) {
 			// The caller has disconnected; Handle submits that event.
 			result.Delivered = true
@@ -176,6 +174,14 @@
 	}
 }
 
+// writeStreamHead writes the head of the response, unless an earlier attempt has written one.
+func (h *requestHandler) writeStreamHead(status int, head ResponseHead) {
+	if !h.streamStarted {
+		h.streamStarted = true
+		h.response.WriteHead(status, head.Header)
+	}
+}
+
 // eventReader reads the events of a stream.
 type eventReader struct {
 	reader *bufio.Reader
