Write no refusal into a stream that has started

A caller that read slowly, so that its deadline passed while the first event was being written, received the head and body of a 504 after that event, within the chunked body, and its connection stayed open. Cause: the state machine learns of the first event only after it has been written, and the handler wrote every refusal.

--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -118,7 +118,10 @@
 	case forwarder.ForwardResponse:
 		h.forwardResponse(action.Attempt)
 	case forwarder.Refuse:
-		refuse(h.response, action)
+		// The state machine learns of the first event after it has been written.
+		if !h.streamStarted {
+			refuse(h.response, action)
+		}
 	default:
 		// The other actions abort the response: the connection is closed before its end.
 	}
