Take silent engines no longer for crashed ones

While new weights are loaded, the engines' reports are requested. A report that did not arrive within 0.5 s counted like a refused connection: the engine was marked as down, the others were told, and requests that had been interrupted there were suspected of having crashed it. With all engines silent for a second a stream was refused with 503. Now only a report whose request was not sent, or that another server answered, marks the engine as unreachable. TestSilentServersAreNotTakenForCrashed failed before and passes.

--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -32,7 +32,7 @@
 		}
 		f.broadcastNow()
 	case EngineReported:
-		if event.Report.Failed && f.servers.MarkUnreachable(f.now, event.Server) {
+		if event.Report.Unreachable && f.servers.MarkUnreachable(f.now, event.Server) {
 			f.handleServerCrash(event.Server)
 		}
 		for model, version := range event.Report.WeightVersions {
