Keep a server's failure response until a retry has succeeded

A caller got 502 although a server had answered its lookup with a complete 500: the response was dropped for a retry that another server declined or broke off. The response is kept now, and forwarded if the retry yields none. TestServerResponseIsKeptUntilRetrySucceeds failed in both cases before and passes.

--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -115,10 +115,15 @@
 	f.emit(Refuse{Request: request.ID, Status: status, Reason: reason, RetryAfter: retryAfter})
 }
 
-// refuse ends a flight with an error response of the proxy itself. The status 503 is
-// sent only for a request that has certainly not run, and its tokens are released; one
-// that may have run gets 502 or 504.
+// refuse ends a flight with an error response of the proxy itself, unless a server has
+// responded with a failure before a retry: then with that response. The status 503 is sent
+// only for a request that has certainly not run, and its tokens are released; one that may
+// have run gets 502 or 504.
 func (f *Forwarder) refuse(fl *flight, reason Reason, retryAfter clock.Millis) {
+	if fl.answered > 0 && !fl.callerDisconnected && !fl.partDelivered {
+		f.forwardResponse(fl, fl.answered, fl.answeredStatus)
+		return
+	}
 	status := statusUnavailable
 	if fl.possibleRuns > 0 {
 		status = statusBadGateway
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -178,6 +178,9 @@
 func (f *Forwarder) handleCompletedAttempt(fl *flight, event AttemptEnded) {
 	failed := event.Status >= 500
 	f.servers.RecordResult(f.now, fl.server, failed)
+	if failed {
+		fl.answered, fl.answeredStatus = event.Attempt, event.Status
+	}
 	if failed && fl.alternative != nil {
 		f.replaceAttempt(fl)
 		return
@@ -185,11 +188,16 @@
 	if failed && f.canRetry(fl) && !fl.callerDisconnected && f.retry(fl) == "" {
 		return
 	}
-	entry := eventlog.New(eventlog.RequestAnswered, fl.id()).With("server", fl.server).With("status", event.Status)
+	f.forwardResponse(fl, event.Attempt, event.Status)
+}
+
+// forwardResponse ends a flight with the server's response to an attempt.
+func (f *Forwarder) forwardResponse(fl *flight, attempt, status int) {
+	entry := eventlog.New(eventlog.RequestAnswered, fl.id()).With("server", fl.server).With("status", status)
 	f.log(entry.With("attempts", fl.attempts).With("after", f.now.Since(fl.arrivedAt)))
 	f.emit(ObserveDuration{Histogram: histogramResponsePrefix + Histogram(fl.route.Kind.String()), Duration: f.now.Since(fl.arrivedAt)})
 	f.removeFlight(fl)
-	f.emit(ForwardResponse{Request: fl.id(), Attempt: fl.attempt})
+	f.emit(ForwardResponse{Request: fl.id(), Attempt: attempt})
 }
 
 // retry sends the request to another server if time, a server and retry budget are
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -25,6 +25,10 @@
 	attempt      int
 	attempts     int
 	possibleRuns int
+	// answered is the attempt whose complete response reports a failure, while the request
+	// is retried; 0 for none. answeredStatus is the response's status.
+	answered       int
+	answeredStatus int
 	// alternative is an attempt beside the current one; nil for none.
 	alternative *alternative
 	// waiting reports whether the request waits for a server; at waitDeadline it is
