Read the limits of a request when it begins

The first request on a connection that was opened before a change of the desired state raised the body limit was refused with 413, although it was within the limit in force: the connection had loaded the limits before it waited for the request. TestLimitsChangeWhileIdle failed before for the first request and passes.

--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -52,13 +52,13 @@
 
 // serveNext reads and handles one request. It reports whether the connection stays open.
 func (c *conn) serveNext() bool {
-	limits := *c.server.limits.Load()
-	if !c.setReadTimeout(limits.IdleTimeout) {
+	if !c.setReadTimeout(c.server.limits.Load().IdleTimeout) {
 		return false
 	}
 	if _, err := c.reader.Peek(1); err != nil {
 		return false
 	}
+	limits := *c.server.limits.Load()
 	if !c.setBusy(true) || !c.setReadTimeout(limits.HeaderTimeout) {
 		return false
 	}
