Apply a longer idle timeout to connections that are idle

A change of the desired state may raise the idle timeout. A connection that waited at that moment was still closed at the old one, while its caller, which follows the new state, sends its next request on it: the request gets no answer. The deadline of idle connections is now extended with the limit; a shorter limit applies from the next request on, so that no connection ends sooner than its caller can know. TestIdleTimeoutIsRaisedWhileIdle failed before (closed after 0.7 s of 2 s) and passes.

--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -19,14 +19,36 @@
 	mu     sync.Mutex
 	busy   bool
 	closed bool
+	// idleSince is the time since which the connection waits for a request.
+	idleSince time.Time
 }
 
-// setBusy marks whether a request is being read or handled. It reports false when the
+// beginIdle marks that the connection waits for a request, for at most the idle timeout.
+// It reports false when the connection has been closed.
+func (c *conn) beginIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	c.idleSince = time.Now()
+	return c.setReadTimeout(c.server.limits.Load().IdleTimeout) && !c.closed
+}
+
+// extendIdle applies a longer idle timeout if the connection waits for a request.
+func (c *conn) extendIdle(timeout clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy && !c.closed {
+		// An error means that the connection has ended.
+		_ = c.netConn.SetReadDeadline(c.idleSince.Add(timeout.Duration()))
+	}
+}
+
+// setBusy marks that a request is being read or handled. It reports false when the
 // connection has been closed.
-func (c *conn) setBusy(busy bool) bool {
+func (c *conn) setBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	c.busy = true
 	return !c.closed
 }
 
@@ -52,14 +74,14 @@
 
 // serveNext reads and handles one request. It reports whether the connection stays open.
 func (c *conn) serveNext() bool {
-	if !c.setReadTimeout(c.server.limits.Load().IdleTimeout) {
+	if !c.beginIdle() {
 		return false
 	}
 	if _, err := c.reader.Peek(1); err != nil {
 		return false
 	}
 	limits := *c.server.limits.Load()
-	if !c.setBusy(true) || !c.setReadTimeout(limits.HeaderTimeout) {
+	if !c.setBusy() || !c.setReadTimeout(limits.HeaderTimeout) {
 		return false
 	}
 	inbound, rejected := readHead(c.reader, limits.HeaderBytes)
@@ -126,8 +148,7 @@
 		c.closeWrite()
 		return false
 	}
-	c.setBusy(false)
-	if !c.setReadTimeout(c.server.limits.Load().IdleTimeout) {
+	if !c.beginIdle() {
 		return false
 	}
 	return <-hasNext
--- a/internal/runtime/httpserver/httpserver.go
+++ b/internal/runtime/httpserver/httpserver.go
@@ -66,8 +66,19 @@
 	return s
 }
 
-// SetLimits sets the limits for requests that are read from now on.
-func (s *Server) SetLimits(limits desired.Limits) { s.limits.Store(&limits) }
+// SetLimits sets the limits for requests that are read from now on. A longer idle timeout
+// applies to the connections that are idle, too.
+func (s *Server) SetLimits(limits desired.Limits) {
+	before := s.limits.Swap(&limits)
+	if limits.IdleTimeout <= before.IdleTimeout {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.extendIdle(limits.IdleTimeout)
+	}
+}
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
