Allow servers to pause while they read a request

A server that read the head of a request with a long body, paused for 2.5 s and read on lost its connection after 1.8 s, and the caller got 502: TCP_USER_TIMEOUT also ends a connection whose other end acknowledges everything but has closed its window. Requests to servers now allow 4 s; that is no longer needed to leave a silent server, as another one is tried beside it.

--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -32,17 +32,18 @@
 	// trips between failure domains and for the server to accept, but not for the
 	// retransmission of a lost SYN.
 	connectTimeout = 250 * clock.Millisecond
-	// ackTimeout is the time for which sent data may remain unacknowledged until the
-	// kernel closes the connection (TCP_USER_TIMEOUT).
-	ackTimeout = 1500 * clock.Millisecond
+	// defaultAckTimeout is the time for which sent data may remain unacknowledged, or not
+	// be accepted by the server, until the kernel closes the connection (TCP_USER_TIMEOUT).
+	// A sound server may pause for a second or so.
+	defaultAckTimeout = 4 * clock.Second
 	// readBufferBytes is the size of the read buffer; a response that is not streamed
 	// usually fits.
 	readBufferBytes = 4 << 10
 )
 
 // keepAlive detects a connection that has become unresponsive while the client waits for a
-// response. The kernel's unit is a second; together with ackTimeout the detection takes two
-// to three seconds.
+// response. The kernel's unit is a second; the detection takes about the ack timeout, but
+// at least two seconds.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // Request is a request to send. Header has all header fields except Host and
@@ -53,6 +54,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// AckTimeout is the time in milliseconds after which a connection whose other end
+	// acknowledges nothing is closed; 0 for a default.
+	AckTimeout clock.Millis
 }
 
 // NotSentError means that no byte of the request was sent.
@@ -80,7 +84,7 @@
 // Send opens a connection and sends the request. The connection is closed when the
 // context ends.
 func Send(ctx context.Context, address string, request Request) (*Exchange, error) {
-	dialer := net.Dialer{Timeout: connectTimeout.Duration(), Control: setAckTimeout, KeepAliveConfig: keepAlive}
+	dialer := net.Dialer{Timeout: connectTimeout.Duration(), Control: request.setAckTimeout, KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &NotSentError{ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
@@ -99,10 +103,14 @@
 }
 
 // setAckTimeout sets the TCP user timeout of a new connection.
-func setAckTimeout(_, _ string, socket syscall.RawConn) error {
+func (r Request) setAckTimeout(_, _ string, socket syscall.RawConn) error {
+	timeout := r.AckTimeout
+	if timeout == 0 {
+		timeout = defaultAckTimeout
+	}
 	var optionErr error
 	err := socket.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout))
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
 	})
 	return errors.Join(err, optionErr)
 }
