Do not end a stream as complete when its resumption fails

A caller received two of five events and the proper end of the stream: the engine had broken off, and the one at which the stream was resumed answered with a complete 500. That counted as the stream's end. A response with another status than 200 is now a failed attempt once a part was delivered: the stream is resumed elsewhere or aborted.

--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -77,7 +77,7 @@
 // handleAlternativeEnded handles the end of the alternative before the current attempt
 // has gone on.
 func (f *Forwarder) handleAlternativeEnded(fl *flight, event AttemptEnded) {
-	if event.Outcome == OutcomeCompleted && event.Status < statusInternalError {
+	if event.Outcome == OutcomeCompleted && event.Status < statusInternalError && (!fl.partDelivered || event.Status == statusOK) {
 		f.replaceAttempt(fl)
 		f.handleAttemptEnded(event)
 		return
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -9,8 +9,9 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// HTTP status codes of refusals.
+// HTTP status codes.
 const (
+	statusOK              = 200
 	statusUnauthorized    = 401
 	statusNotFound        = 404
 	statusTooManyRequests = 429
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -166,7 +166,7 @@
 		f.recordWeights(fl.server, fl.request.Model, event.WeightsVersion)
 	}
 	f.scheduler.End(fl.attemptKey(fl.attempt))
-	if event.Outcome == OutcomeCompleted {
+	if event.Outcome == OutcomeCompleted && (!fl.partDelivered || event.Status == statusOK) {
 		f.handleCompletedAttempt(fl, event)
 		return
 	}
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -259,14 +259,13 @@
 
 // forwardResponse forwards the response, or the end of the stream.
 func (h *requestHandler) forwardResponse(attempt int) {
-	if h.streamStarted {
-		h.response.Finish()
-		return
-	}
 	h.mu.Lock()
 	buffered := h.buffered[attempt]
 	h.mu.Unlock()
-	if buffered != nil {
+	switch {
+	case buffered == nil:
+		h.response.Finish()
+	case !h.streamStarted:
 		h.response.WriteResponse(buffered.status, buffered.header, buffered.body)
 	}
 }
