Do not take a slow caller for a silent or failed server

A caller that stopped reading during the first event made its stream count as silent: the state machine learned of the first event only after it had been written, and the silence was counted while the write was blocked. The request was sent to a second engine, and after the write timeout the failed write counted as a failure of the engine. StreamStarted is now submitted before the write, the wait for the next event begins after it, and a failed write ends the request like a disconnect.

--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -237,6 +237,10 @@
 }
 
 func (f *Forwarder) handleFailedAttempt(fl *flight, event AttemptEnded) {
+	if event.Outcome == OutcomeUndeliverable {
+		f.handleDisconnect(fl.id())
+		return
+	}
 	if event.Outcome != OutcomeSuperseded {
 		f.recordFailure(fl, event, fl.server)
 	}
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -51,7 +51,7 @@
 // CallerDisconnected reports that the caller has disconnected.
 type CallerDisconnected struct{ Request string }
 
-// StreamStarted reports that the first event of an attempt was sent to the caller.
+// StreamStarted reports that the first event of an attempt is being sent to the caller.
 type StreamStarted struct {
 	Request string
 	Attempt int
@@ -103,11 +103,13 @@
 	OutcomeCorrupted
 	// OutcomeSuperseded means that another attempt has continued the response.
 	OutcomeSuperseded
+	// OutcomeUndeliverable means that the caller does not take the response.
+	OutcomeUndeliverable
 )
 
 // String returns the outcome's name as it is logged.
 func (o Outcome) String() string {
-	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt", "superseded"}[o]
+	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt", "superseded", "undeliverable"}[o]
 }
 
 // notRun reports whether the request has certainly not run in the attempt.
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -148,6 +148,7 @@
 	defer silence.stop()
 	for {
 		event, err := stream.next()
+		silence.pause()
 		id, _ := eventID(event)
 		ended := err == io.EOF && len(event) == 0
 		result.Delivered, result.LastEventID = h.streamStarted, h.lastEventID
@@ -160,17 +161,16 @@
 			h.writeStreamHead(result.Status, stream.head)
 			return withOutcome(result, forwarder.OutcomeCompleted, nil)
 		}
-		silence.eventReceived()
-		h.writeStreamHead(result.Status, stream.head)
-		if !h.response.WriteChunk(event) {
-			// The caller has disconnected; Handle submits that event.
-			result.Delivered = true
-			return withOutcome(result, forwarder.OutcomeInterrupted, errors.New("writing to the caller failed"))
-		}
 		if !stream.started {
 			stream.started = true
 			h.edge.machine.submit(forwarder.StreamStarted{Request: result.Request, Attempt: result.Attempt})
 		}
+		h.writeStreamHead(result.Status, stream.head)
+		if !h.response.WriteChunk(event) {
+			result.Delivered = true
+			return withOutcome(result, forwarder.OutcomeUndeliverable, errors.New("writing to the caller failed"))
+		}
+		silence.start()
 	}
 }
 
--- a/internal/runtime/edge/silence.go
+++ b/internal/runtime/edge/silence.go
@@ -14,30 +14,40 @@
 	limit  time.Duration
 	report func()
 
-	mu        sync.Mutex
-	timer     *time.Timer
-	lastEvent time.Time
-	stopped   bool
+	mu    sync.Mutex
+	timer *time.Timer
+	// waitingSince is the time since which the next event is awaited; zero while an event
+	// is being written.
+	waitingSince time.Time
+	stopped      bool
 }
 
-// newSilenceTimer returns a stopped timer; a limit of 0 means that silence is not reported.
+// newSilenceTimer returns a timer that does not run; a limit of 0 means that silence is not
+// reported.
 func newSilenceTimer(limit time.Duration, report func()) *silenceTimer {
 	return &silenceTimer{limit: limit, report: report}
 }
 
-// eventReceived starts the time anew.
-func (s *silenceTimer) eventReceived() {
+// start begins to wait for the next event.
+func (s *silenceTimer) start() {
 	if s.limit <= 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastEvent = time.Now()
+	s.waitingSince = time.Now()
 	if s.timer == nil && !s.stopped {
 		s.timer = time.AfterFunc(s.limit, s.expire)
 	}
 }
 
+// pause ends the wait.
+func (s *silenceTimer) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waitingSince = time.Time{}
+}
+
 // expire reports the silence, if it has lasted long enough, and schedules the next check.
 func (s *silenceTimer) expire() {
 	if s.silent() {
@@ -51,8 +61,12 @@
 	if s.stopped {
 		return false
 	}
-	if remaining := s.limit - time.Since(s.lastEvent); remaining > 0 {
-		s.timer.Reset(remaining)
+	waited := time.Duration(0)
+	if !s.waitingSince.IsZero() {
+		waited = time.Since(s.waitingSince)
+	}
+	if waited < s.limit {
+		s.timer.Reset(s.limit - waited)
 		return false
 	}
 	s.timer.Reset(silenceRepeat)
