--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -131,7 +131,9 @@
 	attempts      int
 	partDelivered bool
 	lastDispatch  forwarder.Dispatch
-	parts         []scheduler.Part
+	// softwareVersions are those of the servers whose events it has received.
+	softwareVersions map[string]bool
+	parts            []scheduler.Part
 }
 
 type scheduledCall struct {
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -71,6 +71,7 @@
 	c.after(10+c.firstEventDelays[r.kind], func() {
 		if r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 {
 			r.partDelivered = true
+			r.receiveEvent(c.servers[dispatch.Server])
 			c.step(i, forwarder.StreamStarted{Request: dispatch.Request, Attempt: dispatch.Attempt})
 		}
 	})
--- a/internal/decision/registry/entry.go
+++ b/internal/decision/registry/entry.go
@@ -13,6 +13,9 @@
 	Draining bool
 	// WeightVersions are the versions of the loaded weights by model.
 	WeightVersions map[string]int64
+	// SoftwareVersion is the version of the server's software, empty if its entry names
+	// none. A stream can't go on at a server of another one.
+	SoftwareVersion string
 	// StartedAt is the server's start in Unix milliseconds. It differs for each start.
 	StartedAt int64
 	// Revision is the store's revision of the entry.
