Keep a stream within one response at the software version that began it

Callers got one response whose first events came from an engine of v1.2 and the rest from an engine of v1. The servers for the rest of a stream were all of the service: after an interruption, a silence or a move off an engine that loads weights, the next attempt could go to any version.

A flight now records the service and the software version of the server that sent the first event, as they were when the attempt began, and only such servers are candidates from then on, also while it waits for one that loads weights. Before the first event any version may be chosen.

The state machine is now told of the first event before it is written to the caller. It was told afterwards: an attempt that was given up in between had delivered an event of which the choice of the next server did not know.

--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 )
 
 // alternative is an attempt at another server beside the current one, which is silent or
@@ -15,6 +16,8 @@
 	// startMs is the expected time until its response starts, in milliseconds.
 	startMs float64
 	reason  alternativeReason
+	// origin is that of its server.
+	origin originkeeper.Origin
 }
 
 // alternativeReason is the reason for an alternative, as it is logged.
@@ -39,7 +42,7 @@
 	entry := eventlog.New(eventlog.AlternativeTried, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("reason", reason)
 	f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 	number := f.startAttempt(fl, choice, true)
-	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, reason: reason}
+	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, reason: reason, origin: f.originOf(choice.Server)}
 	fl.checkAt = fl.deadline
 	return true
 }
@@ -56,6 +59,7 @@
 	replacement := fl.alternative
 	fl.alternative = nil
 	fl.attempt, fl.server, fl.expectedStartMs = replacement.number, replacement.server, replacement.startMs
+	fl.attemptOrigin = replacement.origin
 	silent := fl.attemptActive && replacement.reason == reasonSilent
 	fl.attemptActive, fl.streamStarted = true, false
 	if silent {
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -75,6 +75,7 @@
 	fl.waiting, fl.waitDeadline = false, 0
 	fl.attempt = f.startAttempt(fl, choice, false)
 	fl.server = choice.Server
+	fl.attemptOrigin = f.originOf(choice.Server)
 	fl.attemptActive = true
 	fl.streamStarted = false
 	fl.expectedStartMs = choice.CostMs
@@ -106,7 +107,7 @@
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
-		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative,
+		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts
 }
@@ -128,7 +129,8 @@
 		f.emit(ObserveDuration{Histogram: HistogramFirstEvent, Duration: f.now.Since(fl.arrivedAt)})
 	}
 	fl.streamStarted = true
-	fl.partDelivered = true
+	f.recordOrigin(fl)
+	f.dropAlternative(fl)
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
 	f.scheduleCheck(fl)
 	f.log(eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("after", f.now.Since(fl.arrivedAt)))
@@ -158,7 +160,9 @@
 		return
 	}
 	fl.attemptActive = false
-	fl.partDelivered = fl.partDelivered || event.Delivered
+	if event.Delivered {
+		f.recordOrigin(fl)
+	}
 	if event.LastEventID != "" {
 		fl.lastEventID = event.LastEventID
 	}
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -11,13 +11,14 @@
 )
 
 // candidates returns the servers that can take the request now. It excludes servers
-// that already had an attempt of it and those that are down or load weights.
+// that already had an attempt of it, those that are down or load weights and, for a stream
+// that goes on, those of another software version.
 func (f *Forwarder) candidates(fl *flight) []scheduler.Candidate {
 	service := f.desired.Services[fl.service]
 	loading := f.loadingEngines()
 	var candidates []scheduler.Candidate
 	for _, server := range f.servers.Available(f.now, fl.service) {
-		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] {
+		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || !fl.mayRunAt(server) {
 			continue
 		}
 		candidate := scheduler.Candidate{
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -46,6 +47,11 @@
 	// lastEventID is the identifier of its last event.
 	partDelivered bool
 	lastEventID   string
+	// attemptOrigin is that of the current attempt's server. From the first event that
+	// the caller receives, origin limits the servers at which the stream may go on.
+	attemptOrigin originkeeper.Origin
+	origin        originkeeper.Origin
+	hasOrigin     bool
 	// streamStarted reports whether the current attempt has delivered an event.
 	streamStarted      bool
 	callerDisconnected bool
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -37,7 +37,7 @@
 func (f *Forwarder) serverExpected(fl *flight) bool {
 	loading := f.loadingEngines()
 	for _, server := range f.servers.Available(f.now, fl.service) {
-		if loading[server.ID] && !server.Down() && !fl.triedServers[server.ID] {
+		if loading[server.ID] && !server.Down() && !fl.triedServers[server.ID] && fl.mayRunAt(server) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/decision/originkeeper/originkeeper.go
@@ -0,0 +1,2 @@
+// Package originkeeper keeps where streams began.
+package originkeeper
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -84,7 +84,9 @@
 	mu sync.Mutex
 	// owner is the attempt whose events are forwarded. alternatives cancel the attempts that
 	// take its place if they send the next event, by number.
+	// claimed reports whether an event has been, or is about to be, forwarded.
 	owner        int
+	claimed      bool
 	alternatives map[int]context.CancelFunc
 	// buffered are the responses by attempt. They are held back until the state machine
 	// decides whether to forward one or to retry the request.
@@ -173,7 +175,12 @@
 	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
 	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, cancel)
 	h.mu.Lock()
-	h.alternatives[dispatch.Attempt] = cancel
+	if h.claimed == dispatch.PartDelivered {
+		h.alternatives[dispatch.Attempt] = cancel
+	} else {
+		// The server was chosen before the first event, so that it might not fit to it.
+		cancel()
+	}
 	if h.lastEventID != "" {
 		dispatch.LastEventID = h.lastEventID
 	}
@@ -218,7 +225,7 @@
 		return false
 	}
 	delete(h.alternatives, attempt)
-	h.owner = attempt
+	h.owner, h.claimed = attempt, true
 	h.cancelAlternatives()
 	return true
 }
@@ -250,6 +257,7 @@
 	if h.owner != attempt {
 		return false
 	}
+	h.claimed = true
 	h.cancelAlternatives()
 	if id != "" {
 		h.lastEventID = id
