Resume a stream only at the software version that began it

An instance knew nothing of streams that had begun before the request.

An instance now keeps where each stream began, service and software version, from the moment before its first event goes to the caller. It tells three other instances, chosen by rendezvous hash of the stream's identifier: one of its failure domain and two elsewhere. An instance that gets a resumed stream and doesn't know its origin asks those that may keep it, up to three times within 280 ms, since datagrams get lost and instances stop; the first that knows it wins. If none does, the request is refused with 503 as not run: a refusal is better than a stream that does not fit together. That also holds for Last-Event-Id without Resumes. The stream goes on at the service where it began if the route still leads there, whatever the split draws for the new request.

The memory is bounded (16,384 streams, 5 minutes) and counts what it drops. New events are 1107 to 1109; status counts the known origins.

An instance that passes on digests sends one datagram a stream, and the receiver tells the others; its digests are 43 a second in place of 48, so that TestDigestsDoNotGrowWithInstances keeps its bound of 60 a second.

--- a/internal/decision/desired/route.go
+++ b/internal/decision/desired/route.go
@@ -55,6 +55,16 @@
 	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
 }
 
+// LeadsTo reports whether the route may lead to the service.
+func (r Route) LeadsTo(service string) bool {
+	for _, weighted := range r.Split {
+		if weighted.Service == service && weighted.Weight > 0 {
+			return true
+		}
+	}
+	return service != "" && service == r.Service(0)
+}
+
 // Service returns the service for the hash, which must be evenly distributed over the
 // requests.
 func (r Route) Service(hash uint64) string {
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -17,6 +17,9 @@
 	AnswerDropped      Number = 1104
 	StreamMoved        Number = 1105
 	AlternativeTried   Number = 1106
+	OriginUnknown      Number = 1107
+	OriginFound        Number = 1108
+	OriginsDropped     Number = 1109
 	TokensTaken        Number = 1201
 	TokensRefused      Number = 1202
 	TokensReturned     Number = 1203
@@ -74,6 +77,9 @@
 	AnswerDropped:      "answerDropped",
 	StreamMoved:        "streamMoved",
 	AlternativeTried:   "alternativeTried",
+	OriginUnknown:      "originUnknown",
+	OriginFound:        "originFound",
+	OriginsDropped:     "originsDropped",
 	TokensTaken:        "tokensTaken",
 	TokensRefused:      "tokensRefused",
 	TokensReturned:     "tokensReturned",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -95,6 +96,12 @@
 	Address string
 }
 
+// SendOriginMessage sends a message to a keeper of the origins of streams, or its reply.
+type SendOriginMessage struct {
+	Message originmessage.Message
+	Address string
+}
+
 // WatchStore starts or ends the watch of the store's objects.
 type WatchStore struct{ On bool }
 
@@ -140,23 +147,24 @@
 // Log writes an event to the log.
 type Log struct{ Entry eventlog.Entry }
 
-func (Dispatch) isAction()        {}
-func (CancelAttempt) isAction()   {}
-func (ForwardResponse) isAction() {}
-func (Refuse) isAction()          {}
-func (AbortStream) isAction()     {}
-func (DropRequest) isAction()     {}
-func (SendDigest) isAction()      {}
-func (SendToKeeper) isAction()    {}
-func (WatchStore) isAction()      {}
-func (FetchReplicas) isAction()   {}
-func (CheckHealth) isAction()     {}
-func (ReadCache) isAction()       {}
-func (CallStore) isAction()       {}
-func (CallEngine) isAction()      {}
-func (SetLimits) isAction()       {}
-func (ObserveDuration) isAction() {}
-func (Log) isAction()             {}
+func (Dispatch) isAction()          {}
+func (CancelAttempt) isAction()     {}
+func (ForwardResponse) isAction()   {}
+func (Refuse) isAction()            {}
+func (AbortStream) isAction()       {}
+func (DropRequest) isAction()       {}
+func (SendDigest) isAction()        {}
+func (SendToKeeper) isAction()      {}
+func (SendOriginMessage) isAction() {}
+func (WatchStore) isAction()        {}
+func (FetchReplicas) isAction()     {}
+func (CheckHealth) isAction()       {}
+func (ReadCache) isAction()         {}
+func (CallStore) isAction()         {}
+func (CallEngine) isAction()        {}
+func (SetLimits) isAction()         {}
+func (ObserveDuration) isAction()   {}
+func (Log) isAction()               {}
 
 // Reason is the error code of a refused request.
 type Reason string
@@ -175,4 +183,6 @@
 	ReasonServerFailed     Reason = "serverFailed"
 	ReasonNoRetryBudget    Reason = "noRetryBudget"
 	ReasonTimeout          Reason = "timeout"
+	ReasonUnknownOrigin    Reason = "unknownOrigin"
+	ReasonOtherService     Reason = "otherService"
 )
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -93,7 +93,7 @@
 		}
 	}
 	f.flights[fl.id()] = fl
-	f.assignServer(fl)
+	f.assignResumed(fl)
 }
 
 // requestTimeout returns the time limit for the request's final response.
@@ -154,6 +154,7 @@
 	f.dropAlternative(fl)
 	f.scheduler.End(fl.attemptKey(fl.attempt))
 	f.endQuery(fl)
+	f.endLookup(fl)
 	delete(f.flights, fl.id())
 }
 
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -20,9 +20,9 @@
 	// others, and loadsEvery the number of digests of which one contains the loads there.
 	relayedInterval = 250 * clock.Millisecond
 	loadsEvery      = 2
-	// intervalPerNeighbor limits the digests sent to all neighbors together to 48 a
+	// intervalPerNeighbor limits the digests sent to all neighbors together to 43 a
 	// second.
-	intervalPerNeighbor = 21 * clock.Millisecond
+	intervalPerNeighbor = 23 * clock.Millisecond
 	// promptBroadcastInterval is the shortest time between two digests after a long
 	// prompt was sent: peers must not select the same engine meanwhile.
 	promptBroadcastInterval = 40 * clock.Millisecond
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -280,6 +280,8 @@
 		c.sendDigest(i, action)
 	case forwarder.SendToKeeper:
 		c.sendToKeeper(i, action)
+	case forwarder.SendOriginMessage:
+		c.sendOriginMessage(i, action)
 	case forwarder.CheckHealth:
 		c.after(3, func() {
 			s := c.servers[action.Server]
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
@@ -38,6 +39,9 @@
 	// LastEventID is the identifier of the last event of a stream that the caller has
 	// received.
 	LastEventID string
+	// ResumedRequest is the identifier of the request that brought the first event of
+	// the stream that this one resumes; empty if the caller names none.
+	ResumedRequest string
 	// Fingerprint is a hash of the method, target, key and body.
 	Fingerprint string
 	// SplitHash is an evenly distributed hash that selects the service where a route is
@@ -158,6 +162,9 @@
 // KeeperMessageReceived is a message to or from a keeper of engines.
 type KeeperMessageReceived struct{ Message keepermessage.Message }
 
+// OriginMessageReceived is a message to or from a keeper of the origins of streams.
+type OriginMessageReceived struct{ Message originmessage.Message }
+
 // ReplicaUpdated reports that the objects of a kind were read. The source of the copy is 0
 // if it was the store.
 type ReplicaUpdated struct {
@@ -253,6 +260,7 @@
 func (PeersListed) isEvent()           {}
 func (DigestReceived) isEvent()        {}
 func (KeeperMessageReceived) isEvent() {}
+func (OriginMessageReceived) isEvent() {}
 func (ReplicaUpdated) isEvent()        {}
 func (ReplicasFetched) isEvent()       {}
 func (HealthChecked) isEvent()         {}
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -52,6 +52,8 @@
 	attemptOrigin originkeeper.Origin
 	origin        originkeeper.Origin
 	hasOrigin     bool
+	// lookup is the lookup of the origin in progress; nil for none.
+	lookup *originLookup
 	// streamStarted reports whether the current attempt has delivered an event.
 	streamStarted      bool
 	callerDisconnected bool
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -7,8 +7,9 @@
 // team's limit), scheduler (server selection), retrybudget (retry budget), quarantine
 // (requests that crash servers), cachetracker (cached prompt parts at servers), registry
 // (backend servers), rollout (loading new weights into engines), organizer (with which
-// instances digests are exchanged), replicator (from where the store's objects are read)
-// and backlogkeeper (how long engines still take for the prompts that they were sent).
+// instances digests are exchanged), replicator (from where the store's objects are read),
+// backlogkeeper (how long engines still take for the prompts that they were sent) and
+// originkeeper (where streams began).
 //
 // The age of the desired state is the time since the store last confirmed it. With
 // strict key withdrawal, requests with a key are refused while the state is too old,
@@ -33,6 +34,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/organizer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/outbox"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/quarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
@@ -169,6 +171,11 @@
 	queries       map[uint64]*flight
 	queryID       uint64
 	silentKeepers map[string]clock.Millis
+	// origins has where streams began, and lookups the requests that wait for an origin
+	// from other instances, by the identifier of their query.
+	origins        *originkeeper.Keeper
+	lookups        map[uint64]*flight
+	nextOriginsLog clock.Millis
 	// replicas decides from where the store's objects are read.
 	replicas *replicator.Replicator
 	// interruptions are the recently interrupted requests by server: they count as
@@ -206,6 +213,7 @@
 		sentNotices:    relayer.New[sentPart](sentNoticePeriod, noticeMemory, maxNotices),
 		orders:         map[string]receivedOrders{},
 		keeper:         backlogkeeper.New(), queries: map[uint64]*flight{}, silentKeepers: map[string]clock.Millis{},
+		origins: originkeeper.New(), lookups: map[uint64]*flight{},
 		interruptions:  map[string][]interruption{},
 		crashedServers: map[string][]string{},
 		flights:        map[string]*flight{},
@@ -271,6 +279,8 @@
 		f.handleDigest(event.Digest)
 	case KeeperMessageReceived:
 		f.handleKeeperMessage(event.Message)
+	case OriginMessageReceived:
+		f.handleOriginMessage(event.Message)
 	case ReplicaUpdated:
 		f.handleReplicaUpdated(event)
 	case ReplicasFetched:
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -1,10 +1,32 @@
 package forwarder
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
+const (
+	// originQueryTimeout is the time after which keepers that have not replied are asked
+	// again: several round trips between failure domains. It doubles each time.
+	originQueryTimeout = 40 * clock.Millisecond
+	// maxOriginQueries limits how often a keeper is asked. The last wait is as long as a
+	// busy instance takes to reply.
+	maxOriginQueries = 3
+)
+
+// originLookup is a request that waits for the origin of the stream that it resumes.
+type originLookup struct {
+	id      uint64
+	queries int
+	// asked are the addresses of the keepers, replied those that do not know the origin.
+	asked   map[string]bool
+	replied map[string]bool
+}
+
 // streamOriginOf returns the origin of the streams that begin at the server.
 func streamOriginOf(server registry.Server) originkeeper.Origin {
 	return originkeeper.Origin{Service: server.Service, SoftwareVersion: server.SoftwareVersion}
@@ -21,10 +43,155 @@
 	return !fl.hasOrigin || fl.origin == streamOriginOf(server)
 }
 
-// recordOrigin records that the caller receives an event of the current attempt.
+// streamID returns the identifier of the request that brought the stream's first event.
+func (fl *flight) streamID() string {
+	if fl.request.ResumedRequest != "" {
+		return fl.request.ResumedRequest
+	}
+	return fl.id()
+}
+
+// recordOrigin records that the caller receives an event of the current attempt. The
+// caller may come back at any instance from now on.
 func (f *Forwarder) recordOrigin(fl *flight) {
+	if fl.partDelivered {
+		return
+	}
 	fl.partDelivered = true
 	if !fl.hasOrigin {
 		fl.origin, fl.hasOrigin = fl.attemptOrigin, true
 	}
+	if !fl.route.Resumable {
+		return
+	}
+	f.putOrigin(fl.streamID(), fl.origin)
+	f.sendBegan(fl.streamID(), fl.origin, f.passesOnDigests())
+}
+
+// sendBegan tells the keepers where a stream began, or only the first one, which then tells
+// the others.
+func (f *Forwarder) sendBegan(stream string, origin originkeeper.Origin, passOn bool) {
+	for _, address := range f.addressesOf(f.originKeepers(stream)) {
+		f.sendOriginMessage(originmessage.Message{Kind: originmessage.Began, Stream: stream, Origin: origin, PassOn: passOn}, address)
+		if passOn {
+			return
+		}
+	}
+}
+
+func (f *Forwarder) putOrigin(stream string, origin originkeeper.Origin) {
+	before := f.origins.Dropped()
+	f.origins.Put(f.now, stream, origin)
+	if f.origins.Dropped() > before && f.now >= f.nextOriginsLog {
+		f.nextOriginsLog = f.now.Add(originsLogInterval)
+		f.log(eventlog.New(eventlog.OriginsDropped, "").With("dropped", f.origins.Dropped()).With("kept", f.origins.Len()))
+	}
+}
+
+// originsLogInterval is the shortest time between two log entries about dropped origins.
+const originsLogInterval = 10 * clock.Second
+
+func (f *Forwarder) sendOriginMessage(message originmessage.Message, address string) {
+	message.Address = f.settings.PeerAddress
+	f.emit(SendOriginMessage{Message: message, Address: address})
+}
+
+// assignResumed assigns a server to a new request. One that resumes a stream first needs
+// the stream's origin.
+func (f *Forwarder) assignResumed(fl *flight) {
+	resumes := fl.request.ResumedRequest != "" || (fl.route.Kind == desired.Stream && fl.request.LastEventID != "")
+	if !resumes {
+		f.assignServer(fl)
+		return
+	}
+	if origin, known := f.origins.Find(f.now, fl.streamID()); known {
+		f.resumeStream(fl, origin, f.settings.Name)
+		return
+	}
+	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}}
+	f.lookups[fl.lookup.id] = fl
+	f.askOriginKeepers(fl)
+}
+
+// askOriginKeepers asks the keepers that have not replied, or refuses the request if all of
+// them have been asked often enough.
+func (f *Forwarder) askOriginKeepers(fl *flight) {
+	lookup := fl.lookup
+	for _, address := range f.addressesOf(f.possibleOriginKeepers(fl.streamID())) {
+		lookup.asked[address] = true
+	}
+	if lookup.queries == maxOriginQueries || (f.havePeers && len(lookup.replied) == len(lookup.asked)) {
+		f.refuseUnknownOrigin(fl)
+		return
+	}
+	fl.checkAt = f.now.Add(originQueryTimeout << lookup.queries)
+	lookup.queries++
+	for _, address := range sortedKeys(lookup.asked) {
+		if !lookup.replied[address] {
+			f.sendOriginMessage(originmessage.Message{Kind: originmessage.Query, ID: lookup.id, Stream: fl.streamID()}, address)
+		}
+	}
+}
+
+// refuseUnknownOrigin refuses a request that resumes a stream whose origin nobody knows: at
+// another software version, the caller would get a stream that does not fit together.
+func (f *Forwarder) refuseUnknownOrigin(fl *flight) {
+	entry := eventlog.New(eventlog.OriginUnknown, fl.id()).With("stream", fl.streamID()).With("asked", len(fl.lookup.asked)).With("replied", len(fl.lookup.replied))
+	f.log(entry.With("after", f.now.Since(fl.arrivedAt)))
+	f.refuse(fl, ReasonUnknownOrigin, f.jitteredRetryAfter())
+}
+
+// resumeStream assigns a server of the stream's origin to the request. The route must still
+// lead to its service, which need not be the one that was drawn for the request.
+func (f *Forwarder) resumeStream(fl *flight, origin originkeeper.Origin, source string) {
+	f.log(eventlog.New(eventlog.OriginFound, fl.id()).With("stream", fl.streamID()).With("service", origin.Service).With("softwareVersion", origin.SoftwareVersion).With("source", source).With("after", f.now.Since(fl.arrivedAt)))
+	if !fl.route.LeadsTo(origin.Service) {
+		f.refuse(fl, ReasonOtherService, f.jitteredRetryAfter())
+		return
+	}
+	fl.service = origin.Service
+	fl.origin, fl.hasOrigin = origin, true
+	f.assignServer(fl)
+}
+
+// handleOriginMessage handles a message to or from a keeper of origins.
+func (f *Forwarder) handleOriginMessage(message originmessage.Message) {
+	switch message.Kind {
+	case originmessage.Began:
+		f.putOrigin(message.Stream, message.Origin)
+		if message.PassOn {
+			f.sendBegan(message.Stream, message.Origin, false)
+		}
+	case originmessage.Query:
+		reply := originmessage.Message{Kind: originmessage.Reply, ID: message.ID, Stream: message.Stream}
+		reply.Origin, reply.Known = f.origins.Find(f.now, message.Stream)
+		f.sendOriginMessage(reply, message.Address)
+	case originmessage.Reply:
+		f.handleOriginReply(message)
+	}
+}
+
+func (f *Forwarder) handleOriginReply(reply originmessage.Message) {
+	fl, ok := f.lookups[reply.ID]
+	if !ok || reply.Stream != fl.streamID() {
+		return
+	}
+	if reply.Known {
+		f.endLookup(fl)
+		f.putOrigin(reply.Stream, reply.Origin)
+		f.resumeStream(fl, reply.Origin, reply.Address)
+		return
+	}
+	fl.lookup.replied[reply.Address] = true
+	if f.havePeers && len(fl.lookup.replied) == len(fl.lookup.asked) {
+		f.refuseUnknownOrigin(fl)
+	}
+}
+
+// endLookup drops the flight's lookup, if there is one.
+func (f *Forwarder) endLookup(fl *flight) {
+	if fl.lookup != nil {
+		delete(f.lookups, fl.lookup.id)
+		fl.lookup = nil
+	}
 }
--- a/internal/decision/forwarder/status.go
+++ b/internal/decision/forwarder/status.go
@@ -17,6 +17,8 @@
 	// it may order engines to load weights.
 	WatchesStore bool `json:"watchesStore"`
 	HoldsLease   bool `json:"holdsLease"`
+	// KnownOrigins is the number of streams of which the instance knows where they began.
+	KnownOrigins int `json:"knownOrigins"`
 	// StateVersion is the version of the desired state, and StateAge the time in
 	// milliseconds since it was last known to be current.
 	StateVersion int64        `json:"stateVersion"`
@@ -30,6 +32,7 @@
 		Listed: f.instanceCount(), Reachable: f.reachableCount(),
 		Top: f.actsAsTop(), Upstream: f.upstream, Below: len(f.neighborsIn(below)),
 		WatchesStore: f.replicas != nil && f.replicas.Watching(), HoldsLease: f.rollout.HoldsLease(f.now),
+		KnownOrigins: f.origins.Len(),
 		StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
 	}
 }
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -56,6 +56,10 @@
 			f.refuse(fl, ReasonTimeout, 0)
 			continue
 		}
+		if fl.lookup != nil {
+			f.askOriginKeepers(fl)
+			continue
+		}
 		if fl.query != nil {
 			f.chooseQueried(fl)
 			continue
--- a/internal/decision/organizer/organizer.go
+++ b/internal/decision/organizer/organizer.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/balancer"
@@ -161,6 +162,9 @@
 	return len(a.ranks)
 }
 
+// Domains returns the names of all failure domains, sorted.
+func (a Arrangement) Domains() []string { return slices.Sorted(maps.Keys(a.domains)) }
+
 // Domain returns the names of a domain's instances, the first at the top level.
 func (a Arrangement) Domain(domain string) []string { return a.domains[domain] }
 
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -9,6 +9,8 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
@@ -110,3 +112,48 @@
 		require.Error(t, err, name)
 	}
 }
+
+// TestOriginMessageRoundTrip verifies that all fields of a message arrive, and that invalid
+// ones are errors.
+func TestOriginMessageRoundTrip(t *testing.T) {
+	origin := originkeeper.Origin{Service: "engines", SoftwareVersion: "v1.2"}
+	for name, sent := range map[string]originmessage.Message{
+		"began":            {Kind: originmessage.Began, Address: "10.0.0.1:7600", Stream: "stream-1", Origin: origin, PassOn: true},
+		"a query":          {Kind: originmessage.Query, Address: "10.0.0.1:7600", ID: 8, Stream: "stream-1"},
+		"a reply":          {Kind: originmessage.Reply, Address: "10.0.0.1:7600", ID: 8, Stream: "stream-1", Known: true, Origin: origin},
+		"an unknown one":   {Kind: originmessage.Reply, ID: 8, Stream: "stream-1"},
+		"no version named": {Kind: originmessage.Reply, ID: 8, Stream: "stream-1", Known: true, Origin: originkeeper.Origin{Service: "engines"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			encoded, err := datagram.EncodeOriginMessage(sent)
+			require.NoError(t, err)
+			require.True(t, datagram.IsOriginMessage(encoded))
+			require.False(t, datagram.IsKeeperMessage(encoded))
+			_, err = datagram.DecodeDigest(encoded)
+			require.Error(t, err, "an older build drops it")
+			received, err := datagram.DecodeOriginMessage(encoded)
+			require.NoError(t, err)
+			require.Equal(t, sent, received)
+			_, err = datagram.DecodeOriginMessage(encoded[:len(encoded)-1])
+			require.Error(t, err, "a datagram that ends within a field")
+		})
+	}
+	for name, invalid := range map[string]originmessage.Message{
+		"no kind":              {Stream: "stream-1", Origin: origin},
+		"another kind":         {Kind: originmessage.Reply + 1, Stream: "stream-1", Origin: origin},
+		"no stream":            {Kind: originmessage.Query},
+		"began at no service":  {Kind: originmessage.Began, Stream: "stream-1"},
+		"known, but not where": {Kind: originmessage.Reply, Stream: "stream-1", Known: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			encoded, err := datagram.EncodeOriginMessage(invalid)
+			require.NoError(t, err)
+			_, err = datagram.DecodeOriginMessage(encoded)
+			require.Error(t, err)
+		})
+	}
+	for name, invalid := range map[string][]byte{"nothing": nil, "another marker": {0, 8, 1}, "no message": {1, 255}} {
+		_, err := datagram.DecodeOriginMessage(invalid)
+		require.Error(t, err, name)
+	}
+}
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -39,6 +39,8 @@
 		e.sendDigest(action)
 	case forwarder.SendToKeeper:
 		e.sendToKeeper(action)
+	case forwarder.SendOriginMessage:
+		e.sendOriginMessage(action)
 	case forwarder.WatchStore:
 		e.watchStore(action.On)
 	case forwarder.FetchReplicas:
@@ -111,6 +113,17 @@
 	e.sendDatagram(encoded, send.Address)
 }
 
+// sendOriginMessage sends a message about the origin of a stream. The state machine repeats
+// what has no reply.
+func (e *Edge) sendOriginMessage(send forwarder.SendOriginMessage) {
+	encoded, err := datagram.EncodeOriginMessage(send.Message)
+	if err != nil {
+		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
+		return
+	}
+	e.sendDatagram(encoded, send.Address)
+}
+
 func (e *Edge) sendDatagram(encoded []byte, peer string) {
 	address, err := parsePeerAddress(peer)
 	if err != nil {
--- a/internal/runtime/edge/peers.go
+++ b/internal/runtime/edge/peers.go
@@ -113,8 +113,12 @@
 	}
 }
 
-// decodeDatagram decodes a digest or a message of a keeper.
+// decodeDatagram decodes a digest or a message of a keeper of engines or of origins.
 func decodeDatagram(received []byte) (forwarder.Event, error) {
+	if datagram.IsOriginMessage(received) {
+		message, err := datagram.DecodeOriginMessage(received)
+		return forwarder.OriginMessageReceived{Message: message}, err
+	}
 	if datagram.IsKeeperMessage(received) {
 		message, err := datagram.DecodeKeeperMessage(received)
 		return forwarder.KeeperMessageReceived{Message: message}, err
