Add failing tests for servers that leave or ask for a pause

Callers would see requests sent to a server whose answers already say that it stops, and calls to a server that has asked for a pause: neither header field is read today.

The tests let servers say so in answers, errors, health checks, heads of streams and reads of caches, at the state machine and with processes. The event ServerNotice and the numbers 2209 to 2211 exist, but nothing handles or logs them.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -50,6 +50,9 @@
 	ServerRecovered    Number = 2206
 	CacheReadAnew      Number = 2207
 	CacheReadFailed    Number = 2208
+	ServerLeaving      Number = 2209
+	ServerPaused       Number = 2210
+	ServerPauseInvalid Number = 2211
 	WeightsNamed       Number = 2301
 	OrderGiven         Number = 2302
 	OrderReplied       Number = 2303
@@ -110,6 +113,9 @@
 	ServerRecovered:    "serverRecovered",
 	CacheReadAnew:      "cacheReadAnew",
 	CacheReadFailed:    "cacheReadFailed",
+	ServerLeaving:      "serverLeaving",
+	ServerPaused:       "serverPaused",
+	ServerPauseInvalid: "serverPauseInvalid",
 	WeightsNamed:       "weightsNamed",
 	OrderGiven:         "orderGiven",
 	OrderReplied:       "orderReplied",
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -105,6 +105,10 @@
 	cut      func(from, to int) bool
 	traffic  map[int]traffic
 
+	// contacts are the calls to servers, and told the notices that instances received.
+	contacts []contact
+	told     []toldNotice
+
 	leaseRevision int64
 	leaseRecord   rollout.Record
 	logLines      []string
@@ -115,6 +119,10 @@
 	acceptedOrders int64
 	down           bool
 	drainingSince  clock.Millis
+	// leaving reports whether all its responses say that it will stop, and pausedUntil is
+	// the time until which it declines everything.
+	leaving     bool
+	pausedUntil clock.Millis
 	// cacheChanges are the changes of the cache since the server's start.
 	cacheChanges []forwarder.CacheChange
 	// cached has the parts in the cache, with their salt.
@@ -124,6 +132,7 @@
 // request is a caller's request and its results.
 type request struct {
 	instance      int
+	sentAt        clock.Millis
 	kind          string
 	runs          int
 	finalActions  int
@@ -271,6 +280,7 @@
 }
 
 func (c *cluster) perform(i int, action forwarder.Action) {
+	c.recordContact(i, action)
 	switch action := action.(type) {
 	case forwarder.Dispatch:
 		c.dispatch(i, action)
@@ -285,7 +295,8 @@
 	case forwarder.CheckHealth:
 		c.after(3, func() {
 			s := c.servers[action.Server]
-			c.step(i, forwarder.HealthChecked{Server: action.Server, Healthy: !s.down, Gone: s.down})
+			declined := c.tell(i, s)
+			c.step(i, forwarder.HealthChecked{Server: action.Server, Healthy: !s.down && !declined, Gone: s.down})
 		})
 	case forwarder.CallStore:
 		c.callStore(i, action.Step)
@@ -354,7 +365,7 @@
 // sendRequest sends a request of the kind to an instance.
 func (c *cluster) sendRequest(i int, kind string) string {
 	id := fmt.Sprint(kind, "-", len(c.requests))
-	c.requests[id] = &request{instance: i, kind: kind}
+	c.requests[id] = &request{instance: i, kind: kind, sentAt: c.now}
 	arrived := forwarder.Request{ID: id, Host: host, Method: "POST", Path: "/" + kind + "/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: id}
 	if kind == "stream" || kind == "once" {
 		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -38,6 +38,10 @@
 		end(20, forwarder.OutcomeInterrupted, 0)
 		return
 	}
+	if c.tell(i, s) {
+		end(1, forwarder.OutcomeDeclined, 503)
+		return
+	}
 	draw := c.random.IntN(100)
 	for _, outcome := range []forwarder.Outcome{forwarder.OutcomeNotSent, forwarder.OutcomeDeclined, forwarder.OutcomeInterrupted, forwarder.OutcomeCorrupted} {
 		if draw -= c.faultPercents[outcome]; draw < 0 {
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -187,6 +187,21 @@
 	Gone bool
 }
 
+// ServerNotice is what the head of a server's response says about the server itself. It is
+// submitted as soon as the head has arrived.
+type ServerNotice struct {
+	Server string
+	// StartedAt is the start of the server as it was listed when the request was sent.
+	StartedAt int64
+	// Leaving reports whether the server will stop soon.
+	Leaving bool
+	// Pause is the time for which the server wants to get nothing from this instance; 0
+	// for none.
+	Pause clock.Millis
+	// InvalidPause is the text of a pause that can't be used; empty for none.
+	InvalidPause string
+}
+
 // LeaseRead and LeaseWritten are the store's responses about the rollout lease.
 type (
 	LeaseRead struct {
@@ -264,6 +279,7 @@
 func (ReplicaUpdated) isEvent()        {}
 func (ReplicasFetched) isEvent()       {}
 func (HealthChecked) isEvent()         {}
+func (ServerNotice) isEvent()          {}
 func (LeaseRead) isEvent()             {}
 func (LeaseWritten) isEvent()          {}
 func (EngineReported) isEvent()        {}
--- a/internal/decision/forwarder/store_test.go
+++ b/internal/decision/forwarder/store_test.go
@@ -45,8 +45,13 @@
 		switch step := step.(type) {
 		case rollout.RequestReport:
 			s := c.servers[step.Server]
-			c.step(i, forwarder.EngineReported{Server: step.Server, Report: rollout.Report{Failed: s.down, WeightVersions: s.entry.WeightVersions, AcceptedOrders: s.acceptedOrders, StartedAt: s.entry.StartedAt}})
+			declined := c.tell(i, s)
+			c.step(i, forwarder.EngineReported{Server: step.Server, Report: rollout.Report{Failed: s.down || declined, WeightVersions: s.entry.WeightVersions, AcceptedOrders: s.acceptedOrders, StartedAt: s.entry.StartedAt}})
 		case rollout.Order:
+			if c.tell(i, c.servers[step.Server]) {
+				c.step(i, forwarder.OrderReplied{Server: step.Server, Reply: rollout.NoResponse})
+				return
+			}
 			if c.faultRandom.IntN(100) < c.lateOrderPercent {
 				c.after(clock.Millis(2000+c.faultRandom.IntN(6000)), func() { c.acceptOrder(step) })
 				c.after(200, func() { c.step(i, forwarder.OrderReplied{Server: step.Server, Reply: rollout.NoResponse}) })
