Send nothing new to a server whose answers say that it leaves

Callers would have had requests end at a server that stops: only the state in its entry in the store was read, which comes late, or not at all while the store is away, and an older copy of the entry would have made it eligible again. Streams stayed there until they were cut.

The head of every answer is now read as soon as it has arrived, for requests, health checks, reports, orders and reads of caches, and submitted as ServerNotice before anything of the answer is passed on. The registry keeps such notices by identifier and start, apart from the entries: a removed, older or still ready entry changes nothing, a new start under the same name is not concerned. Other instances get them as notices in the digest.

If no other server is left, a leaving one still gets requests in the first half of the time for which it serves: an answer is better for callers than a refusal, after which they come back to the same servers. Resumable streams move to another server, within the retry budget, from the second half on, also from servers that are listed as draining or no longer listed.

--- a/internal/decision/cachetracker/cachetracker.go
+++ b/internal/decision/cachetracker/cachetracker.go
@@ -47,14 +47,17 @@
 type Server struct {
 	ID      string
 	Address string
+	// StartedAt is the server's start as it is listed.
+	StartedAt int64
 }
 
 // ReadRequest is a read to make: of the full cache, or of the changes after Since.
 type ReadRequest struct {
-	Server  string
-	Address string
-	Full    bool
-	Since   int64
+	Server    string
+	Address   string
+	StartedAt int64
+	Full      bool
+	Since     int64
 }
 
 // Change is the number of tokens that the server has cached of a part; 0 after an
@@ -138,7 +141,7 @@
 			continue
 		}
 		state.readStarted = now
-		requests = append(requests, ReadRequest{Server: server.ID, Address: server.Address, Full: !state.synced, Since: state.lastChange})
+		requests = append(requests, ReadRequest{Server: server.ID, Address: server.Address, StartedAt: server.StartedAt, Full: !state.synced, Since: state.lastChange})
 	}
 	for id := range c.servers {
 		if !present[id] {
--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -78,7 +78,9 @@
 	// RecoveredServers are those that one could reach again.
 	UnreachableServers []string
 	RecoveredServers   []string
-	Orders             []Orders
+	// LeavingServers are the servers whose responses said that they leave.
+	LeavingServers []LeavingServer
+	Orders         []Orders
 	// Lease is the latest known observation of the rollout lease.
 	Lease           rollout.Observation
 	ReportedWeights []ReportedWeights
@@ -119,6 +121,12 @@
 	Version int64
 }
 
+// LeavingServer is a server that leaves, as it started at StartedAt.
+type LeavingServer struct {
+	Server    string
+	StartedAt int64
+}
+
 // Replica is the state of a copy of one kind of the store's objects.
 type Replica struct {
 	Kind int
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -21,6 +21,8 @@
 	Attempt int
 	Server  string
 	Address string
+	// StartedAt is the server's start as it is listed.
+	StartedAt int64
 	// Team is the team name to send to the server; empty for none.
 	Team string
 	// HasPrompt reports whether the request carries a prompt. CacheSalt is then the
@@ -110,9 +112,10 @@
 
 // CheckHealth sends a health check to a server.
 type CheckHealth struct {
-	Server  string
-	Address string
-	Path    string
+	Server    string
+	Address   string
+	StartedAt int64
+	Path      string
 }
 
 // ReadCache reads the list of cached parts from a server or from the cache store.
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -30,7 +30,7 @@
 // assignServer selects a server and sends the request there, makes it wait, or refuses
 // it. In a large cluster it asks the keepers of some engines first.
 func (f *Forwarder) assignServer(fl *flight) {
-	request, candidates := f.schedulerRequest(fl), f.candidates(fl)
+	request, candidates := f.schedulerRequest(fl), f.candidatesOrLeaving(fl)
 	f.scheduler.ExcludeSources(f.excludedSources())
 	if !f.queryKeepers(fl, request, candidates) {
 		f.endQuery(fl)
@@ -103,7 +103,7 @@
 	}
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
-		Server: choice.Server, Address: server.Address,
+		Server: choice.Server, Address: server.Address, StartedAt: server.StartedAt,
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
@@ -210,7 +210,7 @@
 	if fl.remaining(f.now) < minRemaining {
 		return ReasonDeadlineTooClose
 	}
-	if fl.attempts >= maxAttempts || (len(f.candidates(fl)) == 0 && !f.serverExpected(fl)) {
+	if fl.attempts >= maxAttempts || (len(f.candidatesOrLeaving(fl)) == 0 && !f.serverExpected(fl)) {
 		return ReasonNoServer
 	}
 	if !f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
@@ -282,5 +282,5 @@
 }
 
 func (f *Forwarder) emitHealthCheck(server registry.Server) {
-	f.emit(CheckHealth{Server: server.ID, Address: server.Address, Path: f.desired.Services[server.Service].HealthPath})
+	f.emit(CheckHealth{Server: server.ID, Address: server.Address, StartedAt: server.StartedAt, Path: f.desired.Services[server.Service].HealthPath})
 }
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -230,6 +230,7 @@
 	message.UnreachableServers = f.unreachableNotices.Recent(f.now, upTo)
 	message.RecoveredServers = f.recoveredNotices.Recent(f.now, upTo)
 	message.ReportedWeights = f.weightsNotices.Recent(f.now, upTo)
+	message.LeavingServers = f.leavingNotices.Recent(f.now, upTo)
 	message.SentParts = map[uint32][][2]uint64{}
 	for server, parts := range f.scheduler.RecentlySent(f.now, !f.arrangement.Flat()) {
 		message.SentParts[f.digestID(server)] = parts
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -14,10 +15,15 @@
 // that already had an attempt of it, those that are down or load weights and, for a stream
 // that goes on, those of another software version.
 func (f *Forwarder) candidates(fl *flight) []scheduler.Candidate {
+	return f.candidatesAmong(fl, f.servers.Available(f.now, fl.service))
+}
+
+// candidatesAmong returns those of the servers that can take the request now.
+func (f *Forwarder) candidatesAmong(fl *flight, servers []registry.Server) []scheduler.Candidate {
 	service := f.desired.Services[fl.service]
 	loading := f.loadingEngines()
 	var candidates []scheduler.Candidate
-	for _, server := range f.servers.Available(f.now, fl.service) {
+	for _, server := range servers {
 		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || !fl.mayRunAt(server) {
 			continue
 		}
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -179,6 +179,9 @@
 		}
 		f.weightsNotices.Add(f.now, reported, origin)
 	}
+	for _, leaving := range message.LeavingServers {
+		f.markLeaving(leaving, origin)
+	}
 	for fingerprint, servers := range message.CrashedServers {
 		for _, server := range servers {
 			f.recordCrash(fingerprint, server)
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -124,6 +124,9 @@
 	// nextMoveCheck is the time of the next check for streams that delay it.
 	loadingSince  map[string]clock.Millis
 	nextMoveCheck clock.Millis
+	// leavingSince is the time since which each server with running streams leaves or is no
+	// longer listed.
+	leavingSince map[string]clock.Millis
 
 	// peers are the other listed instances by identifier, and arrangement their
 	// positions. havePeers reports whether they have been listed.
@@ -159,6 +162,7 @@
 	unreachableNotices *relayer.Relayer[string]
 	recoveredNotices   *relayer.Relayer[string]
 	weightsNotices     *relayer.Relayer[digest.ReportedWeights]
+	leavingNotices     *relayer.Relayer[digest.LeavingServer]
 	sentNotices        *relayer.Relayer[sentPart]
 	// orders are the states of other instances that order engines, by name.
 	orders map[string]receivedOrders
@@ -210,6 +214,8 @@
 		teamNames: map[uint32]string{}, serverNames: map[uint32]string{},
 		unreachableNotices: relayer.New[string](noticePeriod, noticeMemory, maxNotices), recoveredNotices: relayer.New[string](noticePeriod, noticeMemory, maxNotices),
 		weightsNotices: relayer.New[digest.ReportedWeights](noticePeriod, weightsNoticeMemory, maxNotices),
+		leavingNotices: relayer.New[digest.LeavingServer](noticePeriod, leavingNoticeMemory, maxNotices),
+		leavingSince:   map[string]clock.Millis{},
 		sentNotices:    relayer.New[sentPart](sentNoticePeriod, noticeMemory, maxNotices),
 		orders:         map[string]receivedOrders{},
 		keeper:         backlogkeeper.New(), queries: map[uint64]*flight{}, silentKeepers: map[string]clock.Millis{},
@@ -269,6 +275,8 @@
 		f.handleServerChanged(event)
 	case HealthChecked:
 		f.handleHealthChecked(event)
+	case ServerNotice:
+		f.handleServerNotice(event)
 	case StoreFailed:
 		f.handleStoreFailed(event)
 	case StoreResponded:
--- a/internal/decision/forwarder/keepers.go
+++ b/internal/decision/forwarder/keepers.go
@@ -177,7 +177,7 @@
 	for _, name := range asked.keepers {
 		f.silentKeepers[name] = f.now.Add(silentKeeperPause)
 	}
-	candidates := slices.DeleteFunc(f.candidates(fl), func(candidate scheduler.Candidate) bool {
+	candidates := slices.DeleteFunc(f.candidatesOrLeaving(fl), func(candidate scheduler.Candidate) bool {
 		return !slices.Contains(asked.servers, candidate.Server)
 	})
 	for i, candidate := range candidates {
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -17,7 +17,7 @@
 )
 
 // moveStreams moves resumable streams away from engines that delay loading new weights
-// only because of them.
+// only because of them, and from those that leave.
 func (f *Forwarder) moveStreams() {
 	if f.now < f.nextMoveCheck {
 		return
@@ -33,6 +33,7 @@
 		}
 		overdue[id] = known && f.now.Since(since) >= moveStreamsAfter
 	}
+	maps.Copy(overdue, f.leavingInTime())
 	for _, id := range slices.Sorted(maps.Keys(f.flights)) {
 		fl := f.flights[id]
 		if overdue[fl.server] && fl.movable() {
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -102,7 +102,7 @@
 	}
 	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown, MaxWeightsAge: f.settings.Bounds.MaxWeightsAge}
 	for _, server := range f.servers.All() {
-		if server.Draining || len(server.Entry.WeightVersions) == 0 {
+		if !server.AcceptsRequests() || len(server.Entry.WeightVersions) == 0 {
 			continue
 		}
 		engine := rollout.Engine{
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -46,6 +46,8 @@
 	lastReached clock.Millis // lastReached is the end of the latest attempt that reached it; 0 for none.
 	// lastUnreachable is the time of this instance's latest failure to reach it.
 	lastUnreachable clock.Millis
+	// notice is what the server said in its responses.
+	notice notice
 }
 
 // Down reports whether the server counts as unreachable.
@@ -64,6 +66,8 @@
 // Registry has the servers by identifier. It is not safe for concurrent use.
 type Registry struct {
 	servers map[string]Server
+	// notices are also kept for servers that are not listed, for when they are again.
+	notices map[start]notice
 	// sorted has the servers by identifier; nil after a change.
 	sorted []Server
 	// checkSpacing is the factor by which the health checks of this instance are further
@@ -89,7 +93,7 @@
 
 // New returns a Registry without servers.
 func New() *Registry {
-	return &Registry{servers: map[string]Server{}, checkSpacing: 1}
+	return &Registry{servers: map[string]Server{}, notices: map[start]notice{}, checkSpacing: 1}
 }
 
 // Put adds or updates a server from its entry, unless the entry is older than the known
@@ -99,7 +103,7 @@
 	if known && before.Revision > entry.Revision {
 		return before, known
 	}
-	updated := Server{Entry: entry}
+	updated := Server{Entry: entry, notice: r.notices[startOf(entry)]}
 	if known && before.StartedAt == entry.StartedAt {
 		updated = before
 		updated.Entry = entry.withNewerWeights(before.Entry)
@@ -122,13 +126,13 @@
 
 // Remove records that an entry was removed. If now is before expiresAt, the entry may
 // merely have expired during an outage of the store: the server is then used until
-// expiresAt, unless it is draining.
+// expiresAt, unless it is leaving.
 func (r *Registry) Remove(now clock.Millis, id string, expiresAt clock.Millis) {
 	server, known := r.servers[id]
 	if !known {
 		return
 	}
-	if now >= expiresAt || server.Draining {
+	if now >= expiresAt || !server.AcceptsRequests() {
 		delete(r.servers, id)
 		r.sorted = nil
 		return
@@ -184,7 +188,7 @@
 func (r *Registry) Available(now clock.Millis, service string) []Server {
 	var available []Server
 	for _, server := range r.All() {
-		if server.Service == service && !server.Draining && (server.expiresAt == 0 || now < server.expiresAt) {
+		if server.Service == service && server.AcceptsRequests() && (server.expiresAt == 0 || now < server.expiresAt) {
 			available = append(available, server)
 		}
 	}
--- a/internal/decision/rollout/jobs.go
+++ b/internal/decision/rollout/jobs.go
@@ -140,7 +140,7 @@
 		job.reportPending = true
 		job.nextPollAt = now.Add(reportTimeout)
 		c.jobs[id] = job
-		steps = append(steps, RequestReport{Server: id, Address: job.address})
+		steps = append(steps, RequestReport{Server: id, Address: job.address, StartedAt: job.engineStartedAt})
 	}
 	return steps
 }
@@ -186,7 +186,7 @@
 	job.startedAt = now
 	job.nextPollAt = now.Add(orderTimeout)
 	return []Step{Order{
-		Server: server, Address: job.address, Model: job.model, Version: job.version,
+		Server: server, Address: job.address, StartedAt: job.engineStartedAt, Model: job.model, Version: job.version,
 		Holder: c.lease.self, Fence: c.lease.fence, AcceptedOrders: report.AcceptedOrders, Deadline: c.lease.heldUntil,
 	}}
 }
--- a/internal/decision/rollout/step.go
+++ b/internal/decision/rollout/step.go
@@ -12,16 +12,23 @@
 type WriteLease struct{ Update Update }
 
 // RequestReport requests an engine's report.
-type RequestReport struct{ Server, Address string }
+type RequestReport struct {
+	Server  string
+	Address string
+	// StartedAt is the engine's start as it is listed.
+	StartedAt int64
+}
 
 // Order orders an engine to load weights. It must not be sent after its deadline.
 type Order struct {
 	Server  string
 	Address string
-	Model   string
-	Version int64
-	Holder  string
-	Fence   int64
+	// StartedAt is the engine's start as it is listed.
+	StartedAt int64
+	Model     string
+	Version   int64
+	Holder    string
+	Fence     int64
 	// AcceptedOrders is the number of orders that the engine had accepted before. The
 	// engine refuses this order if it has accepted another one since.
 	AcceptedOrders int64
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -30,7 +30,8 @@
 			RelayRequest: rollout.Update{Record: rollout.Record{Holder: "edge-2", Writes: 3}, IfRevision: 44},
 		}},
 		Lease: rollout.Observation{Revision: 44, Holder: "edge-2", Writes: 2}, ReportedWeights: []digest.ReportedWeights{{Server: "e1", Model: "m", Version: 3}},
-		WeightsAges: map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
+		LeavingServers: []digest.LeavingServer{{Server: "e2", StartedAt: 9}},
+		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
 		Replicas: []digest.Replica{{Kind: 1, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
 	}
 }
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -83,6 +83,9 @@
 	for _, reported := range d.ReportedWeights {
 		message.ReportedWeights = append(message.ReportedWeights, &edgev1.ReportedWeights{Server: reported.Server, Model: reported.Model, Version: reported.Version})
 	}
+	for _, leaving := range d.LeavingServers {
+		message.LeavingServers = append(message.LeavingServers, &edgev1.LeavingServer{Server: leaving.Server, StartedAt: leaving.StartedAt})
+	}
 	for _, model := range slices.Sorted(maps.Keys(d.WeightsAges)) {
 		for _, version := range slices.Sorted(maps.Keys(d.WeightsAges[model])) {
 			message.PublishedWeights = append(message.PublishedWeights, &edgev1.PublishedWeights{Model: model, Version: version, AgeMs: int64(d.WeightsAges[model][version])})
@@ -163,6 +166,9 @@
 	for _, reported := range message.GetReportedWeights() {
 		d.ReportedWeights = append(d.ReportedWeights, digest.ReportedWeights{Server: reported.GetServer(), Model: reported.GetModel(), Version: reported.GetVersion()})
 	}
+	for _, leaving := range message.GetLeavingServers() {
+		d.LeavingServers = append(d.LeavingServers, digest.LeavingServer{Server: leaving.GetServer(), StartedAt: leaving.GetStartedAt()})
+	}
 	for _, published := range message.GetPublishedWeights() {
 		if d.WeightsAges[published.GetModel()] == nil {
 			d.WeightsAges[published.GetModel()] = map[int64]clock.Millis{}
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -48,7 +48,9 @@
 	case forwarder.CheckHealth:
 		e.start(func() { e.checkHealth(action) })
 	case forwarder.ReadCache:
-		e.start(func() { e.machine.submit(e.platform.ReadCache(e.ctx, action.Read)) })
+		e.start(func() {
+			e.machine.submit(e.platform.ReadCache(e.ctx, action.Read, e.notify(action.Read.Server, action.Read.StartedAt)))
+		})
 	case forwarder.CallStore:
 		e.start(func() { e.callStore(action.Step) })
 	case forwarder.CallEngine:
@@ -56,8 +58,19 @@
 	}
 }
 
+// notify returns the function that submits what a server says of itself.
+func (e *Edge) notify(server string, startedAt int64) Notify {
+	return func(notice forwarder.ServerNotice) {
+		if notice == (forwarder.ServerNotice{}) {
+			return
+		}
+		notice.Server, notice.StartedAt = server, startedAt
+		e.machine.submit(notice)
+	}
+}
+
 func (e *Edge) checkHealth(check forwarder.CheckHealth) {
-	healthy, gone := e.platform.CheckHealth(e.ctx, check)
+	healthy, gone := e.platform.CheckHealth(e.ctx, check, e.notify(check.Server, check.StartedAt))
 	e.machine.submit(forwarder.HealthChecked{Server: check.Server, Healthy: healthy, Gone: gone})
 }
 
@@ -76,12 +89,14 @@
 func (e *Edge) callEngine(step rollout.Step) {
 	switch step := step.(type) {
 	case rollout.RequestReport:
-		e.machine.submit(forwarder.EngineReported{Server: step.Server, Report: e.platform.FetchReport(e.ctx, step)})
+		report := e.platform.FetchReport(e.ctx, step, e.notify(step.Server, step.StartedAt))
+		e.machine.submit(forwarder.EngineReported{Server: step.Server, Report: report})
 	case rollout.Order:
 		// The process may have been suspended since the order was decided, so the
 		// deadline is checked again immediately before sending.
 		allowed := func() bool { return bootclock.Now() < step.Deadline }
-		e.machine.submit(forwarder.OrderReplied{Server: step.Server, Reply: e.platform.SendOrder(e.ctx, step, allowed)})
+		reply := e.platform.SendOrder(e.ctx, step, allowed, e.notify(step.Server, step.StartedAt))
+		e.machine.submit(forwarder.OrderReplied{Server: step.Server, Reply: reply})
 	}
 }
 
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -79,6 +79,7 @@
 		return withOutcome(result, outcomeOfReadError(err), err), nil
 	}
 	head := h.edge.platform.DecodeResponse(response, h.callerRequestID)
+	h.edge.notify(dispatch.Server, dispatch.StartedAt)(head.Notice)
 	result.Status = response.StatusCode
 	result.WeightsVersion = head.WeightsVersion
 	if dispatch.Stream && response.StatusCode == http.StatusOK && isUsable(head, response) {
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -51,8 +51,14 @@
 	Misdirected bool
 	// Signed reports whether the server has signed the response.
 	Signed bool
+	// Notice is what the head says about the server itself.
+	Notice forwarder.ServerNotice
 }
 
+// Notify takes what the head of a server's response says about the server. It is called as
+// soon as the head has arrived.
+type Notify func(notice forwarder.ServerNotice)
+
 // Codec translates requests and responses between callers, the state machine and
 // servers.
 type Codec interface {
@@ -76,14 +82,14 @@
 	Peers(ctx context.Context) (map[string]forwarder.Member, error)
 	// RemovePeer removes a peer that no longer responds.
 	RemovePeer(ctx context.Context, name string) error
-	FetchReport(ctx context.Context, request rollout.RequestReport) rollout.Report
+	FetchReport(ctx context.Context, request rollout.RequestReport, notify Notify) rollout.Report
 	// SendOrder sends the order if allowed, called immediately before, returns true.
-	SendOrder(ctx context.Context, order rollout.Order, allowed func() bool) rollout.OrderOutcome
+	SendOrder(ctx context.Context, order rollout.Order, allowed func() bool, notify Notify) rollout.OrderOutcome
 	// CheckHealth reports whether the server is healthy, and whether it is gone: the
 	// check failed before a byte was sent, or another server responded.
-	CheckHealth(ctx context.Context, check forwarder.CheckHealth) (healthy, gone bool)
+	CheckHealth(ctx context.Context, check forwarder.CheckHealth, notify Notify) (healthy, gone bool)
 	// ReadCache reads which prompt parts a server or the cache store holds.
-	ReadCache(ctx context.Context, read cachetracker.ReadRequest) forwarder.CacheRead
+	ReadCache(ctx context.Context, read cachetracker.ReadRequest, notify Notify) forwarder.CacheRead
 	// ReadyPath returns the path of the readiness check.
 	ReadyPath() string
 }
