Hand a stream over although its server still sends events

Since alternatives run beside the attempt that has to end, a stream that should move away from an engine with new weights to load, or from a server that leaves, stayed there until its end: each of its events cancelled the alternative, which would have repeated it, and the retry budget was spent for nothing.

For these two reasons the alternative now takes over with its first event, whatever arrived meanwhile.

--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -8,29 +8,38 @@
 )
 
 // alternative is an attempt at another server beside the current one, which is silent or
-// has to end. The attempt that continues the response first is kept and the other one is
-// cancelled, so that a sound server is not left before another one has responded.
+// has to end, so that a sound server is not left before another one has responded. If the
+// current attempt is silent, the one that continues the response first is kept; if it has
+// to end, it is cancelled with the first event of the alternative.
 type alternative struct {
 	number int
 	server string
 	// startMs is the expected time until its response starts, in milliseconds.
 	startMs float64
-	reason  alternativeReason
+	reason  attemptReason
 	// origin is that of its server.
 	origin originkeeper.Origin
 }
 
-// alternativeReason is the reason for an alternative, as it is logged.
-type alternativeReason string
+// attemptReason is the reason for an attempt, as it is logged.
+type attemptReason string
 
 const (
-	reasonSilent  alternativeReason = "silent"
-	reasonWeights alternativeReason = "weights"
+	// nextAttempt follows an attempt that has ended; it is also the first one.
+	nextAttempt attemptReason = "next"
+	// The others are alternatives: because the current attempt is silent, because its engine
+	// must load new weights, or because its server leaves.
+	reasonSilent  attemptReason = "silent"
+	reasonWeights attemptReason = "weights"
+	reasonLeaving attemptReason = "leaving"
 )
 
+// isHandover reports whether the alternative replaces an attempt that still sends events.
+func (r attemptReason) isHandover() bool { return r == reasonWeights || r == reasonLeaving }
+
 // tryAlternative starts an attempt at another server beside the current one, if there is a
 // server where the request can start in time and the retry budget allows it.
-func (f *Forwarder) tryAlternative(fl *flight, reason alternativeReason) bool {
+func (f *Forwarder) tryAlternative(fl *flight, reason attemptReason) bool {
 	if fl.alternative != nil || !fl.attemptActive || fl.callerDisconnected || !f.canRetry(fl) || fl.remaining(f.now) < minRemaining {
 		return false
 	}
@@ -41,7 +50,7 @@
 	}
 	entry := eventlog.New(eventlog.AlternativeTried, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("reason", reason)
 	f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
-	number := f.startAttempt(fl, choice, true)
+	number := f.startAttempt(fl, choice, reason)
 	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, reason: reason, origin: f.originOf(choice.Server)}
 	fl.checkAt = fl.deadline
 	return true
@@ -70,8 +79,8 @@
 }
 
 func (f *Forwarder) logReplaced(fl *flight) {
-	if fl.alternative.reason == reasonWeights {
-		f.log(eventlog.New(eventlog.StreamMoved, fl.id()).With("server", fl.server).With("after", f.now.Since(fl.arrivedAt)))
+	if fl.alternative.reason.isHandover() {
+		f.log(eventlog.New(eventlog.StreamMoved, fl.id()).With("server", fl.server).With("reason", fl.alternative.reason).With("after", f.now.Since(fl.arrivedAt)))
 		return
 	}
 	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("failure", fl.alternative.reason)
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -73,7 +73,7 @@
 // dispatch starts the next attempt at the chosen server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
-	fl.attempt = f.startAttempt(fl, choice, false)
+	fl.attempt = f.startAttempt(fl, choice, nextAttempt)
 	fl.server = choice.Server
 	fl.attemptOrigin = f.originOf(choice.Server)
 	fl.attemptActive = true
@@ -84,7 +84,7 @@
 
 // startAttempt sends the request to the chosen server, as the next attempt or as an
 // alternative to the current one. It returns the attempt's number.
-func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) int {
+func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, reason attemptReason) int {
 	server, _ := f.servers.Server(choice.Server)
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
@@ -93,7 +93,7 @@
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
-	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
+	entry = entry.With("attempt", fl.attempts).With("reason", reason).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
 	entry = entry.With("weights", server.Entry.WeightVersions[fl.request.Model]).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
@@ -107,7 +107,7 @@
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
-		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
+		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: reason != nextAttempt, Handover: reason.isHandover(), PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts
 }
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -33,11 +33,15 @@
 		}
 		overdue[id] = known && f.now.Since(since) >= moveStreamsAfter
 	}
-	maps.Copy(overdue, f.leavingInTime())
+	leaving := f.leavingInTime()
 	for _, id := range slices.Sorted(maps.Keys(f.flights)) {
 		fl := f.flights[id]
-		if overdue[fl.server] && fl.movable() {
+		switch {
+		case !fl.movable():
+		case overdue[fl.server]:
 			f.tryAlternative(fl, reasonWeights)
+		case leaving[fl.server]:
+			f.tryAlternative(fl, reasonLeaving)
 		}
 	}
 }
