Send nothing to a server until the end of the pause that it asks for

Callers would have been sent, again and again, to a server that turns requests away and says for how long, and would have got a retry delay that has nothing to do with its return.

A 503 with Retry-After now pauses the server for this instance: no request, retry, move, health check, report, order or read of its cache is sent until the end, by a clock that includes suspensions.

While all servers of a service pause, a request waits if the first one returns within the time for which requests wait for a server anyway; otherwise it is refused at once, as not run, with the time until then and a random part. A paused server isn't named as a source of cached parts.

In TestPausedServerGetsNothing requests now go on after the pause; the plain server had no other reason to be called.

--- a/internal/decision/cachetracker/cachetracker.go
+++ b/internal/decision/cachetracker/cachetracker.go
@@ -49,6 +49,8 @@
 	Address string
 	// StartedAt is the server's start as it is listed.
 	StartedAt int64
+	// Paused reports whether it must not be read now.
+	Paused bool
 }
 
 // ReadRequest is a read to make: of the full cache, or of the changes after Since.
@@ -137,7 +139,7 @@
 			state = &serverState{address: server.Address, reader: true}
 			c.servers[server.ID] = state
 		}
-		if !state.due(now, func() int { return rank(server.ID) }) {
+		if server.Paused || !state.due(now, func() int { return rank(server.ID) }) {
 			continue
 		}
 		state.readStarted = now
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -268,14 +268,14 @@
 		return
 	}
 	if reason := f.retry(fl); reason != "" {
-		f.refuse(fl, reason, f.jitteredRetryAfter())
+		f.refuse(fl, reason, f.retryAfter(fl))
 	}
 }
 
-// checkHealth sends a health check to the server, if it is known.
+// checkHealth sends a health check to the server, if it is known and does not pause.
 func (f *Forwarder) checkHealth(id string) {
 	server, ok := f.servers.Server(id)
-	if !ok {
+	if !ok || server.Paused(f.now) {
 		return
 	}
 	f.emitHealthCheck(server)
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -12,8 +12,8 @@
 )
 
 // candidates returns the servers that can take the request now. It excludes servers
-// that already had an attempt of it, those that are down or load weights and, for a stream
-// that goes on, those of another software version.
+// that already had an attempt of it, those that are down, load weights or pause and, for a
+// stream that goes on, those of another software version.
 func (f *Forwarder) candidates(fl *flight) []scheduler.Candidate {
 	return f.candidatesAmong(fl, f.servers.Available(f.now, fl.service))
 }
@@ -24,7 +24,7 @@
 	loading := f.loadingEngines()
 	var candidates []scheduler.Candidate
 	for _, server := range servers {
-		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || !fl.mayRunAt(server) {
+		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || f.holdsBack(server) || !fl.mayRunAt(server) {
 			continue
 		}
 		candidate := scheduler.Candidate{
@@ -51,7 +51,7 @@
 func (f *Forwarder) excludedSources() map[string]bool {
 	excluded := f.loadingEngines()
 	for _, server := range f.servers.All() {
-		if server.Down() || server.ErrorRate(f.now) > 0.5 {
+		if server.Down() || server.Paused(f.now) || server.ErrorRate(f.now) > 0.5 {
 			excluded[server.ID] = true
 		}
 	}
--- a/internal/decision/forwarder/pauses_test.go
+++ b/internal/decision/forwarder/pauses_test.go
@@ -37,8 +37,12 @@
 			for _, at := range c.callsTo(server, 0, seen.Add(10)) {
 				require.GreaterOrEqual(t, at, c.servers[server].pausedUntil, "a call to the paused server")
 			}
+			for range 150 {
+				c.sendRequest(0, kind)
+				c.run(20)
+			}
+			require.NotEmpty(t, c.callsTo(server, 0, c.servers[server].pausedUntil), "it gets calls again")
 			c.run(4 * clock.Second)
-			require.NotEmpty(t, c.callsTo(server, 0, c.servers[server].pausedUntil), "it gets requests again")
 			c.checkInvariants()
 			require.GreaterOrEqual(t, c.servedFraction(), 0.99)
 		})
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -32,7 +32,7 @@
 		}
 		f.broadcastNow()
 	case EngineReported:
-		if event.Report.Unreachable && f.servers.MarkUnreachable(f.now, event.Server) {
+		if event.Report.Unreachable && !f.paused(event.Server) && f.servers.MarkUnreachable(f.now, event.Server) {
 			f.handleServerCrash(event.Server)
 		}
 		for model, version := range event.Report.WeightVersions {
@@ -102,7 +102,7 @@
 	}
 	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown, MaxWeightsAge: f.settings.Bounds.MaxWeightsAge}
 	for _, server := range f.servers.All() {
-		if !server.AcceptsRequests() || len(server.Entry.WeightVersions) == 0 {
+		if !server.AcceptsRequests() || server.Paused(f.now) || len(server.Entry.WeightVersions) == 0 {
 			continue
 		}
 		engine := rollout.Engine{
@@ -141,11 +141,16 @@
 			f.log(eventlog.New(eventlog.LeaseAsked, "").With("holder", record.Holder).With("writes", record.Writes).With("ifRevision", step.Update.IfRevision))
 			f.emit(CallStore{Step: step})
 		case rollout.Order:
+			if f.paused(step.Server) {
+				continue
+			}
 			entry := eventlog.New(eventlog.OrderGiven, "").With("server", step.Server).With("model", step.Model).With("version", step.Version)
 			f.log(entry.With("fence", step.Fence).With("accepted", step.AcceptedOrders))
 			f.emit(CallEngine{Step: step})
-		default:
-			f.emit(CallEngine{Step: step})
+		case rollout.RequestReport:
+			if !f.paused(step.Server) {
+				f.emit(CallEngine{Step: step})
+			}
 		}
 	}
 }
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -22,22 +22,27 @@
 // none will, it is refused at once.
 func (f *Forwarder) waitForServer(fl *flight) {
 	if fl.waitDeadline == 0 {
-		fl.waitDeadline = f.now.Add(min(maxWait, fl.remaining(f.now)/waitDivisor))
+		fl.waitDeadline = f.waitLimit(fl)
 	}
 	if !f.serverExpected(fl) || f.now >= fl.waitDeadline {
-		f.refuse(fl, ReasonNoServer, f.jitteredRetryAfter())
+		f.refuse(fl, ReasonNoServer, f.retryAfter(fl))
 		return
 	}
 	fl.waiting = true
 	fl.checkAt = f.now.Add(serverPollInterval)
 }
 
-// serverExpected reports whether a server for the request is loading weights and will
-// be available soon.
+// waitLimit returns the time until which a request may wait that begins to wait now.
+func (f *Forwarder) waitLimit(fl *flight) clock.Millis {
+	return f.now.Add(min(maxWait, fl.remaining(f.now)/waitDivisor))
+}
+
+// serverExpected reports whether a server for the request is loading weights or pauses, and
+// will be available soon.
 func (f *Forwarder) serverExpected(fl *flight) bool {
 	loading := f.loadingEngines()
 	for _, server := range f.servers.Available(f.now, fl.service) {
-		if loading[server.ID] && !server.Down() && !fl.triedServers[server.ID] && fl.mayRunAt(server) {
+		if (loading[server.ID] || f.returnsInTime(fl, server)) && !server.Down() && !fl.triedServers[server.ID] && fl.mayRunAt(server) {
 			return true
 		}
 	}
--- a/internal/decision/registry/notice.go
+++ b/internal/decision/registry/notice.go
@@ -26,6 +26,8 @@
 type notice struct {
 	// leavingSince is the time at which it was first known to leave; 0 if it is not.
 	leavingSince clock.Millis
+	// returnsAt is the end of its latest pause; 0 if there was none.
+	returnsAt clock.Millis
 	// receivedAt is the time of its latest change.
 	receivedAt clock.Millis
 }
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -266,13 +266,13 @@
 	r.put(server)
 }
 
-// DueHealthChecks returns the servers that are down and due for a health check. Their
+// DueHealthChecks returns the servers that are down, do not pause and are due for a health check. Their
 // next check is due after two intervals, or more in a large cluster, unless the outcome of
 // this one is recorded before.
 func (r *Registry) DueHealthChecks(now clock.Millis) []Server {
 	var due []Server
 	for _, server := range r.All() {
-		if server.down && now >= server.nextCheck {
+		if server.down && now >= server.nextCheck && !server.Paused(now) {
 			due = append(due, server)
 			server.nextCheck = now.Add(2 * healthCheckInterval * r.checkSpacing)
 			r.put(server)
