Let streams move exactly, and an alternative end without harm

- A move that lets the next server skip what the current one has sent meanwhile joins two runs: what follows would not continue what the caller has.
Streams that leave an engine for new weights, or a server that stops, now choose the other server first, then cancel, and resume after the last event that was sent.
If the other server does not take it, the stream may return to the server that it left.
The response now takes over like an event does.
- A short silence used up the attempts of a request: an alternative that was cancelled before its first event counted as a run, and one that had not run was logged as superseded.
Both count by what they did now.
- A silent attempt marked a server that was down as up (RecordSilence in place of RecordResult; TestSilenceDoesNotMarkServerAsUp).
- The tests of silent servers also passed without any alternative: they now require, for a sound second server, an end before the silence is over.

All of these tests pass; TestStreamMovesWhileItsServerSendsEvents still passes.

--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -47,11 +47,9 @@
 	// SilenceLimit is the time without an event after which StreamSilent is reported; 0
 	// for none, where the stream can't be resumed elsewhere.
 	SilenceLimit clock.Millis
-	// Alternative reports whether the attempt runs beside the current one. It takes the
-	// place of that one with its first event, at a handover in any case, otherwise only if
-	// that one has sent no further event.
+	// Alternative reports whether the attempt runs beside the current one. It forwards
+	// nothing if that one sends the next part of the response first.
 	Alternative bool
-	Handover    bool
 	// PartDelivered reports whether the server was chosen for the rest of a stream of which
 	// the caller has received a part.
 	PartDelivered bool
--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -5,88 +5,94 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 )
 
-// alternative is an attempt at another server beside the current one, which is silent or
-// has to end, so that a sound server is not left before another one has responded. If the
-// current attempt is silent, the one that continues the response first is kept; if it has
-// to end, it is cancelled with the first event of the alternative.
+// alternative is an attempt at another server beside the current one, which is silent. The
+// attempt that continues the response first is kept and the other one is cancelled, so that
+// a sound server is not left before another one has responded.
 type alternative struct {
 	number int
 	server string
 	// startMs is the expected time until its response starts, in milliseconds.
 	startMs float64
-	reason  attemptReason
 	// origin is that of its server.
 	origin originkeeper.Origin
 }
 
-// attemptReason is the reason for an attempt, as it is logged.
-type attemptReason string
-
-const (
-	// nextAttempt follows an attempt that has ended; it is also the first one.
-	nextAttempt attemptReason = "next"
-	// The others are alternatives: because the current attempt is silent, because its engine
-	// must load new weights, or because its server leaves.
-	reasonSilent  attemptReason = "silent"
-	reasonWeights attemptReason = "weights"
-	reasonLeaving attemptReason = "leaving"
-)
-
-// isHandover reports whether the alternative replaces an attempt that still sends events.
-func (r attemptReason) isHandover() bool { return r == reasonWeights || r == reasonLeaving }
-
-// tryAlternative starts an attempt at another server beside the current one, if there is a
-// server where the request can start in time and the retry budget allows it.
-func (f *Forwarder) tryAlternative(fl *flight, reason attemptReason) bool {
+// chooseOther chooses another server for a request that could stay where it is. It reports
+// false if there is none where the request can start in time, or no retry budget is left.
+func (f *Forwarder) chooseOther(fl *flight) (scheduler.Choice, bool) {
 	if fl.alternative != nil || !fl.attemptActive || fl.callerDisconnected || !f.canRetry(fl) || fl.remaining(f.now) < minRemaining {
-		return false
+		return scheduler.Choice{}, false
 	}
 	f.scheduler.ExcludeSources(f.excludedSources())
 	choice, ok := f.scheduler.Choose(f.now, f.schedulerRequest(fl), f.candidates(fl))
-	if !ok || fl.queueTooLong(choice, f.now) || !f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
+	if !ok || fl.queueTooLong(choice, f.now) {
+		return scheduler.Choice{}, false
+	}
+	return choice, f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount())
+}
+
+// tryAlternative starts an attempt at another server beside the current one, which is
+// silent. It reports false if that is not possible.
+func (f *Forwarder) tryAlternative(fl *flight) bool {
+	choice, ok := f.chooseOther(fl)
+	if !ok {
 		return false
 	}
-	entry := eventlog.New(eventlog.AlternativeTried, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("reason", reason)
+	entry := eventlog.New(eventlog.AlternativeTried, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
 	f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
-	number := f.startAttempt(fl, choice, reason)
-	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, reason: reason, origin: f.originOf(choice.Server)}
+	number := f.startAttempt(fl, choice, true)
+	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server)}
 	fl.checkAt = fl.deadline
 	return true
 }
 
+// moveReason is the reason for which a stream leaves a server, as it is logged.
+type moveReason string
+
+const (
+	moveForWeights moveReason = "weights"
+	moveForLeaving moveReason = "leaving"
+)
+
+// moveStream resumes a stream at another server although its own one still sends events.
+// Both can't run at once: what one of them sends next would not continue the other's.
+func (f *Forwarder) moveStream(fl *flight, reason moveReason) {
+	choice, ok := f.chooseOther(fl)
+	if !ok {
+		return
+	}
+	f.log(eventlog.New(eventlog.StreamMoved, fl.id()).With("server", fl.server).With("reason", reason).With("after", f.now.Since(fl.arrivedAt)))
+	f.cancelAttempts(fl)
+	f.scheduler.End(fl.attemptKey(fl.attempt))
+	fl.leftServers = append(fl.leftServers, fl.server)
+	f.dispatch(fl, choice)
+}
+
 // replaceAttempt makes the alternative the current attempt. It cancels the one before if
 // that has not ended.
 func (f *Forwarder) replaceAttempt(fl *flight) {
-	left := fl.server
-	if fl.attemptActive {
+	left, silent := fl.server, fl.attemptActive
+	if silent {
 		f.emit(CancelAttempt{Request: fl.id(), Attempt: fl.attempt})
-		f.logReplaced(fl)
+		entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", left).With("attempt", fl.attempt).With("failure", "silent")
+		f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 	}
 	f.scheduler.End(fl.attemptKey(fl.attempt))
 	replacement := fl.alternative
 	fl.alternative = nil
 	fl.attempt, fl.server, fl.expectedStartMs = replacement.number, replacement.server, replacement.startMs
 	fl.attemptOrigin = replacement.origin
-	silent := fl.attemptActive && replacement.reason == reasonSilent
 	fl.attemptActive, fl.streamStarted = true, false
 	if silent {
-		f.servers.RecordResult(f.now, left, true)
+		f.servers.RecordSilence(f.now, left)
 		f.checkHealth(left)
 	}
 	f.scheduleCheck(fl)
 }
 
-func (f *Forwarder) logReplaced(fl *flight) {
-	if fl.alternative.reason.isHandover() {
-		f.log(eventlog.New(eventlog.StreamMoved, fl.id()).With("server", fl.server).With("reason", fl.alternative.reason).With("after", f.now.Since(fl.arrivedAt)))
-		return
-	}
-	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("failure", fl.alternative.reason)
-	f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
-}
-
 // handleAlternativeEnded handles the end of the alternative before the current attempt
 // has gone on.
 func (f *Forwarder) handleAlternativeEnded(fl *flight, event AttemptEnded) {
@@ -98,11 +104,17 @@
 	ended := fl.alternative
 	fl.alternative = nil
 	f.scheduler.End(fl.attemptKey(ended.number))
-	if event.Outcome != OutcomeSuperseded {
-		f.recordFailure(fl, event, ended.server)
+	if event.WeightsVersion > 0 && fl.hasPrompt() {
+		f.recordWeights(ended.server, fl.request.Model, event.WeightsVersion)
 	}
-	if event.Outcome.notRun() {
+	switch {
+	case event.Outcome == OutcomeSuperseded:
+		fl.supersededRuns++
+	case event.Outcome.NotRun():
 		fl.possibleRuns--
+		fallthrough
+	default:
+		f.recordFailure(fl, event, ended.server)
 	}
 	if !fl.streamStarted {
 		fl.checkAt = min(fl.deadline, f.now.Add(silenceCheckInterval))
@@ -117,6 +129,7 @@
 	f.emit(CancelAttempt{Request: fl.id(), Attempt: fl.alternative.number})
 	f.scheduler.End(fl.attemptKey(fl.alternative.number))
 	fl.alternative = nil
+	fl.supersededRuns++
 }
 
 // attemptKey identifies an attempt in the scheduler.
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -73,7 +73,7 @@
 // dispatch starts the next attempt at the chosen server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
-	fl.attempt = f.startAttempt(fl, choice, nextAttempt)
+	fl.attempt = f.startAttempt(fl, choice, false)
 	fl.server = choice.Server
 	fl.attemptOrigin = f.originOf(choice.Server)
 	fl.attemptActive = true
@@ -84,7 +84,7 @@
 
 // startAttempt sends the request to the chosen server, as the next attempt or as an
 // alternative to the current one. It returns the attempt's number.
-func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, reason attemptReason) int {
+func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) int {
 	server, _ := f.servers.Server(choice.Server)
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
@@ -93,7 +93,7 @@
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
-	entry = entry.With("attempt", fl.attempts).With("reason", reason).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
+	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
 	entry = entry.With("weights", server.Entry.WeightVersions[fl.request.Model]).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
@@ -107,14 +107,14 @@
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
-		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: reason != nextAttempt, Handover: reason.isHandover(), PartDelivered: fl.partDelivered,
+		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts
 }
 
 // canRetry reports whether a request that may have run may be sent again.
 func (f *Forwarder) canRetry(fl *flight) bool {
-	return fl.route.Repeatable() && fl.possibleRuns < max(1, fl.route.MaxAttempts) && fl.attempts < maxAttempts
+	return fl.route.Repeatable() && fl.possibleRuns-fl.supersededRuns < max(1, fl.route.MaxAttempts) && fl.attempts < maxAttempts
 }
 
 func (f *Forwarder) handleStreamStarted(event StreamStarted) {
@@ -210,6 +210,9 @@
 	if fl.remaining(f.now) < minRemaining {
 		return ReasonDeadlineTooClose
 	}
+	if len(f.candidatesOrLeaving(fl)) == 0 && !f.serverExpected(fl) {
+		fl.returnToLeftServers()
+	}
 	if fl.attempts >= maxAttempts || (len(f.candidatesOrLeaving(fl)) == 0 && !f.serverExpected(fl)) {
 		return ReasonNoServer
 	}
@@ -248,7 +251,7 @@
 	if event.Outcome != OutcomeSuperseded {
 		f.recordFailure(fl, event, fl.server)
 	}
-	if event.Outcome.notRun() {
+	if event.Outcome.NotRun() {
 		fl.possibleRuns--
 	}
 	if fl.callerDisconnected {
@@ -259,7 +262,7 @@
 		f.replaceAttempt(fl)
 		return
 	}
-	retryable := event.Outcome.notRun() || f.canRetry(fl)
+	retryable := event.Outcome.NotRun() || f.canRetry(fl)
 	if fl.partDelivered && !fl.route.Resumable {
 		retryable = false
 	}
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -116,8 +116,8 @@
 	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt", "superseded", "undeliverable"}[o]
 }
 
-// notRun reports whether the request has certainly not run in the attempt.
-func (o Outcome) notRun() bool {
+// NotRun reports whether the request has certainly not run in the attempt.
+func (o Outcome) NotRun() bool {
 	return o == OutcomeNotSent || o == OutcomeDeclined || o == OutcomeMisdirected
 }
 
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -23,9 +23,11 @@
 
 	// attempt is the number of the current attempt, from 1; attempts is the number of all.
 	// possibleRuns counts those in which the request may have run.
-	attempt      int
-	attempts     int
-	possibleRuns int
+	attempt  int
+	attempts int
+	// supersededRuns counts those of them that were cancelled before their first event.
+	possibleRuns   int
+	supersededRuns int
 	// answered is the attempt whose complete response reports a failure, while the request
 	// is retried; 0 for none. answeredStatus is the response's status.
 	answered       int
@@ -43,6 +45,8 @@
 	// expectedStartMs is the expected time until the response starts, in milliseconds.
 	expectedStartMs float64
 	triedServers    map[string]bool
+	// leftServers are the tried servers that a stream has left although they had not failed.
+	leftServers []string
 	// partDelivered reports whether the caller has received a part of the stream;
 	// lastEventID is the identifier of its last event.
 	partDelivered bool
@@ -61,6 +65,14 @@
 
 func (fl *flight) id() string { return fl.request.ID }
 
+// returnToLeftServers allows attempts at the servers that were left, for want of others.
+func (fl *flight) returnToLeftServers() {
+	for _, server := range fl.leftServers {
+		delete(fl.triedServers, server)
+	}
+	fl.leftServers = nil
+}
+
 func (fl *flight) hasPrompt() bool { return fl.request.PromptTokens != 0 }
 
 // remaining returns the time until the deadline.
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -39,9 +39,9 @@
 		switch {
 		case !fl.movable():
 		case overdue[fl.server]:
-			f.tryAlternative(fl, reasonWeights)
+			f.moveStream(fl, moveForWeights)
 		case leaving[fl.server]:
-			f.tryAlternative(fl, reasonLeaving)
+			f.moveStream(fl, moveForLeaving)
 		}
 	}
 }
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -73,7 +73,7 @@
 			f.assignServer(fl)
 			continue
 		}
-		if !f.tryAlternative(fl, reasonSilent) {
+		if !f.tryAlternative(fl) {
 			fl.checkAt = min(fl.deadline, f.now.Add(silenceCheckInterval))
 		}
 	}
@@ -102,7 +102,7 @@
 
 func (f *Forwarder) handleStreamSilent(event StreamSilent) {
 	if fl, ok := f.currentAttempt(event.Request, event.Attempt); ok && fl.movable() {
-		f.tryAlternative(fl, reasonSilent)
+		f.tryAlternative(fl)
 	}
 }
 
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -266,6 +266,18 @@
 	r.put(server)
 }
 
+// RecordSilence records that the server did not respond for some time, although it may be
+// sound. Whether it can be reached remains unknown.
+func (r *Registry) RecordSilence(now clock.Millis, id string) {
+	server, ok := r.servers[id]
+	if !ok {
+		return
+	}
+	server.errorRate = server.ErrorRate(now)*(1-errorWeight) + errorWeight
+	server.errorRateAt = now
+	r.put(server)
+}
+
 // DueHealthChecks returns the servers that are down, do not pause and are due for a health check. Their
 // next check is due after two intervals, or more in a large cluster, unless the outcome of
 // this one is recorded before.
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -44,9 +43,6 @@
 	firstErr error
 	hasFirst bool
 	started  bool
-	// skipThrough is the identifier of the last event to skip, as another attempt has sent
-	// it; empty for none.
-	skipThrough string
 }
 
 func (s *openStream) close() {
@@ -65,13 +61,6 @@
 	return s.events.next()
 }
 
-// skips reports whether the event is to be skipped.
-func (s *openStream) skips(id string) bool {
-	through, ok := eventNumber(s.skipThrough)
-	number, numbered := eventNumber(id)
-	return ok && numbered && number <= through
-}
-
 // attempt sends the request to a server and reads the response. It returns the event for
 // the state machine, or a stream whose head has been read.
 func (h *requestHandler) attempt(ctx context.Context, dispatch forwarder.Dispatch) (forwarder.AttemptEnded, *openStream) {
@@ -167,10 +156,7 @@
 		switch {
 		case err != nil && !ended:
 			return withOutcome(result, forwarder.OutcomeInterrupted, err)
-		case !ended && stream.skips(id):
-			silence.start()
-			continue
-		case !h.claim(result.Attempt, id, ended):
+		case !h.claim(result.Attempt, id):
 			return withOutcome(result, forwarder.OutcomeSuperseded, nil)
 		case ended:
 			h.writeStreamHead(result.Status, stream.head)
@@ -222,12 +208,6 @@
 	}
 }
 
-// eventNumber returns the identifier of an event as a number, if it is one.
-func eventNumber(id string) (int64, bool) {
-	number, err := strconv.ParseInt(id, 10, 64)
-	return number, err == nil
-}
-
 // eventID returns the identifier of an event, if it has one.
 func eventID(event []byte) (string, bool) {
 	for _, line := range bytes.Split(event, []byte("\n")) {
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -56,6 +56,15 @@
 	})
 	e.machine.submit(forwarder.RequestArrived{Request: request})
 	for {
+		// The actions go first: one of them may end the request.
+		select {
+		case action := <-actions:
+			if handler.perform(action) {
+				return
+			}
+			continue
+		default:
+		}
 		select {
 		case action := <-actions:
 			if handler.perform(action) {
@@ -82,12 +91,12 @@
 	adopted chan *openStream
 
 	mu sync.Mutex
-	// owner is the attempt whose events are forwarded. alternatives are the attempts that may
-	// take its place, by number.
+	// owner is the attempt whose events are forwarded. alternatives cancel the attempts that
+	// take its place if they send the next event, by number.
 	// claimed reports whether an event has been, or is about to be, forwarded.
 	owner        int
 	claimed      bool
-	alternatives map[int]runningAlternative
+	alternatives map[int]context.CancelFunc
 	// buffered are the responses by attempt. They are held back until the state machine
 	// decides whether to forward one or to retry the request.
 	buffered map[int]*bufferedResponse
@@ -97,19 +106,10 @@
 	lastEventID   string
 }
 
-// runningAlternative is an attempt that runs beside the owner.
-type runningAlternative struct {
-	cancel context.CancelFunc
-	// lastEventID is the identifier of the event after which it resumes the stream.
-	lastEventID string
-	// handover reports whether it takes the owner's place although that still sends events.
-	handover bool
-}
-
 func newRequestHandler(e *Edge, inbound *httpserver.InboundRequest, response *httpserver.ResponseWriter, request forwarder.Request, callerRequestID string) *requestHandler {
 	return &requestHandler{
 		edge: e, inbound: inbound, response: response, request: request, callerRequestID: callerRequestID,
-		adopted: make(chan *openStream, maxActions), alternatives: map[int]runningAlternative{}, buffered: map[int]*bufferedResponse{},
+		adopted: make(chan *openStream, maxActions), alternatives: map[int]context.CancelFunc{}, buffered: map[int]*bufferedResponse{},
 	}
 }
 
@@ -188,7 +188,7 @@
 		dispatch.LastEventID = h.lastEventID
 	}
 	if h.claimed == dispatch.PartDelivered {
-		h.alternatives[dispatch.Attempt] = runningAlternative{cancel: cancel, lastEventID: dispatch.LastEventID, handover: dispatch.Handover}
+		h.alternatives[dispatch.Attempt] = cancel
 	} else {
 		// The server was chosen before the first event, so that it might not fit to it.
 		cancel()
@@ -203,21 +203,21 @@
 		stream.close()
 	}
 	cancel()
-	if !h.removeAlternative(dispatch.Attempt) {
+	if !h.endAlternative(result) && !result.Outcome.NotRun() {
 		result = withOutcome(result, forwarder.OutcomeSuperseded, nil)
 	}
 	h.edge.machine.submit(result)
 }
 
-// adopt reads the first event of an alternative and hands the stream over if the alternative
-// may continue the response. It returns no outcome then.
+// adopt reads the first event of an alternative and hands the stream over if no event of
+// the current attempt came before it. It returns no outcome then.
 func (h *requestHandler) adopt(stream *openStream) forwarder.AttemptEnded {
 	stream.first, stream.firstErr = stream.events.next()
 	if stream.firstErr != nil && !(stream.firstErr == io.EOF && len(stream.first) == 0) {
 		return withOutcome(stream.result, forwarder.OutcomeInterrupted, stream.firstErr)
 	}
 	stream.hasFirst, stream.started = true, true
-	if !h.takeOver(stream) {
+	if !h.takeOver(stream.result.Attempt) {
 		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
 	}
 	h.edge.machine.submit(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt})
@@ -225,61 +225,57 @@
 	return stream.result
 }
 
-// takeOver makes an alternative the attempt whose events are forwarded. It reports false
-// if another attempt has sent an event that the alternative would repeat. At a handover,
-// the events that it repeats are skipped.
-func (h *requestHandler) takeOver(stream *openStream) bool {
+// takeOver makes an alternative the attempt whose response is forwarded. It reports false
+// if another attempt has sent an event before.
+func (h *requestHandler) takeOver(attempt int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	attempt := stream.result.Attempt
-	running, ok := h.alternatives[attempt]
-	if !ok {
+	return h.takeOverLocked(attempt)
+}
+
+func (h *requestHandler) takeOverLocked(attempt int) bool {
+	if _, ok := h.alternatives[attempt]; !ok {
 		return false
 	}
-	if running.lastEventID != h.lastEventID {
-		if _, numbered := eventNumber(h.lastEventID); !numbered {
-			return false
-		}
-		stream.skipThrough = h.lastEventID
-	}
 	delete(h.alternatives, attempt)
 	h.owner, h.claimed = attempt, true
-	h.cancelAlternatives(true)
+	h.cancelAlternatives()
 	return true
 }
 
 // cancelAlternatives cancels the alternatives, as they would repeat the event that another
-// attempt has sent; those for a handover only if all is set. The caller holds the lock.
-func (h *requestHandler) cancelAlternatives(all bool) {
-	for attempt, running := range h.alternatives {
-		if all || !running.handover {
-			running.cancel()
-			delete(h.alternatives, attempt)
-		}
+// attempt has sent. The caller holds the lock.
+func (h *requestHandler) cancelAlternatives() {
+	for _, cancel := range h.alternatives {
+		cancel()
 	}
+	clear(h.alternatives)
 }
 
-// removeAlternative removes an alternative that has failed. It reports false if another
-// attempt has sent an event before.
-func (h *requestHandler) removeAlternative(attempt int) bool {
+// endAlternative removes an alternative that has ended without a stream. It reports false if
+// another attempt has sent an event before. A response to forward takes over, so that no
+// attempt begins a stream instead.
+func (h *requestHandler) endAlternative(result forwarder.AttemptEnded) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, ok := h.alternatives[attempt]
-	delete(h.alternatives, attempt)
+	if !h.claimed && result.Outcome == forwarder.OutcomeCompleted && result.Status < http.StatusInternalServerError {
+		return h.takeOverLocked(result.Attempt)
+	}
+	_, ok := h.alternatives[result.Attempt]
+	delete(h.alternatives, result.Attempt)
 	return ok
 }
 
 // claim reports whether the attempt may forward its next event, or its end, after which the
-// identifier of the last event is id. The alternatives are cancelled; those for a handover
-// only at the end.
-func (h *requestHandler) claim(attempt int, id string, ended bool) bool {
+// identifier of the last event is id. The alternatives are cancelled.
+func (h *requestHandler) claim(attempt int, id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.owner != attempt {
 		return false
 	}
 	h.claimed = true
-	h.cancelAlternatives(ended)
+	h.cancelAlternatives()
 	if id != "" {
 		h.lastEventID = id
 	}
