--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
@@ -104,6 +105,8 @@
 	subjects int
 	cut      func(from, to int) bool
 	traffic  map[int]traffic
+	// originMessages counts the messages about the origins of streams.
+	originMessages map[originmessage.Kind]int
 
 	// contacts are the calls to servers, and told the notices that instances received.
 	contacts []contact
@@ -161,7 +164,7 @@
 // engine for two instances, but at least six.
 func newClusterIn(t *testing.T, seed uint64, instances, domains int) *cluster {
 	c := &cluster{
-		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{},
+		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{}, originMessages: map[originmessage.Kind]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
 		loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
--- a/internal/decision/forwarder/originkeepers.go
+++ b/internal/decision/forwarder/originkeepers.go
@@ -27,7 +27,7 @@
 	if own := slices.Index(domains, f.settings.Domain); own > 0 {
 		domains = slices.Concat([]string{f.settings.Domain}, domains[:own], domains[own+1:])
 	}
-	return f.rankedInstances(stream, domains, originCopies)
+	return f.rankedInstances(stream, domains, originCopies, f.settings.Name)
 }
 
 // possibleOriginKeepers returns the instances that may keep the origin of a stream, wherever
@@ -35,17 +35,19 @@
 func (f *Forwarder) possibleOriginKeepers(stream string) []string {
 	domains := originkeeper.Rank(stream, f.arrangement.Domains(), maxKeeperDomains)
 	ranks := (originCopies+len(domains)-1)/max(1, len(domains)) + spareRanks
-	return f.rankedInstances(stream, domains, ranks*len(domains))
+	return f.rankedInstances(stream, domains, ranks*len(domains), "")
 }
 
-// rankedInstances returns the first instances of each domain in turn, up to a limit.
-func (f *Forwarder) rankedInstances(stream string, domains []string, limit int) []string {
+// rankedInstances returns the first instances of each domain in turn, up to a limit and
+// without the excluded one.
+func (f *Forwarder) rankedInstances(stream string, domains []string, limit int, excluded string) []string {
 	ranked := make([][]string, len(domains))
 	for i, domain := range domains {
 		names := f.arrangement.Leaves(domain)
 		if len(names) == 0 {
 			names = f.arrangement.Domain(domain)
 		}
+		names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == excluded })
 		ranked[i] = originkeeper.Rank(stream, names, limit)
 	}
 	var instances []string
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -65,17 +65,19 @@
 		return
 	}
 	f.putOrigin(fl.streamID(), fl.origin)
-	f.sendBegan(fl.streamID(), fl.origin, f.passesOnDigests())
+	keepers, passOn := f.originKeepers(fl.streamID()), f.passesOnDigests()
+	if passOn {
+		// The first one then tells the others.
+		keepers = keepers[:min(1, len(keepers))]
+	}
+	f.sendBegan(originmessage.Message{Stream: fl.streamID(), Origin: fl.origin, PassOn: passOn}, keepers)
 }
 
-// sendBegan tells the keepers where a stream began, or only the first one, which then tells
-// the others.
-func (f *Forwarder) sendBegan(stream string, origin originkeeper.Origin, passOn bool) {
-	for _, address := range f.addressesOf(f.originKeepers(stream)) {
-		f.sendOriginMessage(originmessage.Message{Kind: originmessage.Began, Stream: stream, Origin: origin, PassOn: passOn}, address)
-		if passOn {
-			return
-		}
+// sendBegan tells some keepers where a stream began.
+func (f *Forwarder) sendBegan(message originmessage.Message, keepers []string) {
+	message.Kind = originmessage.Began
+	for _, address := range f.addressesOf(keepers) {
+		f.sendOriginMessage(message, address)
 	}
 }
 
@@ -99,8 +101,8 @@
 // assignResumed assigns a server to a new request. One that resumes a stream first needs
 // the stream's origin.
 func (f *Forwarder) assignResumed(fl *flight) {
-	resumes := fl.request.ResumedRequest != "" || (fl.route.Kind == desired.Stream && fl.request.LastEventID != "")
-	if !resumes {
+	resumes := fl.request.ResumedRequest != "" || fl.request.LastEventID != ""
+	if !resumes || fl.route.Kind != desired.Stream {
 		f.assignServer(fl)
 		return
 	}
@@ -159,8 +161,9 @@
 	switch message.Kind {
 	case originmessage.Began:
 		f.putOrigin(message.Stream, message.Origin)
-		if message.PassOn {
-			f.sendBegan(message.Stream, message.Origin, false)
+		if keepers := f.originKeepers(message.Stream); message.PassOn && len(keepers) > 0 {
+			// The first one would be of this domain, which has a copy now.
+			f.sendBegan(originmessage.Message{Stream: message.Stream, Origin: message.Origin}, keepers[1:])
 		}
 	case originmessage.Query:
 		reply := originmessage.Message{Kind: originmessage.Reply, ID: message.ID, Stream: message.Stream}
