--- a/internal/decision/forwarder/originkeepers.go
+++ b/internal/decision/forwarder/originkeepers.go
@@ -61,10 +61,11 @@
 	return instances
 }
 
-// passesOnDigests reports whether the instance usually passes on digests to others. Such an
-// instance sends several times as many datagrams as the others.
-func (f *Forwarder) passesOnDigests() bool {
-	return !f.arrangement.Flat() && !slices.Contains(f.arrangement.Leaves(f.settings.Domain), f.settings.Name)
+// tellsOneKeeper reports whether the instance tells only one keeper where a stream began,
+// which then tells the others: at the top level, digests already take as many datagrams as
+// an instance may send.
+func (f *Forwarder) tellsOneKeeper() bool {
+	return f.arrangement.IsTop() && !f.arrangement.Flat()
 }
 
 // addressesOf returns the peer addresses of other instances.
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -65,7 +65,7 @@
 		return
 	}
 	f.putOrigin(fl.streamID(), fl.origin)
-	keepers, passOn := f.originKeepers(fl.streamID()), f.passesOnDigests()
+	keepers, passOn := f.originKeepers(fl.streamID()), f.tellsOneKeeper()
 	if passOn {
 		// The first one then tells the others.
 		keepers = keepers[:min(1, len(keepers))]
