--- a/internal/decision/forwarder/leaving.go
+++ b/internal/decision/forwarder/leaving.go
@@ -33,7 +33,7 @@
 	if f.leavingNotices.Add(f.now, leaving, origin) {
 		f.expediteRelay()
 	}
-	if !f.servers.MarkLeaving(f.now, leaving.Server, leaving.StartedAt) {
+	if !f.servers.MarkLeaving(f.now, leaving.Server, leaving.StartedAt, origin == relayer.Own) {
 		return
 	}
 	from := "peer"
--- a/internal/decision/forwarder/leaving_test.go
+++ b/internal/decision/forwarder/leaving_test.go
@@ -90,6 +90,24 @@
 	require.NotEmpty(t, c.requestsTo("r0", 0))
 }
 
+// TestLeavingAgainUnderTheSameName verifies that a server which says that it leaves, to an
+// instance that does not know of its latest start yet, gets no requests once that is listed.
+func TestLeavingAgainUnderTheSameName(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.keepOnly("r0")
+	c.step(0, forwarder.ServerChanged{Entry: c.servers["r1"].entry})
+	s := c.servers["r0"]
+	s.leaving = true
+	s.entry.StartedAt, s.entry.Revision = 2, 2
+	c.sendLookups(20)
+	require.NotEmpty(t, c.told)
+	c.run(c.settings[0].Bounds.ServerDrain)
+	listed := c.now
+	c.step(0, forwarder.ServerChanged{Entry: s.entry})
+	c.sendLookups(200)
+	require.Empty(t, c.requestsTo("r0", listed))
+}
+
 // TestLastServerLeaves verifies that where no other server is left, a leaving one gets
 // requests for as long as it is sure to serve them, and that they are refused at once later.
 func TestLastServerLeaves(t *testing.T) {
--- a/internal/decision/registry/notice.go
+++ b/internal/decision/registry/notice.go
@@ -28,6 +28,8 @@
 	leavingSince clock.Millis
 	// returnsAt is the end of its latest pause; 0 if there was none.
 	returnsAt clock.Millis
+	// answered reports whether the server said it in a response to this instance.
+	answered bool
 	// receivedAt is the time of its latest change.
 	receivedAt clock.Millis
 }
@@ -43,11 +45,17 @@
 func (s Server) AcceptsRequests() bool { return !s.Draining && s.notice.leavingSince == 0 }
 
 // MarkLeaving records that the server, as it started at startedAt, said in a response that
-// it leaves. It reports false if that was known.
-func (r *Registry) MarkLeaving(now clock.Millis, id string, startedAt int64) bool {
+// it leaves; answered reports whether that was a response to this instance. It reports false
+// if it was known to leave.
+func (r *Registry) MarkLeaving(now clock.Millis, id string, startedAt int64, answered bool) bool {
 	key := start{id: id, startedAt: startedAt}
 	updated := r.notices[key]
+	if updated.leavingSince != 0 && (updated.answered || !answered) {
+		return false
+	}
+	updated.answered = updated.answered || answered
 	if updated.leavingSince != 0 {
+		r.setNotice(now, key, updated)
 		return false
 	}
 	updated.leavingSince = now
@@ -67,6 +75,17 @@
 	return leaving
 }
 
+// mayConcern reports whether a response to this instance may have come from this start of the
+// server, though the instance knew only of another one under the same identifier then.
+func (r *Registry) mayConcern(entry Entry) bool {
+	for key, other := range r.notices {
+		if other.answered && key.id == entry.ID && key.startedAt != entry.StartedAt {
+			return true
+		}
+	}
+	return false
+}
+
 // setNotice stores a notice, also for a server that is not listed.
 func (r *Registry) setNotice(now clock.Millis, key start, updated notice) {
 	if len(r.notices) >= maxNotices {
--- a/internal/decision/registry/pause.go
+++ b/internal/decision/registry/pause.go
@@ -19,6 +19,7 @@
 	if until <= updated.returnsAt {
 		return false
 	}
+	updated.answered = true
 	updated.returnsAt = until.Add(delay)
 	r.setNotice(now, key, updated)
 	return true
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -97,17 +97,20 @@
 }
 
 // Put adds or updates a server from its entry, unless the entry is older than the known
-// one. It returns the server as it was before and whether it was known.
+// one. A server that may have left under another start counts as down until its health check.
+// It returns the server as it was before and whether it was known.
 func (r *Registry) Put(entry Entry) (Server, bool) {
 	before, known := r.servers[entry.ID]
 	if known && before.Revision > entry.Revision {
 		return before, known
 	}
-	updated := Server{Entry: entry, notice: r.notices[startOf(entry)]}
+	var updated Server
 	if known && before.StartedAt == entry.StartedAt {
 		updated = before
 		updated.Entry = entry.withNewerWeights(before.Entry)
 		updated.expiresAt = 0
+	} else {
+		updated = Server{Entry: entry, notice: r.notices[startOf(entry)], down: r.mayConcern(entry)}
 	}
 	r.put(updated)
 	return before, known
