Follow the platform's store into a new era

Callers at instances that don't watch the store were served by an old desired state, old servers and old weights after the store had come back from an older copy, until its revisions had passed those of the copies; a watch whose revision was given out again missed changes.

Cause: copies, entries and watches were compared by revision alone, and revisions go back.

An answer of an earlier era is dropped; its result counts as unknown. An answer without a valid era counts as one of the known era, is counted and logged at most once in 10 s. Positions are compared by era, then revision (storeposition): in the watcher, the copies, the offers and fetches between instances and the servers' entries. Digests carry the era. eratracker decides what a new era invalidates: copies are listed again by the instance that watches, and replaced as a whole; no reading confirms the desired state for 1 s, because the operator's last state may be missing; servers missing in a list are kept for 2.2 s; a draining server stays so until it writes its entry again. The desired state never goes back, as its version only rises. Logged as storeEraChanged, in the status as storeEra.

The lease of orders does not follow the era yet.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -52,6 +52,8 @@
 	Leaving     bool
 	// StoreDown reports whether the sender can't reach the store.
 	StoreDown bool
+	// StoreEra is the highest era of the store that the sender knows; 0 for none.
+	StoreEra int64
 	// Top reports whether the sender acts at the top level. Probe reports whether it
 	// only asks whether the receiver could be its upstream.
 	Top   bool
@@ -123,7 +125,8 @@
 type Replica struct {
 	Kind int
 	// Revision is the store's revision up to which the copy has all changes; there are
-	// none from there to Through.
+	// none from there to Through. Both hold in the Era of the store.
+	Era      int64
 	Revision int64
 	Through  int64
 	// Age is the time since the copy was last known to be current, and Source the
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -46,6 +46,8 @@
 	CacheReadAnew      Number = 2207
 	CacheReadFailed    Number = 2208
 	WeightsNamed       Number = 2301
+	StoreEraChanged    Number = 2401
+	StoreEraInvalid    Number = 2402
 	OrderGiven         Number = 2302
 	OrderReplied       Number = 2303
 	SettingsRead       Number = 3005
@@ -101,6 +103,8 @@
 	CacheReadAnew:      "cacheReadAnew",
 	CacheReadFailed:    "cacheReadFailed",
 	WeightsNamed:       "weightsNamed",
+	StoreEraChanged:    "storeEraChanged",
+	StoreEraInvalid:    "storeEraInvalid",
 	OrderGiven:         "orderGiven",
 	OrderReplied:       "orderReplied",
 	SettingsRead:       "settingsRead",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -86,8 +86,12 @@
 	Address string
 }
 
-// WatchStore starts or ends the watch of the store's objects.
-type WatchStore struct{ On bool }
+// WatchStore starts or ends the watch of the store's objects. A watch that is running is
+// started anew. Copies of an era before Era are listed again.
+type WatchStore struct {
+	On  bool
+	Era int64
+}
 
 // FetchReplicas fetches the objects that changed from a neighbor, at its peer address.
 type FetchReplicas struct{ Address string }
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -138,7 +138,7 @@
 func (f *Forwarder) newDigest(sequence uint64, full bool) digest.Digest {
 	message := digest.Digest{
 		Name: f.settings.Name, Domain: f.settings.Domain, Address: f.settings.PeerAddress,
-		Incarnation: digest.ID(f.incarnation), Sequence: sequence, Leaving: f.draining, StoreDown: f.storeDown, Top: f.actsAsTop(),
+		Incarnation: digest.ID(f.incarnation), Sequence: sequence, Leaving: f.draining, StoreDown: f.storeDown, StoreEra: f.eras.Era(), Top: f.actsAsTop(),
 		Lease: f.rollout.Observation(), Replicas: f.replicaOffers(), Outage: f.outage(),
 	}
 	if full {
@@ -297,7 +297,7 @@
 	var offers []digest.Replica
 	for _, kind := range replicator.Kinds {
 		if held := f.replicas.Copy(kind); held.ConfirmedAt > 0 {
-			offers = append(offers, digest.Replica{Kind: int(kind), Revision: held.Revision, Through: held.Through, Age: f.now.Since(held.ConfirmedAt), Source: held.Source})
+			offers = append(offers, digest.Replica{Kind: int(kind), Era: held.Era, Revision: held.Revision, Through: held.Through, Age: f.now.Since(held.ConfirmedAt), Source: held.Source})
 		}
 	}
 	return offers
--- /dev/null
+++ b/internal/decision/forwarder/eras.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eratracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// storeName stands for the store where the log names who has told of an era.
+const storeName = "store"
+
+// handleStoreEraSeen records the era of an answer.
+func (f *Forwarder) handleStoreEraSeen(seen StoreEraSeen) {
+	switch {
+	case seen.Invalid:
+		if f.eras.SeeInvalid(f.now) {
+			f.log(eventlog.New(eventlog.StoreEraInvalid, "").With("era", f.eras.Era()))
+		}
+	case seen.From != "":
+		f.seePeerEra(seen.Era, seen.From)
+	default:
+		f.seeEra(seen.Era, storeName)
+	}
+}
+
+// seePeerEra records the era that an instance knows; 0 if it knows none.
+func (f *Forwarder) seePeerEra(era int64, from string) {
+	if era > f.eras.Era() {
+		f.seeEra(era, from)
+	}
+}
+
+// seeEra records an era that the store or an instance has named. After a change, an
+// instance that watches the store lists everything again; the others get the copies from
+// their neighbors.
+func (f *Forwarder) seeEra(era int64, from string) {
+	before := f.eras.Era()
+	if f.eras.See(f.now, era) != eratracker.Changed {
+		return
+	}
+	f.log(eventlog.New(eventlog.StoreEraChanged, "").With("before", before).With("era", era).With("from", from))
+	if f.replicas.Watching() {
+		f.emit(WatchStore{On: true, Era: era})
+	}
+	f.expediteRelay()
+}
+
+// confirmState records that the desired state was known to be current at a time. After the
+// store has come back from an older copy, that is not known until what was lost is written
+// again.
+func (f *Forwarder) confirmState(at clock.Millis) {
+	if at >= f.eras.StateSettledAt() {
+		f.desiredConfirmedAt = max(f.desiredConfirmedAt, at)
+	}
+}
+
+// StoreEra returns the highest era of the store that this instance knows; 0 for none.
+func (f *Forwarder) StoreEra() int64 { return f.eras.Era() }
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -141,6 +141,15 @@
 	StoreResponded struct{}
 )
 
+// StoreEraSeen reports the era that an answer has named, before the answer is used. From is
+// the instance that has answered; empty for the store. Invalid reports whether the store has
+// named no valid era.
+type StoreEraSeen struct {
+	Era     int64
+	From    string
+	Invalid bool
+}
+
 // PeersListed is the list of instances in the store, by name.
 type PeersListed struct{ Members map[string]Member }
 
@@ -238,6 +247,7 @@
 func (WeightsPublished) isEvent()      {}
 func (StoreFailed) isEvent()           {}
 func (StoreResponded) isEvent()        {}
+func (StoreEraSeen) isEvent()          {}
 func (PeersListed) isEvent()           {}
 func (DigestReceived) isEvent()        {}
 func (KeeperMessageReceived) isEvent() {}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eratracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/organizer"
@@ -169,8 +170,10 @@
 	queries       map[uint64]*flight
 	queryID       uint64
 	silentKeepers map[string]clock.Millis
-	// replicas decides from where the store's objects are read.
+	// replicas decides from where the store's objects are read, and eras what a new era of
+	// the store invalidates.
 	replicas *replicator.Replicator
+	eras     *eratracker.Tracker
 	// interruptions are the recently interrupted requests by server: they count as
 	// crashes if the server turns out to be down. crashedServers are the servers that
 	// crashed, by the fingerprint of a request that ran there.
@@ -208,6 +211,7 @@
 		keeper:         backlogkeeper.New(), queries: map[uint64]*flight{}, silentKeepers: map[string]clock.Millis{},
 		interruptions:  map[string][]interruption{},
 		crashedServers: map[string][]string{},
+		eras:           eratracker.New(),
 		flights:        map[string]*flight{},
 	}
 }
@@ -252,7 +256,7 @@
 	case StateRead:
 		f.handleStateRead(event)
 	case StateConfirmed:
-		f.desiredConfirmedAt = max(f.desiredConfirmedAt, event.ConfirmedAt)
+		f.confirmState(event.ConfirmedAt)
 	case ServersListed:
 		f.handleServersListed(event)
 	case ServerChanged:
@@ -263,6 +267,8 @@
 		f.handleStoreFailed(event)
 	case StoreResponded:
 		f.handleStoreResponded()
+	case StoreEraSeen:
+		f.handleStoreEraSeen(event)
 	case PeersListed:
 		f.handlePeersListed(event)
 	case DigestReceived:
--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -10,15 +10,16 @@
 // The age of a copy counts from the time at which this instance sent the digest that the
 // sender had received before.
 func (f *Forwarder) mergeReplicas(message digest.Digest) {
+	f.seePeerEra(message.StoreEra, message.Name)
 	sums, echoed := f.sent.Find(f.now, message.Echo)
 	for _, replica := range message.Replicas {
-		offer := replicator.Offer{Kind: replicator.Kind(replica.Kind), Neighbor: message.Name, Copy: replicator.Copy{Revision: replica.Revision, Through: replica.Through, Source: replica.Source}}
+		offer := replicator.Offer{Kind: replicator.Kind(replica.Kind), Neighbor: message.Name, Copy: replicator.Copy{Era: replica.Era, Revision: replica.Revision, Through: replica.Through, Source: replica.Source}}
 		if echoed {
 			offer.Copy.ConfirmedAt = sums.SentAt.Add(-replica.Age)
 		}
 		offer.SourceRank = f.rankOfID(replica.Source)
 		if f.replicas.Offer(f.now, offer, f.arrangement.Rank(f.settings.Name)) && offer.Kind == replicator.State {
-			f.desiredConfirmedAt = max(f.desiredConfirmedAt, offer.Copy.ConfirmedAt)
+			f.confirmState(offer.Copy.ConfirmedAt)
 		}
 	}
 	if outage := message.Outage; outage.Known && !f.replicas.Watching() {
@@ -47,16 +48,16 @@
 
 // handleReplicaUpdated records that a copy of the store's objects was read.
 func (f *Forwarder) handleReplicaUpdated(updated ReplicaUpdated) {
-	before := f.replicas.Copy(updated.Kind).Revision
+	before := f.replicas.Copy(updated.Kind).Position()
 	read := updated.Copy
 	if read.Source == 0 {
 		read.Source = digest.ID(f.settings.Name)
 	}
 	f.replicas.Updated(updated.Kind, read)
 	if updated.Kind == replicator.State {
-		f.desiredConfirmedAt = max(f.desiredConfirmedAt, read.ConfirmedAt)
+		f.confirmState(read.ConfirmedAt)
 	}
-	if f.replicas.Copy(updated.Kind).Revision > before {
+	if f.replicas.Copy(updated.Kind).Position().After(before) {
 		f.expediteRelay()
 	}
 }
@@ -81,7 +82,7 @@
 		if !next.Watch {
 			f.storeDown = false
 		}
-		f.emit(WatchStore{On: next.Watch})
+		f.emit(WatchStore{On: next.Watch, Era: f.eras.Era()})
 	}
 	if address := f.neighborAddress(next.FetchFrom); address != "" {
 		f.emit(FetchReplicas{Address: address})
--- a/internal/decision/forwarder/status.go
+++ b/internal/decision/forwarder/status.go
@@ -17,6 +17,9 @@
 	// it may order engines to load weights.
 	WatchesStore bool `json:"watchesStore"`
 	HoldsLease   bool `json:"holdsLease"`
+	// StoreEra is the era of the store, which rises when the store comes back from an older
+	// copy; 0 if the store has named none.
+	StoreEra int64 `json:"storeEra"`
 	// StateVersion is the version of the desired state, and StateAge the time in
 	// milliseconds since it was last known to be current.
 	StateVersion int64        `json:"stateVersion"`
@@ -30,6 +33,6 @@
 		Listed: f.instanceCount(), Reachable: f.reachableCount(),
 		Top: f.actsAsTop(), Upstream: f.upstream, Below: len(f.neighborsIn(below)),
 		WatchesStore: f.replicas != nil && f.replicas.Watching(), HoldsLease: f.rollout.HoldsLease(f.now),
-		StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
+		StoreEra: f.eras.Era(), StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
 	}
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -44,7 +44,7 @@
 	if read.State.Version < f.desired.Version {
 		return
 	}
-	f.desiredConfirmedAt = max(f.desiredConfirmedAt, read.ConfirmedAt)
+	f.confirmState(read.ConfirmedAt)
 	if read.State.Version == f.desired.Version {
 		return
 	}
@@ -113,7 +113,7 @@
 	for _, entry := range listed.Entries {
 		f.handleServerChanged(ServerChanged{Entry: entry})
 	}
-	f.servers.Replace(f.now, listed.Entries, f.expiryWindowEnd())
+	f.servers.Replace(f.now, listed.Entries, max(f.expiryWindowEnd(), f.eras.EntriesSettledAt()))
 	f.forgetRemoved()
 }
 
--- a/internal/decision/objectstore/response.go
+++ b/internal/decision/objectstore/response.go
@@ -40,7 +40,9 @@
 	Outcome Outcome
 	// RefusedByStore is set if the store itself refused the call, because of its limits.
 	RefusedByStore bool
-	// Version and Value are those of the object after the call.
+	// Version and Value are those of the object after the call. Era is the era of the
+	// store in which the version holds.
+	Era     int64
 	Version int64
 	Value   []byte
 	// Instances are the changed entries, for ListInstances.
--- a/internal/decision/registry/entry.go
+++ b/internal/decision/registry/entry.go
@@ -1,6 +1,10 @@
 package registry
 
-import "maps"
+import (
+	"maps"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
+)
 
 // Entry is a backend server's entry in the platform's store, written by the server.
 type Entry struct {
@@ -15,10 +19,16 @@
 	WeightVersions map[string]int64
 	// StartedAt is the server's start in Unix milliseconds. It differs for each start.
 	StartedAt int64
-	// Revision is the store's revision of the entry.
+	// Revision is the store's revision of the entry in the Era.
+	Era      int64
 	Revision int64
 }
 
+// position returns the position of the entry in the store.
+func (e Entry) position() storeposition.Position {
+	return storeposition.Position{Era: e.Era, Revision: e.Revision}
+}
+
 // WithWeightVersion returns the entry with another version of the model's weights.
 func (e Entry) WithWeightVersion(model string, version int64) Entry {
 	e.WeightVersions = maps.Clone(e.WeightVersions)
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -96,11 +96,15 @@
 // one. It returns the server as it was before and whether it was known.
 func (r *Registry) Put(entry Entry) (Server, bool) {
 	before, known := r.servers[entry.ID]
-	if known && before.Revision > entry.Revision {
+	if known && before.position().After(entry.position()) {
 		return before, known
 	}
 	updated := Server{Entry: entry}
 	if known && before.StartedAt == entry.StartedAt {
+		// After a restore of the store, its entry may be older than the known one. It
+		// counts as long as the server has not written another one.
+		restored := entry.Era > before.Era || entry.Revision == before.Revision
+		entry.Draining = entry.Draining || (restored && before.Draining)
 		updated = before
 		updated.Entry = entry.withNewerWeights(before.Entry)
 		updated.expiresAt = 0
--- a/internal/decision/replicator/replicator.go
+++ b/internal/decision/replicator/replicator.go
@@ -5,6 +5,10 @@
 // price, and the store is unreachable at times, from all instances or from some. They start
 // at the same time, and the store comes back for all at the same time.
 //
+// Copies are compared by their era of the store and by revision within it. A copy of an
+// earlier era neither confirms one of a later era nor shows that its source watches the
+// store as it is now.
+//
 // One instance watches the store. Each digest states up to which revision its sender has
 // the objects and when they were last known to be current. An instance that learns of a
 // newer revision fetches the changes from that neighbor. If the copy of the desired state
@@ -27,6 +31,7 @@
 import (
 	"slices"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -110,7 +115,8 @@
 // Copy is the state of the instance's copy of one kind.
 type Copy struct {
 	// Revision is the revision of the store up to which the copy has all changes. There
-	// were none from there to Through.
+	// were none from there to Through. Both hold in the Era.
+	Era      int64
 	Revision int64
 	Through  int64
 	// ConfirmedAt is the latest time at which the copy was known to be current; 0 for
@@ -119,6 +125,11 @@
 	Source      uint32
 }
 
+// Position returns the position up to which the copy has all changes.
+func (c Copy) Position() storeposition.Position {
+	return storeposition.Position{Era: c.Era, Revision: c.Revision}
+}
+
 // Offer is a neighbor's copy of one kind. ConfirmedAt is 0 if its age is unknown.
 type Offer struct {
 	Kind     Kind
@@ -172,18 +183,21 @@
 func (r *Replicator) Watching() bool { return r.watching }
 
 // Updated records that the objects of a kind were read, from the store or from a neighbor.
-// A copy of an older revision is not recorded.
+// A copy of an older position is not recorded.
 func (r *Replicator) Updated(kind Kind, read Copy) {
 	known := r.copies[kind]
-	if read.Revision < known.Revision {
+	if read.Position().Before(known.Position()) {
 		return
 	}
+	if read.Era > known.Era {
+		known.Through = 0
+	}
 	if read.ConfirmedAt < known.ConfirmedAt {
 		read.ConfirmedAt, read.Source = known.ConfirmedAt, known.Source
 	}
 	read.Through = max(read.Through, known.Through, read.Revision)
 	r.copies[kind] = read
-	if newer, ok := r.newer[kind]; ok && newer.Copy.Revision <= read.Revision {
+	if newer, ok := r.newer[kind]; ok && !newer.Copy.Position().After(read.Position()) {
 		delete(r.newer, kind)
 	}
 }
@@ -192,15 +206,19 @@
 // as of a later time than before: the neighbor has no newer revision, and states a time at
 // which its copy was current.
 func (r *Replicator) Offer(now clock.Millis, offer Offer, ownRank int) bool {
+	known, ok := r.copies[offer.Kind]
+	if offer.Copy.Era < known.Era {
+		return false
+	}
 	if offer.Kind == State && offer.Copy.ConfirmedAt > 0 && offer.Copy.Source != r.self && now.Since(offer.Copy.ConfirmedAt) < r.timing.Takeover {
 		r.otherSourceAt = now
 		if offer.SourceRank < ownRank {
 			r.betterSourceAt = now
 		}
 	}
-	known, ok := r.copies[offer.Kind]
-	if !ok || offer.Copy.Revision > known.Revision {
-		if newer := r.newer[offer.Kind]; offer.Copy.Revision > newer.Copy.Revision || offer.Copy.ConfirmedAt > newer.Copy.ConfirmedAt {
+	if !ok || offer.Copy.Position().After(known.Position()) {
+		newer := r.newer[offer.Kind].Copy
+		if offer.Copy.Position().After(newer.Position()) || (offer.Copy.Era == newer.Era && offer.Copy.ConfirmedAt > newer.ConfirmedAt) {
 			r.newer[offer.Kind] = offer
 		}
 		return false
--- a/internal/decision/rollout/lease.go
+++ b/internal/decision/rollout/lease.go
@@ -58,17 +58,20 @@
 	return record
 }
 
-// Observation is an observed state of the lease's object.
+// Observation is an observed state of the lease's object. The revision holds in the Era of
+// the store.
 type Observation struct {
+	Era      int64
 	Revision int64
 	Holder   string
 	Writes   int64
 }
 
-// Update is an update of the lease on condition of its revision. The zero Update means
-// no update.
+// Update is an update of the lease on condition of its revision in the Era of the store.
+// The zero Update means no update.
 type Update struct {
 	Record     Record
+	Era        int64
 	IfRevision int64
 }
 
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -18,18 +18,18 @@
 // newDigest returns a digest with all fields.
 func newDigest() digest.Digest {
 	return digest.Digest{
-		Name: "edge-1", Domain: "a", Address: "10.0.0.1:7600", Incarnation: 9, Sequence: 4, Scope: digest.Subtree, Leaving: true, StoreDown: true, Top: true,
+		Name: "edge-1", Domain: "a", Address: "10.0.0.1:7600", Incarnation: 9, Sequence: 4, Scope: digest.Subtree, Leaving: true, StoreDown: true, StoreEra: 2, Top: true,
 		Members: 3, MemberIDs: []uint32{1, 2}, Admitted: map[uint32]int64{5: -7}, BucketLevels: map[uint32]int64{6: -8},
 		WithLoads: true, Loads: map[uint32][3]int64{11: {1, 2, 3}}, SentParts: map[uint32][][2]uint64{12: {{13, 14}}},
 		CacheDeltas:        []digest.CacheDelta{{Server: 15, Delta: cachetracker.Delta{Epoch: 1, Since: 2, LastChange: 3, Changes: [][2]uint64{{4, 0}}}}},
 		UnreachableServers: []string{"s1"}, RecoveredServers: []string{"s2"},
 		Orders: []digest.Orders{{
 			Holder: "edge-2", Count: 7, HoldsLease: true, LoadingEngines: []string{"e1"},
-			RelayRequest: rollout.Update{Record: rollout.Record{Holder: "edge-2", Writes: 3}, IfRevision: 44},
+			RelayRequest: rollout.Update{Record: rollout.Record{Holder: "edge-2", Writes: 3}, Era: 2, IfRevision: 44},
 		}},
-		Lease: rollout.Observation{Revision: 44, Holder: "edge-2", Writes: 2}, ReportedWeights: []digest.ReportedWeights{{Server: "e1", Model: "m", Version: 3}},
+		Lease: rollout.Observation{Era: 2, Revision: 44, Holder: "edge-2", Writes: 2}, ReportedWeights: []digest.ReportedWeights{{Server: "e1", Model: "m", Version: 3}},
 		WeightsAges: map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
-		Replicas: []digest.Replica{{Kind: 1, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
+		Replicas: []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
 	}
 }
 
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -22,11 +22,11 @@
 func EncodeDigest(d digest.Digest) ([]byte, error) {
 	message := &edgev1.Digest{
 		Format: format, Name: d.Name, Domain: d.Domain, Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence,
-		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, Top: d.Top, Probe: d.Probe,
+		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, StoreEra: d.StoreEra, Top: d.Top, Probe: d.Probe,
 		EchoIncarnation: d.Echo.Incarnation, EchoSequence: d.Echo.Sequence,
 		WithLoads: d.WithLoads, Members: uint32(d.Members), MemberIds: d.MemberIDs,
 		UnreachableServers: d.UnreachableServers, RecoveredServers: d.RecoveredServers,
-		Lease: &edgev1.Lease{Revision: d.Lease.Revision, Holder: d.Lease.Holder, Writes: d.Lease.Writes},
+		Lease: &edgev1.Lease{Era: d.Lease.Era, Revision: d.Lease.Revision, Holder: d.Lease.Holder, Writes: d.Lease.Writes},
 	}
 	for _, team := range slices.Sorted(maps.Keys(d.Admitted)) {
 		message.Teams = append(message.Teams, team)
@@ -59,7 +59,7 @@
 	}
 	for _, replica := range d.Replicas {
 		message.Replicas = append(message.Replicas, &edgev1.Replica{
-			Kind: uint32(replica.Kind), Revision: replica.Revision, Through: replica.Through, AgeMs: int64(replica.Age), Source: replica.Source,
+			Kind: uint32(replica.Kind), Era: replica.Era, Revision: replica.Revision, Through: replica.Through, AgeMs: int64(replica.Age), Source: replica.Source,
 		})
 	}
 	if d.Outage.Known {
@@ -77,7 +77,7 @@
 		update := orders.RelayRequest
 		message.Orders = append(message.Orders, &edgev1.Orders{
 			Holder: orders.Holder, Count: orders.Count, HoldsLease: orders.HoldsLease, LoadingEngines: orders.LoadingEngines,
-			RelayRequest: &edgev1.Update{Holder: update.Record.Holder, Writes: update.Record.Writes, IfRevision: update.IfRevision},
+			RelayRequest: &edgev1.Update{Holder: update.Record.Holder, Writes: update.Record.Writes, Era: update.Era, IfRevision: update.IfRevision},
 		})
 	}
 	for _, reported := range d.ReportedWeights {
@@ -111,11 +111,11 @@
 	d := digest.Digest{
 		Name: message.GetName(), Domain: message.GetDomain(), Address: message.GetAddress(),
 		Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(), Scope: digest.Scope(message.GetScope()),
-		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), Top: message.GetTop(), Probe: message.GetProbe(),
+		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), StoreEra: message.GetStoreEra(), Top: message.GetTop(), Probe: message.GetProbe(),
 		Echo:      digest.Echo{Incarnation: message.GetEchoIncarnation(), Sequence: message.GetEchoSequence()},
 		WithLoads: message.GetWithLoads(), Members: int(message.GetMembers()), MemberIDs: message.GetMemberIds(),
 		UnreachableServers: message.GetUnreachableServers(), RecoveredServers: message.GetRecoveredServers(),
-		Lease: rollout.Observation{Revision: message.GetLease().GetRevision(), Holder: message.GetLease().GetHolder(), Writes: message.GetLease().GetWrites()},
+		Lease: rollout.Observation{Era: message.GetLease().GetEra(), Revision: message.GetLease().GetRevision(), Holder: message.GetLease().GetHolder(), Writes: message.GetLease().GetWrites()},
 
 		Admitted: map[uint32]int64{}, BucketLevels: map[uint32]int64{}, Loads: map[uint32][3]int64{}, SentParts: map[uint32][][2]uint64{},
 		WeightsAges: map[string]map[int64]clock.Millis{}, CrashedServers: map[string][]string{},
@@ -143,7 +143,7 @@
 	}
 	for _, replica := range message.GetReplicas() {
 		d.Replicas = append(d.Replicas, digest.Replica{
-			Kind: int(replica.GetKind()), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
+			Kind: int(replica.GetKind()), Era: replica.GetEra(), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
 		})
 	}
 	if outage := message.GetOutage(); outage != nil {
@@ -157,7 +157,7 @@
 		update := orders.GetRelayRequest()
 		d.Orders = append(d.Orders, digest.Orders{
 			Holder: orders.GetHolder(), Count: orders.GetCount(), HoldsLease: orders.GetHoldsLease(), LoadingEngines: orders.GetLoadingEngines(),
-			RelayRequest: rollout.Update{Record: rollout.Record{Holder: update.GetHolder(), Writes: update.GetWrites()}, IfRevision: update.GetIfRevision()},
+			RelayRequest: rollout.Update{Record: rollout.Record{Holder: update.GetHolder(), Writes: update.GetWrites()}, Era: update.GetEra(), IfRevision: update.GetIfRevision()},
 		})
 	}
 	for _, reported := range message.GetReportedWeights() {
@@ -187,7 +187,7 @@
 		return errors.New("datagram.DecodeDigest: the servers and their loads differ in number")
 	}
 	for _, replica := range message.GetReplicas() {
-		if replica.GetAgeMs() < 0 || replica.GetRevision() < 0 || replica.GetThrough() < replica.GetRevision() {
+		if replica.GetAgeMs() < 0 || replica.GetEra() < 0 || replica.GetRevision() < 0 || replica.GetThrough() < replica.GetRevision() {
 			return errors.New("datagram.DecodeDigest: a replica's age or revision is out of range")
 		}
 	}
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -36,7 +36,7 @@
 	case forwarder.SendToKeeper:
 		e.sendToKeeper(action)
 	case forwarder.WatchStore:
-		e.watchStore(action.On)
+		e.watchStore(action)
 	case forwarder.FetchReplicas:
 		e.start(func() { e.fetchReplicas(action.Address) })
 	case forwarder.CheckHealth:
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -67,6 +67,10 @@
 	Codec
 	watcher.Store
 	Call(ctx context.Context, op objectstore.Op) objectstore.Response
+	// ObserveEras sets the function that is called with the era of the store in each of its
+	// answers, and with whether it is valid. The function returns the era to use for the
+	// answer, and false for an answer that must not be used.
+	ObserveEras(see func(era int64, valid bool) (int64, bool))
 	// WatchedKinds returns the kinds of objects to copy from the store, with a sink for
 	// each.
 	WatchedKinds(submit func(forwarder.Event), log func(eventlog.Entry)) []WatchedKind
@@ -137,6 +141,7 @@
 	fwd := forwarder.New(settings, hex.EncodeToString(random[:8]), binary.LittleEndian.Uint64(random[8:]))
 	e.machine = newStateMachine(fwd, e.perform)
 	e.meter.Gauge("status", func() any { return e.machine.status() })
+	platform.ObserveEras(e.seeEra)
 	e.kinds = platform.WatchedKinds(e.machine.submit, e.log)
 	e.httpServer = httpserver.New(e, settings.MemoryMB<<20/bodyMemoryDivisor)
 	if err := e.listen(); err != nil {
--- a/internal/runtime/edge/replicas.go
+++ b/internal/runtime/edge/replicas.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
@@ -22,14 +23,35 @@
 
 const (
 	// replicasPath is the path at which an instance serves its copies to others. The
-	// query has the client's revision of each kind, by the kind's number.
+	// query has the client's revision of each kind, by the kind's number, and the era of
+	// the store in which it holds, by that number after eraPrefix.
 	replicasPath = "/replicas"
+	eraPrefix    = "era"
 	// fetchTimeout limits a fetch of copies from another instance.
 	fetchTimeout = 1200 * time.Millisecond
 	// maxReplicaBytes limits the response to a fetch.
 	maxReplicaBytes = 16 << 20
 )
 
+// errEarlierEra means that the copy of a kind is of a later era of the store than an answer.
+var errEarlierEra = errors.New("edge: the answer is from an earlier era of the store than the copy")
+
+// seeEra records the era of an answer of the store, before the answer is used. An answer
+// without a valid era counts as one of the known era.
+func (e *Edge) seeEra(era int64, valid bool) (int64, bool) {
+	if !valid {
+		e.meter.Add("storeErasInvalid", 1)
+		e.machine.submit(forwarder.StoreEraSeen{Invalid: true})
+		return e.machine.storeEra(), true
+	}
+	e.machine.submit(forwarder.StoreEraSeen{Era: era})
+	if era < e.machine.storeEra() {
+		e.meter.Add("storeAnswersOutdated", 1)
+		return era, false
+	}
+	return era, true
+}
+
 // cachingStore records in the cache what is read from the store.
 type cachingStore struct {
 	watcher.Store
@@ -39,8 +61,8 @@
 // List returns the objects of a kind.
 func (s cachingStore) List(ctx context.Context, kind string) (watcher.Listing, error) {
 	listing, err := s.Store.List(ctx, kind)
-	if err == nil {
-		s.cache.Replace(kind, listing)
+	if err == nil && !s.cache.Replace(kind, listing) {
+		err = s.checkEra(kind, listing)
 	}
 	return listing, err
 }
@@ -48,12 +70,20 @@
 // Watch returns the changes of a kind.
 func (s cachingStore) Watch(ctx context.Context, kind string, since int64, wait clock.Millis) (watcher.Listing, error) {
 	changes, err := s.Store.Watch(ctx, kind, since, wait)
-	if err == nil {
-		s.cache.Apply(kind, changes)
+	if err == nil && !s.cache.Apply(kind, changes) {
+		err = s.checkEra(kind, changes)
 	}
 	return changes, err
 }
 
+// checkEra returns an error if the copy is of a later era than what was read.
+func (s cachingStore) checkEra(kind string, read watcher.Listing) error {
+	if held, _ := s.cache.Position(kind); held.Era > read.Era {
+		return errEarlierEra
+	}
+	return nil
+}
+
 // storeSink receives what a watch of the store reads. It also reports that the store has
 // responded, and the state of the copy.
 type storeSink struct {
@@ -78,25 +108,30 @@
 
 // submitCopy reports the state of the copy of a kind.
 func (e *Edge) submitCopy(kind WatchedKind, read replicator.Copy) {
-	read.Revision, read.Through = e.objects.Revisions(kind.Kind)
+	held, through := e.objects.Position(kind.Kind)
+	read.Era, read.Revision, read.Through = held.Era, held.Revision, through
 	e.machine.submit(forwarder.ReplicaUpdated{Kind: kind.ID, Copy: read})
 }
 
 // watchStore starts or ends the watches of the store. The state machine is locked
 // meanwhile.
-func (e *Edge) watchStore(on bool) {
+func (e *Edge) watchStore(watch forwarder.WatchStore) {
 	e.endWatch()
 	e.endWatch = func() {}
-	if !on {
+	if !watch.On {
 		return
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
 	e.endWatch = cancel
 	store := cachingStore{Store: e.platform, cache: e.objects}
 	for _, kind := range e.kinds {
-		_, through := e.objects.Revisions(kind.Kind)
-		watch := watcher.New(store, kind.Kind, kind.PollConfig, storeSink{Sink: kind.Sink, edge: e, kind: kind})
-		e.start(func() { watch.RunSince(ctx, through) })
+		held, through := e.objects.Position(kind.Kind)
+		since := storeposition.Position{Era: held.Era, Revision: through}
+		if held.Era < watch.Era {
+			since = storeposition.Position{}
+		}
+		kindWatcher := watcher.New(store, kind.Kind, kind.PollConfig, storeSink{Sink: kind.Sink, edge: e, kind: kind})
+		e.start(func() { kindWatcher.RunSince(ctx, since) })
 	}
 }
 
@@ -105,9 +140,9 @@
 	query := r.URL.Query()
 	var response edgev1.Snapshots
 	for _, kind := range e.kinds {
-		since, err := strconv.ParseInt(query.Get(strconv.Itoa(int(kind.ID))), 10, 64)
+		since, err := parsePosition(query, kind.ID)
 		if err != nil {
-			http.Error(w, "the revision of kind "+strconv.Itoa(int(kind.ID))+" is missing or is not a number", http.StatusBadRequest)
+			http.Error(w, "the position of kind "+strconv.Itoa(int(kind.ID))+" is missing or is not a number", http.StatusBadRequest)
 			return
 		}
 		// The age must not be newer than the objects, so it is read first.
@@ -117,7 +152,7 @@
 			continue
 		}
 		message := &edgev1.Snapshot{
-			Kind: uint32(kind.ID), Full: snapshot.Full, Revision: snapshot.Revision, Through: snapshot.Through,
+			Kind: uint32(kind.ID), Full: snapshot.Full, Era: snapshot.Era, Revision: snapshot.Revision, Through: snapshot.Through,
 			AgeMs: int64(now.Since(held.ConfirmedAt)), Source: held.Source,
 		}
 		for _, item := range snapshot.Items {
@@ -134,6 +169,18 @@
 	_, _ = w.Write(body)
 }
 
+// parsePosition parses the position of a client's copy. A client that states no era knows
+// none.
+func parsePosition(query url.Values, kind replicator.Kind) (storeposition.Position, error) {
+	number := strconv.Itoa(int(kind))
+	revision, err := strconv.ParseInt(query.Get(number), 10, 64)
+	if err != nil || !query.Has(eraPrefix+number) {
+		return storeposition.Position{Revision: revision}, err
+	}
+	era, err := strconv.ParseInt(query.Get(eraPrefix+number), 10, 64)
+	return storeposition.Position{Era: era, Revision: revision}, err
+}
+
 // fetchReplicas fetches newer copies from another instance.
 func (e *Edge) fetchReplicas(address string) {
 	detail := ""
@@ -146,8 +193,10 @@
 func (e *Edge) fetchFrom(address string) error {
 	query := url.Values{}
 	for _, kind := range e.kinds {
-		revision, _ := e.objects.Revisions(kind.Kind)
-		query.Set(strconv.Itoa(int(kind.ID)), strconv.FormatInt(revision, 10))
+		held, _ := e.objects.Position(kind.Kind)
+		number := strconv.Itoa(int(kind.ID))
+		query.Set(number, strconv.FormatInt(held.Revision, 10))
+		query.Set(eraPrefix+number, strconv.FormatInt(held.Era, 10))
 	}
 	requestedAt := bootclock.Now()
 	request := httpclient.Request{Method: http.MethodGet, Target: replicasPath + "?" + query.Encode(), Host: address, Header: http.Header{"Connection": {"close"}}}
@@ -160,6 +209,7 @@
 		return errors.Wrap(err, "edge: decode the copies of "+address)
 	}
 	for _, snapshot := range response.GetSnapshots() {
+		e.machine.submit(forwarder.StoreEraSeen{Era: snapshot.GetEra(), From: address})
 		e.applySnapshot(requestedAt, snapshot)
 	}
 	return nil
@@ -171,9 +221,9 @@
 	if snapshot.GetAgeMs() < 0 || snapshot.GetThrough() < snapshot.GetRevision() {
 		return
 	}
-	listing := watcher.Listing{Revision: snapshot.GetRevision()}
+	listing := watcher.Listing{Era: snapshot.GetEra(), Revision: snapshot.GetRevision()}
 	for _, item := range snapshot.GetItems() {
-		listing.Items = append(listing.Items, watcher.Item{Name: item.GetName(), Revision: item.GetRevision(), Value: item.GetValue(), Deleted: item.GetDeleted()})
+		listing.Items = append(listing.Items, watcher.Item{Name: item.GetName(), Era: snapshot.GetEra(), Revision: item.GetRevision(), Value: item.GetValue(), Deleted: item.GetDeleted()})
 	}
 	confirmedAt := requestedAt.Add(-clock.Millis(snapshot.GetAgeMs()))
 	for _, kind := range e.kinds {
--- a/internal/runtime/edge/statemachine.go
+++ b/internal/runtime/edge/statemachine.go
@@ -116,6 +116,13 @@
 	return m.forwarder.Replica(kind), bootclock.Now()
 }
 
+// storeEra returns the highest era of the store that is known.
+func (m *stateMachine) storeEra() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.forwarder.StoreEra()
+}
+
 func (m *stateMachine) status() forwarder.Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/runtime/objectcache/objectcache.go
+++ b/internal/runtime/objectcache/objectcache.go
@@ -3,7 +3,9 @@
 //
 // A copy has a revision of the store up to which it has all changes. A client that states
 // its own revision receives the changes since then, or all objects if they are not known
-// any more.
+// any more. A revision holds within an era of the store: a client whose copy is of an
+// earlier era receives all objects, and a copy is only ever replaced as a whole by one of a
+// later era.
 //
 // # Usage
 //
@@ -18,6 +20,7 @@
 	"strings"
 	"sync"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/watcher"
 )
 
@@ -28,6 +31,8 @@
 // Snapshot has the objects of a kind that changed after a revision, or all of them.
 type Snapshot struct {
 	Full bool
+	// Era is the era of the store in which the revisions hold.
+	Era int64
 	// Revision is the revision up to which the copy has all changes. There were none from
 	// there to Through when the copy was last read.
 	Revision int64
@@ -43,6 +48,7 @@
 
 // copied is the copy of one kind.
 type copied struct {
+	era      int64
 	revision int64
 	through  int64
 	// completeSince is the revision from which all changes are known.
@@ -51,6 +57,10 @@
 	removals      int
 }
 
+func (c *copied) position() storeposition.Position {
+	return storeposition.Position{Era: c.era, Revision: c.revision}
+}
+
 // change is an object and the revision of the copy at which it was last changed.
 type change struct {
 	item     watcher.Item
@@ -64,10 +74,10 @@
 func (c *Cache) Replace(kind string, listing watcher.Listing) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known, ok := c.kinds[kind]; ok && listing.Revision < known.revision {
+	if known, ok := c.kinds[kind]; ok && listing.Position().Before(known.position()) {
 		return false
 	}
-	replaced := &copied{revision: listing.Revision, through: listing.Revision, completeSince: listing.Revision, objects: map[string]change{}}
+	replaced := &copied{era: listing.Era, revision: listing.Revision, through: listing.Revision, completeSince: listing.Revision, objects: map[string]change{}}
 	for _, item := range listing.Items {
 		replaced.objects[item.Name] = change{item: item, revision: listing.Revision}
 	}
@@ -76,12 +86,12 @@
 }
 
 // Apply applies the changes up to the revision of the listing. It reports false if the copy
-// already has them, or is missing.
+// already has them, is of another era, or is missing.
 func (c *Cache) Apply(kind string, changes watcher.Listing) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.kinds[kind]
-	if !ok || changes.Revision < known.revision {
+	if !ok || changes.Era != known.era || changes.Revision < known.revision {
 		return false
 	}
 	known.through = max(known.through, changes.Revision)
@@ -115,30 +125,31 @@
 	c.removals, c.completeSince = 0, c.revision
 }
 
-// Revisions returns the revision up to which the copy has all changes, and the one up to
-// which it is known that there are no others; 0 without a copy.
-func (c *Cache) Revisions(kind string) (revision, through int64) {
+// Position returns the position up to which the copy has all changes, and the revision up
+// to which it is known that there are no others; 0 without a copy.
+func (c *Cache) Position(kind string) (held storeposition.Position, through int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known, ok := c.kinds[kind]; ok {
-		return known.revision, known.through
+		return known.position(), known.through
 	}
-	return 0, 0
+	return storeposition.Position{}, 0
 }
 
-// Snapshot returns the objects that changed after the revision since, sorted by name, or
-// all objects if since is 0 or older than the known changes. It reports false if there is
-// no copy, or nothing has changed.
-func (c *Cache) Snapshot(kind string, since int64) (Snapshot, bool) {
+// Snapshot returns the objects that changed after the position since, sorted by name, or
+// all objects if its revision is 0 or older than the known changes, or if it is of an
+// earlier era. It reports false if there is no copy, or nothing has changed.
+func (c *Cache) Snapshot(kind string, since storeposition.Position) (Snapshot, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.kinds[kind]
-	if !ok || (since > 0 && since >= known.revision) {
+	if !ok || (since.Revision > 0 && !known.position().After(since)) {
 		return Snapshot{}, false
 	}
-	snapshot := Snapshot{Full: since == 0 || since < known.completeSince, Revision: known.revision, Through: known.through}
+	full := since.Revision == 0 || since.Era != known.era || since.Revision < known.completeSince
+	snapshot := Snapshot{Full: full, Era: known.era, Revision: known.revision, Through: known.through}
 	for _, change := range known.objects {
-		if (snapshot.Full && !change.item.Deleted) || (!snapshot.Full && change.revision > since) {
+		if (snapshot.Full && !change.item.Deleted) || (!snapshot.Full && change.revision > since.Revision) {
 			snapshot.Items = append(snapshot.Items, change.item)
 		}
 	}
--- a/internal/runtime/objectcache/objectcache_test.go
+++ b/internal/runtime/objectcache/objectcache_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/objectcache"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/watcher"
 )
@@ -43,7 +44,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			snapshot, ok := newCache().Snapshot(kind, test.since)
+			snapshot, ok := newCache().Snapshot(kind, storeposition.Position{Revision: test.since})
 			require.Equal(t, len(test.items) > 0, ok)
 			var items []string
 			for _, item := range snapshot.Items {
@@ -74,7 +75,7 @@
 		if step%4 == 1 {
 			continue
 		}
-		since, _ := second.Revisions(kind)
+		since, _ := second.Position(kind)
 		snapshot, ok := first.Snapshot(kind, since)
 		require.True(t, ok)
 		listing := watcher.Listing{Revision: snapshot.Revision, Items: snapshot.Items}
@@ -83,8 +84,8 @@
 		} else {
 			require.True(t, second.Apply(kind, listing))
 		}
-		want, _ := first.Snapshot(kind, 0)
-		got, _ := second.Snapshot(kind, 0)
+		want, _ := first.Snapshot(kind, storeposition.Position{})
+		got, _ := second.Snapshot(kind, storeposition.Position{})
 		require.Equal(t, want.Items, got.Items)
 	}
 }
@@ -95,7 +96,7 @@
 	require.False(t, cache.Replace(kind, watcher.Listing{Revision: 14, Items: []watcher.Item{item("a", "1")}}))
 	require.False(t, cache.Apply(kind, watcher.Listing{Revision: 14, Items: []watcher.Item{item("a", "1")}}))
 	require.False(t, cache.Apply("unknown", watcher.Listing{Revision: 14}), "changes of a kind without a copy")
-	snapshot, _ := cache.Snapshot(kind, 0)
+	snapshot, _ := cache.Snapshot(kind, storeposition.Position{})
 	require.Len(t, snapshot.Items, 2)
 }
 
@@ -106,7 +107,7 @@
 	for i := range int64(1100) {
 		cache.Apply(kind, watcher.Listing{Revision: 20 + i, Items: []watcher.Item{removed(fmt.Sprint("gone", i))}})
 	}
-	snapshot, ok := cache.Snapshot(kind, 16)
+	snapshot, ok := cache.Snapshot(kind, storeposition.Position{Revision: 16})
 	require.True(t, ok)
 	require.True(t, snapshot.Full)
 	require.Len(t, snapshot.Items, 2)
--- a/internal/runtime/watcher/watcher.go
+++ b/internal/runtime/watcher/watcher.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -34,9 +35,10 @@
 	maxWaitAfterFailure = 100 * clock.Millisecond
 )
 
-// Item is an object or its deletion.
+// Item is an object or its deletion. Era is that of the answer which contained it.
 type Item struct {
 	Name     string
+	Era      int64
 	Revision int64
 	Value    []byte
 	Deleted  bool
@@ -45,10 +47,17 @@
 // Listing is a list of objects or of changes.
 type Listing struct {
 	Items []Item
-	// Revision is the revision of the store from which the next watch continues.
+	// Revision is the revision of the store from which the next watch continues, and Era
+	// the era of the store in which it holds.
+	Era      int64
 	Revision int64
 }
 
+// Position returns the position from which the next watch continues.
+func (l Listing) Position() storeposition.Position {
+	return storeposition.Position{Era: l.Era, Revision: l.Revision}
+}
+
 // Store reads the platform's store.
 type Store interface {
 	List(ctx context.Context, kind string) (Listing, error)
@@ -88,13 +97,15 @@
 }
 
 // Run lists the kind and watches it until the context ends.
-func (w *Watcher) Run(ctx context.Context) { w.RunSince(ctx, 0) }
+func (w *Watcher) Run(ctx context.Context) { w.RunSince(ctx, storeposition.Position{}) }
 
-// RunSince watches the kind for changes after the revision until the context ends. It
-// lists the kind first if the revision is 0, or if the store no longer has the changes.
-func (w *Watcher) RunSince(ctx context.Context, since int64) {
+// RunSince watches the kind for changes after the position until the context ends. It
+// lists the kind first if the revision is 0, if the store no longer has the changes, or if
+// the store has come back from an older copy: a revision of an earlier era may stand for
+// other changes now.
+func (w *Watcher) RunSince(ctx context.Context, since storeposition.Position) {
 	retryDelay := initialRetryDelay
-	listed, failing := since > 0, false
+	listed, failing := since.Revision > 0, false
 	for ctx.Err() == nil {
 		var err error
 		if listed {
@@ -119,14 +130,14 @@
 	}
 }
 
-func (w *Watcher) list(ctx context.Context) (int64, error) {
+func (w *Watcher) list(ctx context.Context) (storeposition.Position, error) {
 	requestedAt := bootclock.Now()
 	listing, err := w.store.List(ctx, w.kind)
 	if err != nil {
-		return 0, err
+		return storeposition.Position{}, err
 	}
 	w.sink.Listed(requestedAt, listing.Items)
-	return listing.Revision, nil
+	return listing.Position(), nil
 }
 
 // nextWait returns the maximum time for which the next watch waits for a change.
@@ -139,12 +150,15 @@
 
 // watch waits for changes. The data was up to date when the request was sent. If there was
 // no change during the complete wait, it was up to date until the wait ended.
-func (w *Watcher) watch(ctx context.Context, since int64, wait clock.Millis) (int64, error) {
+func (w *Watcher) watch(ctx context.Context, since storeposition.Position, wait clock.Millis) (storeposition.Position, error) {
 	lastConfirmed := bootclock.Now()
-	listing, err := w.store.Watch(ctx, w.kind, since, wait)
+	listing, err := w.store.Watch(ctx, w.kind, since.Revision, wait)
 	if err != nil {
 		return since, err
 	}
+	if listing.Era != since.Era {
+		return since, ErrRevisionTooOld
+	}
 	if len(listing.Items) == 0 && bootclock.Now() >= lastConfirmed.Add(wait) {
 		lastConfirmed = lastConfirmed.Add(wait)
 	}
@@ -152,7 +166,8 @@
 	if next := lastConfirmed.Add(w.config.MinInterval); bootclock.Now() < next {
 		sleep(ctx, next.Since(bootclock.Now()).Duration())
 	}
-	return max(since, listing.Revision), nil
+	since.Revision = max(since.Revision, listing.Revision)
+	return since, nil
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
