Order engines under a lease of the store's era

After the store had come back from an older copy, engines got no new weights: the holder and all others compared the lease by revision, which had gone back. Two instances could also believe that they hold it: one by a lease that the store has lost, another by a new one, with a fence that had been used before.

Change: the lease and its updates carry the era. In a new era nobody holds it; it is read again by the first instance, and by others only if they have work, and is acquired only after a lease that was lost must have ended. Fences are in the order of era and revision, and plain revisions in the first era. Updates that a peer asks for in another era are not written.

An instance that starts in a later era does not know how long ago it began, so that a copy confirms the desired state only after the time in which a lost one is written again. Digests carry the age of the era, so that it usually knows at once.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -53,7 +53,9 @@
 	// StoreDown reports whether the sender can't reach the store.
 	StoreDown bool
 	// StoreEra is the highest era of the store that the sender knows; 0 for none.
-	StoreEra int64
+	// StoreEraAge is the time since it is known to have begun.
+	StoreEra    int64
+	StoreEraAge clock.Millis
 	// Top reports whether the sender acts at the top level. Probe reports whether it
 	// only asks whether the receiver could be its upstream.
 	Top   bool
--- a/internal/decision/eratracker/eratracker.go
+++ b/internal/decision/eratracker/eratracker.go
@@ -6,6 +6,9 @@
 // system wrote is not. An instance learns of the era from the store or from another
 // instance.
 //
+// An instance that starts in an era after the first does not know when it began. Until
+// another one tells how long ago that was, it may have begun just now.
+//
 // What holds in a new era:
 //
 //   - An answer of an earlier era says nothing about the store, also not that a write stands.
@@ -19,8 +22,7 @@
 // # Usage
 //
 //	tracker := eratracker.New()
-//	seen := tracker.See(now, era)
-//	if seen.Verdict == eratracker.Changed { ... }
+//	if tracker.See(now, era) == eratracker.Changed { ... }
 //	if confirmedAt >= tracker.StateSettledAt() { ... }
 package eratracker
 
@@ -54,36 +56,53 @@
 type Tracker struct {
 	era int64
 	// begun is set once an era was seen, or an answer of the store that named none.
-	begun     bool
+	begun bool
+	// changedAt is the earliest known time at which the era had begun; 0 in the first era.
 	changedAt clock.Millis
 	// invalidLoggedAt is the time of the latest log entry about an invalid era.
 	invalidLoggedAt clock.Millis
 }
 
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra = 1
+
 // New returns a Tracker that has seen no era.
 func New() *Tracker { return &Tracker{} }
 
 // Era returns the highest era that was seen; 0 for none.
 func (t *Tracker) Era() int64 { return t.era }
 
-// See records an era that the store or another instance has named.
-func (t *Tracker) See(now clock.Millis, era int64) Verdict {
+// See records an era that the store or another instance has named, and a time at which it
+// had begun.
+func (t *Tracker) See(begunAt clock.Millis, era int64) Verdict {
 	begun := t.begun
 	t.begun = true
 	switch {
 	case era < t.era:
 		return Outdated
 	case era == t.era:
+		t.changedAt = min(t.changedAt, begunAt)
 		return Current
 	}
 	t.era = era
+	if !begun && era <= firstEra {
+		return Current
+	}
+	t.changedAt = begunAt
 	if !begun {
 		return Current
 	}
-	t.changedAt = now
 	return Changed
 }
 
+// Age returns the time since the era is known to have begun; 0 in the first era.
+func (t *Tracker) Age(now clock.Millis) clock.Millis {
+	if t.changedAt == 0 {
+		return 0
+	}
+	return now.Since(t.changedAt)
+}
+
 // SeeInvalid records an answer of the store without a valid era. It counts as one of the
 // known era. It reports whether to log that.
 func (t *Tracker) SeeInvalid(now clock.Millis) bool {
@@ -96,11 +115,11 @@
 }
 
 // StateSettledAt returns the time from which a copy of the desired state shows again that
-// there is no newer one; 0 if the era has not changed.
+// there is no newer one; 0 in the first era.
 func (t *Tracker) StateSettledAt() clock.Millis { return t.settledAt(stateSettling) }
 
 // EntriesSettledAt returns the time until which an entry that is missing in a list may be
-// written again; 0 if the era has not changed.
+// written again; 0 in the first era.
 func (t *Tracker) EntriesSettledAt() clock.Millis { return t.settledAt(entrySettling) }
 
 func (t *Tracker) settledAt(settling clock.Millis) clock.Millis {
--- a/internal/decision/eratracker/eratracker_test.go
+++ b/internal/decision/eratracker/eratracker_test.go
@@ -52,6 +52,35 @@
 	require.Equal(t, 11200*clock.Millisecond, tracker.EntriesSettledAt())
 }
 
+// TestEraOfAnInstanceThatStarts verifies that the first era that is seen may have begun just
+// now, unless another instance knows better.
+func TestEraOfAnInstanceThatStarts(t *testing.T) {
+	type sight struct {
+		begunAt clock.Millis
+		era     int64
+	}
+	tests := map[string]struct {
+		seen      []sight
+		settledAt clock.Millis
+	}{
+		"the first era":                     {[]sight{{9000, 1}}, 0},
+		"a later era":                       {[]sight{{9000, 4}}, 10_000},
+		"another instance knows it longer":  {[]sight{{9000, 4}, {3000, 4}}, 4000},
+		"another instance has just seen it": {[]sight{{9000, 4}, {9500, 4}}, 10_000},
+		"it changes":                        {[]sight{{3000, 4}, {9000, 5}, {9400, 5}}, 10_000},
+		"a late word of the era before":     {[]sight{{3000, 4}, {9000, 5}, {1000, 4}}, 10_000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := eratracker.New()
+			for _, sight := range test.seen {
+				tracker.See(sight.begunAt, sight.era)
+			}
+			require.Equal(t, test.settledAt, tracker.StateSettledAt())
+		})
+	}
+}
+
 // TestInvalidErasAreLoggedSeldom verifies that many answers without a valid era do not fill
 // the log.
 func TestInvalidErasAreLoggedSeldom(t *testing.T) {
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -138,7 +138,7 @@
 func (f *Forwarder) newDigest(sequence uint64, full bool) digest.Digest {
 	message := digest.Digest{
 		Name: f.settings.Name, Domain: f.settings.Domain, Address: f.settings.PeerAddress,
-		Incarnation: digest.ID(f.incarnation), Sequence: sequence, Leaving: f.draining, StoreDown: f.storeDown, StoreEra: f.eras.Era(), Top: f.actsAsTop(),
+		Incarnation: digest.ID(f.incarnation), Sequence: sequence, Leaving: f.draining, StoreDown: f.storeDown, StoreEra: f.eras.Era(), StoreEraAge: f.eras.Age(f.now), Top: f.actsAsTop(),
 		Lease: f.rollout.Observation(), Replicas: f.replicaOffers(), Outage: f.outage(),
 	}
 	if full {
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -50,6 +50,7 @@
 	} else {
 		f.mergeUpstream(message, n)
 	}
+	f.seePeerEra(message.StoreEra, message.StoreEraAge, message.Name)
 	f.recordAlive(append(slices.Clone(message.MemberIDs), digest.ID(message.Name)))
 	f.mergeNotices(message, originOf(received))
 	f.mergeReplicas(message)
--- a/internal/decision/forwarder/eras.go
+++ b/internal/decision/forwarder/eras.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eratracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -17,25 +18,36 @@
 			f.log(eventlog.New(eventlog.StoreEraInvalid, "").With("era", f.eras.Era()))
 		}
 	case seen.From != "":
-		f.seePeerEra(seen.Era, seen.From)
+		f.seePeerEra(seen.Era, 0, seen.From)
 	default:
-		f.seeEra(seen.Era, storeName)
+		f.seeEra(seen.Era, f.now, storeName)
 	}
 }
 
-// seePeerEra records the era that an instance knows; 0 if it knows none.
-func (f *Forwarder) seePeerEra(era int64, from string) {
-	if era > f.eras.Era() {
-		f.seeEra(era, from)
+// seePeerEra records the era that an instance knows, and the time since it has begun there.
+// An instance that knows no era states 0.
+func (f *Forwarder) seePeerEra(era int64, age clock.Millis, from string) {
+	if era > 0 {
+		f.seeEra(era, f.now.Add(-age), from)
 	}
 }
 
-// seeEra records an era that the store or an instance has named. After a change, an
+// seeEra records an era that the store or an instance has named, and a time at which it had
+// begun. After a change, an
 // instance that watches the store lists everything again; the others get the copies from
-// their neighbors.
-func (f *Forwarder) seeEra(era int64, from string) {
+// their neighbors. No instance holds the lease of orders in a new era.
+func (f *Forwarder) seeEra(era int64, begunAt clock.Millis, from string) {
 	before := f.eras.Era()
-	if f.eras.See(f.now, era) != eratracker.Changed {
+	verdict := f.eras.See(begunAt, era)
+	if verdict == eratracker.Outdated {
+		return
+	}
+	heldBefore, lease := f.rollout.HoldsLease(f.now), f.rollout.Observation()
+	f.rollout.SeeEra(f.now, era)
+	if heldBefore && !f.rollout.HoldsLease(f.now) {
+		f.log(eventlog.New(eventlog.LeaseLost, "").With("lease", rollout.LeaseName).With("term", lease.Revision))
+	}
+	if verdict == eratracker.Current {
 		return
 	}
 	f.log(eventlog.New(eventlog.StoreEraChanged, "").With("before", before).With("era", era).With("from", from))
--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -10,7 +10,6 @@
 // The age of a copy counts from the time at which this instance sent the digest that the
 // sender had received before.
 func (f *Forwarder) mergeReplicas(message digest.Digest) {
-	f.seePeerEra(message.StoreEra, message.Name)
 	sums, echoed := f.sent.Find(f.now, message.Echo)
 	for _, replica := range message.Replicas {
 		offer := replicator.Offer{Kind: replicator.Kind(replica.Kind), Neighbor: message.Name, Copy: replicator.Copy{Era: replica.Era, Revision: replica.Revision, Through: replica.Through, Source: replica.Source}}
--- a/internal/decision/rollout/lease.go
+++ b/internal/decision/rollout/lease.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -27,6 +28,9 @@
 	writeRetryDelay = 150 * clock.Millisecond
 )
 
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra = 1
+
 // LeaseName is the name of the lease's object in the store.
 const LeaseName = "leases/weights"
 
@@ -95,14 +99,36 @@
 	// pending is the update in flight, and pendingSince the time of its first sending.
 	pending      Update
 	pendingSince clock.Millis
-	// fence is the revision at which the lease was acquired; it grows with each
+	// writes is the number of the latest update. It also grows across eras, so that an
+	// update of an earlier era that is carried out late is never taken for a later one.
+	writes int64
+	// fence is the position at which the lease was acquired; it grows with each
 	// acquisition.
 	fence int64
+	// eraChanged is set if the store may have lost a lease that another instance relies
+	// on; no lease is acquired before notBefore then.
+	eraChanged bool
+	notBefore  clock.Millis
+}
+
+// enterEra discards the view of the lease, as the store has come back from an older copy.
+// A lease that the store has lost ends before another instance may acquire one: it cannot
+// have been renewed after the store went away. A process that starts in a later era does
+// not know how long ago that was.
+func (l *lease) enterEra(now clock.Millis, era int64) {
+	l.eraChanged = l.eraChanged || l.known || era > firstEra
+	if l.eraChanged {
+		l.notBefore = now.Add(leaseDuration + l.minHandover + takeoverMargin)
+	}
+	l.known, l.observed, l.observedAt = false, Observation{Era: era}, 0
+	l.heldUntil, l.pending, l.pendingSince = 0, Update{}, 0
+	l.callInFlight, l.nextReadAt, l.nextWriteAt = false, 0, 0
 }
 
-// observe records an observation of the object. It ignores those that are not newer.
+// observe records an observation of the object. It ignores those that are not newer, or
+// not of the known era.
 func (l *lease) observe(now clock.Millis, observed Observation) {
-	if l.known && observed.Revision <= l.observed.Revision {
+	if observed.Era != l.observed.Era || (l.known && observed.Revision <= l.observed.Revision) {
 		return
 	}
 	l.known = true
@@ -111,7 +137,7 @@
 	switch {
 	case observed.Holder != l.self:
 		l.heldUntil = 0
-	case observed.Writes == l.pending.Record.Writes:
+	case l.pending != (Update{}) && observed.Writes == l.pending.Record.Writes:
 		l.extend(now, l.pendingSince)
 	}
 }
@@ -119,7 +145,7 @@
 // extend extends the lease after a successful update that was sent at sentAt.
 func (l *lease) extend(now, sentAt clock.Millis) {
 	if !l.isHeld(now) {
-		l.fence = l.observed.Revision
+		l.fence = storeposition.Position{Era: l.observed.Era, Revision: l.observed.Revision}.Fence()
 	}
 	l.heldUntil = sentAt.Add(leaseDuration)
 	l.nextWriteAt = sentAt.Add(renewInterval)
@@ -133,15 +159,18 @@
 // availableAt returns the earliest time at which the lease may be acquired.
 func (l *lease) availableAt() clock.Millis {
 	if l.observed.Holder == "" || l.observed.Holder == l.self {
-		return l.observedAt
+		return max(l.observedAt, l.notBefore)
 	}
-	return l.observedAt.Add(leaseDuration + l.minHandover + takeoverMargin)
+	return max(l.observedAt.Add(leaseDuration+l.minHandover+takeoverMargin), l.notBefore)
 }
 
 // handleRead handles the response to a read.
 func (l *lease) handleRead(now clock.Millis, response objectstore.Response) {
 	l.callInFlight = false
 	l.nextReadAt = now.Add(readInterval)
+	if response.Era != l.observed.Era {
+		return
+	}
 	switch response.Outcome {
 	case objectstore.NotFound:
 		if !l.known {
@@ -157,22 +186,27 @@
 // to be useful or its condition can't be met any more.
 func (l *lease) nextUpdate(now clock.Millis) Update {
 	if l.pending == (Update{}) || l.pending.IfRevision != l.observed.Revision || now.Since(l.pendingSince) > renewInterval {
-		l.pending = Update{Record: Record{Holder: l.self, Writes: max(l.observed.Writes, l.pending.Record.Writes) + 1}, IfRevision: l.observed.Revision}
+		l.writes = max(l.observed.Writes, l.writes) + 1
+		l.pending = Update{Record: Record{Holder: l.self, Writes: l.writes}, Era: l.observed.Era, IfRevision: l.observed.Revision}
 		l.pendingSince = now
 	}
 	return l.pending
 }
 
 // handleWrite handles the response to an update. A conflict may show that an earlier
-// attempt at the same update succeeded and its response was lost.
+// attempt at the same update succeeded and its response was lost. The result of an update
+// in an earlier era is unknown.
 func (l *lease) handleWrite(now clock.Millis, record Record, response objectstore.Response) {
+	if response.Era != l.observed.Era {
+		response = objectstore.Response{Outcome: objectstore.Unknown}
+	}
 	if response.Failed() && record != l.pending.Record {
 		return
 	}
 	l.callInFlight = false
 	switch response.Outcome {
 	case objectstore.Done:
-		l.observe(now, Observation{Revision: response.Version, Holder: record.Holder, Writes: record.Writes})
+		l.observe(now, Observation{Era: response.Era, Revision: response.Version, Holder: record.Holder, Writes: record.Writes})
 	case objectstore.Conflict:
 		l.observe(now, decodeObservation(response))
 		l.nextWriteAt = now.Add(writeRetryDelay)
@@ -183,5 +217,5 @@
 
 func decodeObservation(response objectstore.Response) Observation {
 	record := DecodeRecord(response.Value)
-	return Observation{Revision: response.Version, Holder: record.Holder, Writes: record.Writes}
+	return Observation{Era: response.Era, Revision: response.Version, Holder: record.Holder, Writes: record.Writes}
 }
--- a/internal/decision/rollout/rollout.go
+++ b/internal/decision/rollout/rollout.go
@@ -126,6 +126,16 @@
 // Observation returns the latest observation of the lease, for peers.
 func (c *Controller) Observation() Observation { return c.lease.observed }
 
+// SeeEra records the era of the store, before anything of that era is handled. In a new
+// era the instance holds no lease, whatever it held before. Those of an earlier era and of
+// a peer that knows none are ignored.
+func (c *Controller) SeeEra(now clock.Millis, era int64) {
+	if era > c.lease.observed.Era {
+		c.lease.enterEra(now, era)
+		c.lastRelayed = Update{}
+	}
+}
+
 // HandlePeerState handles a peer's observation of the lease. IsHolder reports whether the
 // peer holds the lease.
 func (c *Controller) HandlePeerState(now clock.Millis, observed Observation, isHolder bool) {
@@ -152,7 +162,7 @@
 		return
 	}
 	if response.Outcome == objectstore.Done {
-		c.lease.observe(now, Observation{Revision: response.Version, Holder: record.Holder, Writes: record.Writes})
+		c.lease.observe(now, Observation{Era: response.Era, Revision: response.Version, Holder: record.Holder, Writes: record.Writes})
 	}
 }
 
@@ -184,6 +194,10 @@
 	if c.lease.known || c.lease.callInFlight || !view.StoreReachable || now < c.lease.nextReadAt {
 		return nil
 	}
+	if c.lease.eraChanged && view.Rank > 0 && (c.outdatedSince == 0 || now < c.acquireFrom(view)) {
+		// The others learn from their peers what the first one reads.
+		return nil
+	}
 	c.lease.callInFlight = true
 	c.lease.nextReadAt = now.Add(readInterval)
 	return []Step{ReadLease{}}
@@ -195,7 +209,7 @@
 	}
 	earliest := c.outdatedSince
 	if c.lease.observed.Holder != c.lease.self {
-		earliest = earliest.Add(acquireDelayPerRank * clock.Millis(view.Rank))
+		earliest = c.acquireFrom(view)
 		if now < c.peerHoldsUntil {
 			return nil
 		}
@@ -206,6 +220,12 @@
 	return []Step{c.writeLease(now)}
 }
 
+// acquireFrom returns the time from which an instance of the rank may acquire the lease of
+// another one.
+func (c *Controller) acquireFrom(view View) clock.Millis {
+	return c.outdatedSince.Add(acquireDelayPerRank * clock.Millis(view.Rank))
+}
+
 func (c *Controller) writeLease(now clock.Millis) Step {
 	c.lease.callInFlight = true
 	return WriteLease{Update: c.lease.nextUpdate(now)}
@@ -222,9 +242,9 @@
 }
 
 // Relay returns the step that writes the update that a peer requested. A repeated
-// request returns no step.
+// request, or one of another era of the store, returns no step.
 func (c *Controller) Relay(requested Update) []Step {
-	if requested == (Update{}) || requested == c.lastRelayed {
+	if requested == (Update{}) || requested == c.lastRelayed || requested.Era != c.lease.observed.Era {
 		return nil
 	}
 	c.lastRelayed = requested
--- a/internal/decision/rollout/simulation_test.go
+++ b/internal/decision/rollout/simulation_test.go
@@ -65,8 +65,10 @@
 	engines     []*engine
 	received    map[string][]receivedOrder // received is keyed by engine ID.
 
-	revision int64
-	record   rollout.Record
+	stored storedLease
+	// history has the states of the lease's object with their times, for goBack. Its
+	// revisions are those of the store at that time.
+	history []storedLease
 	// storeUnreachable has the instances that can't reach the store, and pausedUntil
 	// the end of an instance's pause.
 	storeUnreachable map[int]bool
@@ -80,13 +82,26 @@
 	events         []pendingEvent
 }
 
+// storedLease is the state of the lease's object, which does not exist at revision 0.
+type storedLease struct {
+	at       clock.Millis
+	era      int64
+	revision int64
+	record   rollout.Record
+}
+
+// response returns the store's response with the object.
+func (l storedLease) response(outcome objectstore.Outcome) objectstore.Response {
+	return objectstore.Response{Outcome: outcome, Era: l.era, Version: l.revision, Value: l.record.Encode()}
+}
+
 type pendingEvent struct {
 	at  clock.Millis
 	run func()
 }
 
 func newSimulation(t *testing.T, seed uint64, instances, engines int) *simulation {
-	s := &simulation{t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 1)), received: map[string][]receivedOrder{}, storeUnreachable: map[int]bool{}, pausedUntil: map[int]clock.Millis{}}
+	s := &simulation{t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 1)), stored: storedLease{era: 1}, received: map[string][]receivedOrder{}, storeUnreachable: map[int]bool{}, pausedUntil: map[int]clock.Millis{}}
 	for i := range instances {
 		s.controllers = append(s.controllers, rollout.New(fmt.Sprintf("edge-%d@10.0.0.%d", i, i), minHandover))
 	}
@@ -102,12 +117,42 @@
 
 // put writes the update to the store if its condition is met.
 func (s *simulation) put(update rollout.Update) objectstore.Response {
-	if update.IfRevision != s.revision {
-		return objectstore.Response{Outcome: objectstore.Conflict, Version: s.revision, Value: s.record.Encode()}
+	if update.IfRevision != s.stored.revision {
+		return s.stored.response(objectstore.Conflict)
 	}
-	s.revision += 1 + int64(s.random.IntN(5))
-	s.record = update.Record
-	return objectstore.Response{Outcome: objectstore.Done, Version: s.revision}
+	s.stored.at = s.now
+	s.stored.revision += 1 + int64(s.random.IntN(5))
+	s.stored.record = update.Record
+	s.history = append(s.history, s.stored)
+	return s.stored.response(objectstore.Done)
+}
+
+// receive passes the era of a response on before it is used. A response of an earlier era
+// says nothing.
+func (s *simulation) receive(controller *rollout.Controller, response objectstore.Response) objectstore.Response {
+	if response.Outcome == objectstore.Unknown {
+		return response
+	}
+	controller.SeeEra(s.now, response.Era)
+	if response.Era < controller.Observation().Era {
+		return objectstore.Response{Outcome: objectstore.Unknown}
+	}
+	return response
+}
+
+// goBack replaces the store by its copy of some time ago and begins the next era.
+func (s *simulation) goBack(age clock.Millis) {
+	era := s.stored.era + 1
+	copied := storedLease{}
+	for i, state := range s.history {
+		if state.at > s.now-age {
+			s.history = s.history[:i]
+			break
+		}
+		copied = state
+	}
+	s.stored = copied
+	s.stored.era = era
 }
 
 func (s *simulation) perform(i int, steps []rollout.Step) {
@@ -116,14 +161,14 @@
 		switch step := step.(type) {
 		case rollout.ReadLease:
 			s.after(4, func() {
-				response := objectstore.Response{Outcome: objectstore.Done, Version: s.revision, Value: s.record.Encode()}
-				if s.revision == 0 {
-					response = objectstore.Response{Outcome: objectstore.NotFound}
+				response := s.stored.response(objectstore.Done)
+				if s.stored.revision == 0 {
+					response = objectstore.Response{Outcome: objectstore.NotFound, Era: s.stored.era}
 				}
 				if s.storeUnreachable[i] {
 					response = objectstore.Response{Outcome: objectstore.Unknown}
 				}
-				controller.HandleLeaseRead(s.now, response)
+				controller.HandleLeaseRead(s.now, s.receive(controller, response))
 			})
 		case rollout.WriteLease:
 			s.writeLease(i, step.Update)
@@ -149,7 +194,9 @@
 			s.after(900, func() { s.controllers[i].HandleLeaseWritten(s.now, update.Record, response) })
 			return
 		}
-		s.after(2, func() { s.controllers[i].HandleLeaseWritten(s.now, update.Record, response) })
+		s.after(2, func() {
+			s.controllers[i].HandleLeaseWritten(s.now, update.Record, s.receive(s.controllers[i], response))
+		})
 	})
 }
 
@@ -235,6 +282,7 @@
 			if i == j || s.now < s.pausedUntil[j] {
 				continue
 			}
+			to.SeeEra(s.now, from.Observation().Era)
 			to.HandlePeerState(s.now, from.Observation(), from.HoldsLease(s.now))
 			if !s.storeUnreachable[j] && (j == 0 || (i == 0 && j == 1)) {
 				s.perform(j, to.Relay(from.RelayRequest(s.now)))
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -18,7 +18,7 @@
 // newDigest returns a digest with all fields.
 func newDigest() digest.Digest {
 	return digest.Digest{
-		Name: "edge-1", Domain: "a", Address: "10.0.0.1:7600", Incarnation: 9, Sequence: 4, Scope: digest.Subtree, Leaving: true, StoreDown: true, StoreEra: 2, Top: true,
+		Name: "edge-1", Domain: "a", Address: "10.0.0.1:7600", Incarnation: 9, Sequence: 4, Scope: digest.Subtree, Leaving: true, StoreDown: true, StoreEra: 2, StoreEraAge: 400, Top: true,
 		Members: 3, MemberIDs: []uint32{1, 2}, Admitted: map[uint32]int64{5: -7}, BucketLevels: map[uint32]int64{6: -8},
 		WithLoads: true, Loads: map[uint32][3]int64{11: {1, 2, 3}}, SentParts: map[uint32][][2]uint64{12: {{13, 14}}},
 		CacheDeltas:        []digest.CacheDelta{{Server: 15, Delta: cachetracker.Delta{Epoch: 1, Since: 2, LastChange: 3, Changes: [][2]uint64{{4, 0}}}}},
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -22,7 +22,7 @@
 func EncodeDigest(d digest.Digest) ([]byte, error) {
 	message := &edgev1.Digest{
 		Format: format, Name: d.Name, Domain: d.Domain, Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence,
-		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, StoreEra: d.StoreEra, Top: d.Top, Probe: d.Probe,
+		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, StoreEra: d.StoreEra, StoreEraAgeMs: int64(d.StoreEraAge), Top: d.Top, Probe: d.Probe,
 		EchoIncarnation: d.Echo.Incarnation, EchoSequence: d.Echo.Sequence,
 		WithLoads: d.WithLoads, Members: uint32(d.Members), MemberIds: d.MemberIDs,
 		UnreachableServers: d.UnreachableServers, RecoveredServers: d.RecoveredServers,
@@ -111,7 +111,7 @@
 	d := digest.Digest{
 		Name: message.GetName(), Domain: message.GetDomain(), Address: message.GetAddress(),
 		Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(), Scope: digest.Scope(message.GetScope()),
-		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), StoreEra: message.GetStoreEra(), Top: message.GetTop(), Probe: message.GetProbe(),
+		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), StoreEra: message.GetStoreEra(), StoreEraAge: clock.Millis(message.GetStoreEraAgeMs()), Top: message.GetTop(), Probe: message.GetProbe(),
 		Echo:      digest.Echo{Incarnation: message.GetEchoIncarnation(), Sequence: message.GetEchoSequence()},
 		WithLoads: message.GetWithLoads(), Members: int(message.GetMembers()), MemberIDs: message.GetMemberIds(),
 		UnreachableServers: message.GetUnreachableServers(), RecoveredServers: message.GetRecoveredServers(),
@@ -186,6 +186,9 @@
 	case servers != len(message.GetLoadRequests()) || servers != len(message.GetLoadPrefillTokens()) || servers != len(message.GetLoadMemoryTokens()):
 		return errors.New("datagram.DecodeDigest: the servers and their loads differ in number")
 	}
+	if message.GetStoreEra() < 0 || message.GetStoreEraAgeMs() < 0 {
+		return errors.New("datagram.DecodeDigest: the store's era or its age is out of range")
+	}
 	for _, replica := range message.GetReplicas() {
 		if replica.GetAgeMs() < 0 || replica.GetEra() < 0 || replica.GetRevision() < 0 || replica.GetThrough() < replica.GetRevision() {
 			return errors.New("datagram.DecodeDigest: a replica's age or revision is out of range")
