Simulate stores that come back older beside other faults

The store's eras met cuts, kills, pauses, late answers and takeovers only one at a time in tests.

A seeded simulation runs the state machines and their copies against a store that is away and comes back from a copy of up to 6 s ago, while new states and weights are written, instances are paused, stopped and started, cut off from the store or from each other, and answers and updates of the lease arrive late. It verifies that no desired state goes back, that an instance which lacks a state for longer than a withdrawn key may be used knows it, that fences rise and orders of two holders are apart, and that in the end all instances have what the store has, with all engines on the newest weights.

--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -101,6 +101,10 @@
 	leaseRevision int64
 	leaseRecord   rollout.Record
 	logLines      []string
+
+	// objects is the store from which the instances read; nil for a cluster that gets
+	// the store's objects as events.
+	objects *objectStore
 }
 
 type server struct {
@@ -254,7 +258,7 @@
 			if !c.stopped[i] && c.now >= c.pausedUntil[i] && c.now >= instance.NextWake() {
 				c.step(i, forwarder.Tick{})
 			}
-			if c.now%500 == 0 && !c.storeCutOff[i] {
+			if c.objects == nil && c.now%500 == 0 && !c.storeCutOff[i] {
 				c.step(i, forwarder.StateConfirmed{ConfirmedAt: c.now})
 			}
 		}
@@ -262,6 +266,9 @@
 }
 
 func (c *cluster) perform(i int, action forwarder.Action) {
+	if c.objects != nil && c.objects.perform(c, i, action) {
+		return
+	}
 	switch action := action.(type) {
 	case forwarder.Dispatch:
 		c.dispatch(i, action)
