Doubt an era of the store that is far too high

A single answer of the store with a wrong, high number as its era made an instance, and by digests all others, drop every later answer as outdated, for good: no new state, no servers, no lease, until all were restarted.

An era rises by one each time. An answer that names one more than that above the known one is not used, is logged as storeEraInvalid and counted, until another answer names the same; eras of instances are taken as they are.

The interval at which an instance looks whether its own entry is missing varies by up to a quarter, as many may miss theirs after the store has come back older.

--- a/internal/decision/eratracker/eratracker.go
+++ b/internal/decision/eratracker/eratracker.go
@@ -9,6 +9,10 @@
 // An instance that starts in an era after the first does not know when it began. Until
 // another one tells how long ago that was, it may have begun just now.
 //
+// An era rises by one each time, so that an answer which names a much higher one is either
+// wrong or the first after several changes. It is not used until another answer names the
+// same era: a single wrong one would make all later answers look outdated.
+//
 // What holds in a new era:
 //
 //   - An answer of an earlier era says nothing about the store, also not that a write stands.
@@ -59,6 +63,8 @@
 	begun bool
 	// changedAt is the earliest known time at which the era had begun; 0 in the first era.
 	changedAt clock.Millis
+	// doubted is the latest era that was not used because it is too high.
+	doubted int64
 	// invalidLoggedAt is the time of the latest log entry about an invalid era.
 	invalidLoggedAt clock.Millis
 }
@@ -72,6 +78,16 @@
 // Era returns the highest era that was seen; 0 for none.
 func (t *Tracker) Era() int64 { return t.era }
 
+// Doubts reports whether an answer of the store names an era that is more than one above the
+// known one, and that no answer has named before. It must not be used then.
+func (t *Tracker) Doubts(era int64) bool {
+	if !t.begun || era <= t.era+1 || era == t.doubted {
+		return false
+	}
+	t.doubted = era
+	return true
+}
+
 // See records an era that the store or another instance has named, and a time at which it
 // had begun.
 func (t *Tracker) See(begunAt clock.Millis, era int64) Verdict {
--- a/internal/decision/eratracker/eratracker_test.go
+++ b/internal/decision/eratracker/eratracker_test.go
@@ -81,6 +81,35 @@
 	}
 }
 
+// TestHighErasAreDoubted verifies that an era which is far above the known one is used once
+// two answers have named it.
+func TestHighErasAreDoubted(t *testing.T) {
+	tests := map[string]struct {
+		eras    []int64
+		doubted []bool
+		era     int64
+	}{
+		"the first era":                     {[]int64{70}, []bool{false}, 70},
+		"one above":                         {[]int64{1, 2}, []bool{false, false}, 2},
+		"several above, once":               {[]int64{1, 9000, 2}, []bool{false, true, false}, 2},
+		"several above, twice":              {[]int64{1, 4, 4}, []bool{false, true, false}, 4},
+		"several above, and one more after": {[]int64{1, 4, 5, 5}, []bool{false, true, true, false}, 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := eratracker.New()
+			for i, era := range test.eras {
+				doubted := tracker.Doubts(era)
+				require.Equal(t, test.doubted[i], doubted, "era %d at place %d", era, i)
+				if !doubted {
+					tracker.See(clock.Second, era)
+				}
+			}
+			require.Equal(t, test.era, tracker.Era())
+		})
+	}
+}
+
 // TestInvalidErasAreLoggedSeldom verifies that many answers without a valid era do not fill
 // the log.
 func TestInvalidErasAreLoggedSeldom(t *testing.T) {
--- a/internal/decision/forwarder/eras.go
+++ b/internal/decision/forwarder/eras.go
@@ -13,9 +13,9 @@
 // handleStoreEraSeen records the era of an answer.
 func (f *Forwarder) handleStoreEraSeen(seen StoreEraSeen) {
 	switch {
-	case seen.Invalid:
+	case seen.Invalid, seen.From == "" && f.eras.Doubts(seen.Era):
 		if f.eras.SeeInvalid(f.now) {
-			f.log(eventlog.New(eventlog.StoreEraInvalid, "").With("era", f.eras.Era()))
+			f.log(eventlog.New(eventlog.StoreEraInvalid, "").With("era", f.eras.Era()).With("named", seen.Era))
 		}
 	case seen.From != "":
 		f.seePeerEra(seen.Era, 0, seen.From)
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -143,7 +143,8 @@
 
 // StoreEraSeen reports the era that an answer has named, before the answer is used. From is
 // the instance that has answered; empty for the store. Invalid reports whether the store has
-// named no valid era.
+// named no valid era. An answer whose era is not the known one after the event must not be
+// used.
 type StoreEraSeen struct {
 	Era     int64
 	From    string
--- a/internal/runtime/edge/peers.go
+++ b/internal/runtime/edge/peers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -59,7 +60,8 @@
 			lastCleanup = time.Now()
 			e.removeUnresponsivePeers()
 		}
-		e.sleep(interval)
+		// Many instances may miss their entries at the same time.
+		e.sleep(interval - rand.N(interval/4))
 		interval = min(2*interval, maxJoinInterval)
 	}
 }
--- a/internal/runtime/edge/replicas.go
+++ b/internal/runtime/edge/replicas.go
@@ -45,11 +45,16 @@
 		return e.machine.storeEra(), true
 	}
 	e.machine.submit(forwarder.StoreEraSeen{Era: era})
-	if era < e.machine.storeEra() {
+	switch known := e.machine.storeEra(); {
+	case era < known:
 		e.meter.Add("storeAnswersOutdated", 1)
 		return era, false
+	case era > known:
+		e.meter.Add("storeErasInvalid", 1)
+		return era, false
+	default:
+		return era, true
 	}
-	return era, true
 }
 
 // cachingStore records in the cache what is read from the store.
