--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -54,6 +54,8 @@
 	ServerPaused       Number = 2210
 	ServerPauseInvalid Number = 2211
 	WeightsNamed       Number = 2301
+	StoreEraChanged    Number = 2401
+	StoreEraInvalid    Number = 2402
 	OrderGiven         Number = 2302
 	OrderReplied       Number = 2303
 	SettingsRead       Number = 3005
@@ -117,6 +119,8 @@
 	ServerPaused:       "serverPaused",
 	ServerPauseInvalid: "serverPauseInvalid",
 	WeightsNamed:       "weightsNamed",
+	StoreEraChanged:    "storeEraChanged",
+	StoreEraInvalid:    "storeEraInvalid",
 	OrderGiven:         "orderGiven",
 	OrderReplied:       "orderReplied",
 	SettingsRead:       "settingsRead",
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eratracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/organizer"
@@ -180,8 +181,10 @@
 	origins        *originkeeper.Keeper
 	lookups        map[uint64]*flight
 	nextOriginsLog clock.Millis
-	// replicas decides from where the store's objects are read.
+	// replicas decides from where the store's objects are read, and eras what a new era of
+	// the store invalidates.
 	replicas *replicator.Replicator
+	eras     *eratracker.Tracker
 	// interruptions are the recently interrupted requests by server: they count as
 	// crashes if the server turns out to be down. crashedServers are the servers that
 	// crashed, by the fingerprint of a request that ran there.
@@ -222,6 +225,7 @@
 		origins: originkeeper.New(), lookups: map[uint64]*flight{},
 		interruptions:  map[string][]interruption{},
 		crashedServers: map[string][]string{},
+		eras:           eratracker.New(),
 		flights:        map[string]*flight{},
 	}
 }
@@ -268,7 +272,7 @@
 	case StateRead:
 		f.handleStateRead(event)
 	case StateConfirmed:
-		f.desiredConfirmedAt = max(f.desiredConfirmedAt, event.ConfirmedAt)
+		f.confirmState(event.ConfirmedAt)
 	case ServersListed:
 		f.handleServersListed(event)
 	case ServerChanged:
@@ -281,6 +285,8 @@
 		f.handleStoreFailed(event)
 	case StoreResponded:
 		f.handleStoreResponded()
+	case StoreEraSeen:
+		f.handleStoreEraSeen(event)
 	case PeersListed:
 		f.handlePeersListed(event)
 	case DigestReceived:
--- a/internal/decision/forwarder/status.go
+++ b/internal/decision/forwarder/status.go
@@ -19,6 +19,9 @@
 	HoldsLease   bool `json:"holdsLease"`
 	// KnownOrigins is the number of streams of which the instance knows where they began.
 	KnownOrigins int `json:"knownOrigins"`
+	// StoreEra is the era of the store, which rises when the store comes back from an older
+	// copy; 0 if the store has named none.
+	StoreEra int64 `json:"storeEra"`
 	// StateVersion is the version of the desired state, and StateAge the time in
 	// milliseconds since it was last known to be current.
 	StateVersion int64        `json:"stateVersion"`
@@ -33,6 +36,6 @@
 		Top: f.actsAsTop(), Upstream: f.upstream, Below: len(f.neighborsIn(below)),
 		WatchesStore: f.replicas != nil && f.replicas.Watching(), HoldsLease: f.rollout.HoldsLease(f.now),
 		KnownOrigins: f.origins.Len(),
-		StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
+		StoreEra:     f.eras.Era(), StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
 	}
 }
