--- a/internal/decision/originkeeper/originkeeper_test.go
+++ b/internal/decision/originkeeper/originkeeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -82,3 +83,33 @@
 	require.Equal(t, 1, again.Len())
 	require.Zero(t, again.Dropped())
 }
+
+// TestRank verifies that the first names of a stream do not depend on the order of the
+// names, that they are spread evenly, and that few streams get others when a name is added.
+func TestRank(t *testing.T) {
+	const names, streams = 20, 2000
+	var all []string
+	for i := range names {
+		all = append(all, fmt.Sprint("edge-", i))
+	}
+	reversed := slices.Clone(all)
+	slices.Reverse(reversed)
+	counts, changed := map[string]int{}, 0
+	for i := range streams {
+		stream := fmt.Sprint("stream-", i)
+		first := originkeeper.Rank(stream, all, 3)
+		require.Len(t, first, 3)
+		require.Equal(t, first, originkeeper.Rank(stream, reversed, 3))
+		require.Equal(t, first[:1], originkeeper.Rank(stream, all, 1))
+		counts[first[0]]++
+		if originkeeper.Rank(stream, append(reversed, "added"), 1)[0] != first[0] {
+			changed++
+		}
+	}
+	for name, count := range counts {
+		require.InDelta(t, streams/names, count, streams/names/2, name)
+	}
+	require.InDelta(t, streams/(names+1), changed, streams/names/2)
+	require.Empty(t, originkeeper.Rank("stream-1", nil, 3))
+	require.Equal(t, []string{"a"}, originkeeper.Rank("stream-1", []string{"a"}, 3))
+}
