--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -98,8 +98,8 @@
 	Address string
 }
 
-// SendOriginMessage sends a message to a keeper of the origins of streams, or its reply.
-type SendOriginMessage struct {
+// SendOrigin sends a message to a keeper of the origins of streams, or its reply.
+type SendOrigin struct {
 	Message originmessage.Message
 	Address string
 }
@@ -154,24 +154,24 @@
 // Log writes an event to the log.
 type Log struct{ Entry eventlog.Entry }
 
-func (Dispatch) isAction()          {}
-func (CancelAttempt) isAction()     {}
-func (ForwardResponse) isAction()   {}
-func (Refuse) isAction()            {}
-func (AbortStream) isAction()       {}
-func (DropRequest) isAction()       {}
-func (SendDigest) isAction()        {}
-func (SendToKeeper) isAction()      {}
-func (SendOriginMessage) isAction() {}
-func (WatchStore) isAction()        {}
-func (FetchReplicas) isAction()     {}
-func (CheckHealth) isAction()       {}
-func (ReadCache) isAction()         {}
-func (CallStore) isAction()         {}
-func (CallEngine) isAction()        {}
-func (SetLimits) isAction()         {}
-func (ObserveDuration) isAction()   {}
-func (Log) isAction()               {}
+func (Dispatch) isAction()        {}
+func (CancelAttempt) isAction()   {}
+func (ForwardResponse) isAction() {}
+func (Refuse) isAction()          {}
+func (AbortStream) isAction()     {}
+func (DropRequest) isAction()     {}
+func (SendDigest) isAction()      {}
+func (SendToKeeper) isAction()    {}
+func (SendOrigin) isAction()      {}
+func (WatchStore) isAction()      {}
+func (FetchReplicas) isAction()   {}
+func (CheckHealth) isAction()     {}
+func (ReadCache) isAction()       {}
+func (CallStore) isAction()       {}
+func (CallEngine) isAction()      {}
+func (SetLimits) isAction()       {}
+func (ObserveDuration) isAction() {}
+func (Log) isAction()             {}
 
 // Reason is the error code of a refused request.
 type Reason string
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -300,7 +300,7 @@
 		c.sendDigest(i, action)
 	case forwarder.SendToKeeper:
 		c.sendToKeeper(i, action)
-	case forwarder.SendOriginMessage:
+	case forwarder.SendOrigin:
 		c.sendOriginMessage(i, action)
 	case forwarder.CheckHealth:
 		c.after(3, func() {
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -95,7 +95,7 @@
 
 func (f *Forwarder) sendOriginMessage(message originmessage.Message, address string) {
 	message.Address = f.settings.PeerAddress
-	f.emit(SendOriginMessage{Message: message, Address: address})
+	f.emit(SendOrigin{Message: message, Address: address})
 }
 
 // assignResumed assigns a server to a new request. One that resumes a stream first needs
--- a/internal/decision/forwarder/origins_test.go
+++ b/internal/decision/forwarder/origins_test.go
@@ -16,7 +16,7 @@
 )
 
 // sendOriginMessage delivers a message about the origin of a stream, as it is on the wire.
-func (c *cluster) sendOriginMessage(from int, send forwarder.SendOriginMessage) {
+func (c *cluster) sendOriginMessage(from int, send forwarder.SendOrigin) {
 	encoded, err := datagram.EncodeOriginMessage(send.Message)
 	require.NoError(c.t, err)
 	c.originMessages[send.Message.Kind]++
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -39,7 +39,7 @@
 		e.sendDigest(action)
 	case forwarder.SendToKeeper:
 		e.sendToKeeper(action)
-	case forwarder.SendOriginMessage:
+	case forwarder.SendOrigin:
 		e.sendOriginMessage(action)
 	case forwarder.WatchStore:
 		e.watchStore(action)
@@ -130,7 +130,7 @@
 
 // sendOriginMessage sends a message about the origin of a stream. The state machine repeats
 // what has no reply.
-func (e *Edge) sendOriginMessage(send forwarder.SendOriginMessage) {
+func (e *Edge) sendOriginMessage(send forwarder.SendOrigin) {
 	encoded, err := datagram.EncodeOriginMessage(send.Message)
 	if err != nil {
 		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
