--- a/internal/decision/forwarder/notices_simulation_test.go
+++ b/internal/decision/forwarder/notices_simulation_test.go
@@ -96,9 +96,11 @@
 	}))
 }
 
-// pauseServer lets a random server decline everything for some time.
+// pauseServer lets a random server decline everything for some time. It does not return from
+// an earlier pause before the time that it gave.
 func (c *cluster) pauseServer() {
-	c.randomServer().pausedUntil = c.now.Add(clock.Millis(300 + c.random.IntN(4000)))
+	s := c.randomServer()
+	s.pausedUntil = max(s.pausedUntil, c.now.Add(clock.Millis(300+c.random.IntN(4000))))
 }
 
 // cutNetwork cuts a random failure domain off from the others for some seconds.
