Drop the oldest notices without a lifetime of their own

The lifetime only mattered once the limit was reached, where the oldest are dropped anyway. The event serverPaused names the random delay of the return instead of a time of the instance's own clock, which is of no use to its readers and was 0 for a server that is not listed.

--- a/internal/decision/forwarder/pauses.go
+++ b/internal/decision/forwarder/pauses.go
@@ -27,10 +27,10 @@
 		return
 	}
 	until := f.now.Add(notice.Pause)
-	delay := min(maxReturnDelay, max(minReturnDelay, notice.Pause/returnDelayDivisor))
-	if f.servers.MarkPaused(f.now, notice.Server, notice.StartedAt, until, clock.Millis(f.jitter(int64(delay)))) {
-		server, _ := f.servers.Server(notice.Server)
-		f.log(eventlog.New(eventlog.ServerPaused, "").With("server", notice.Server).With("pause", notice.Pause).With("until", server.ReturnsAt()))
+	maxDelay := min(maxReturnDelay, max(minReturnDelay, notice.Pause/returnDelayDivisor))
+	delay := clock.Millis(f.jitter(int64(maxDelay)))
+	if f.servers.MarkPaused(f.now, notice.Server, notice.StartedAt, until, delay) {
+		f.log(eventlog.New(eventlog.ServerPaused, "").With("server", notice.Server).With("pause", notice.Pause).With("delay", delay))
 	}
 }
 
--- a/internal/decision/registry/notice.go
+++ b/internal/decision/registry/notice.go
@@ -1,18 +1,15 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-const (
-	// maxNotices limits the starts of servers of which notices are kept.
-	maxNotices = 2048
-	// noticeLifetime is the time for which a notice of a server that is not listed is kept:
-	// the store may lose its latest changes and list the server again.
-	noticeLifetime = 10 * clock.Minute
-)
+// maxNotices limits the starts of servers of which notices are kept. Those of servers that are
+// not listed are kept too: the store may lose its latest changes and list them again.
+const maxNotices = 2048
 
 // start identifies one start of a server: its identifier may be used again after that, and
 // so may its address.
@@ -89,7 +86,7 @@
 // setNotice stores a notice, also for a server that is not listed.
 func (r *Registry) setNotice(now clock.Millis, key start, updated notice) {
 	if len(r.notices) >= maxNotices {
-		r.dropNotices(now)
+		r.dropOldNotices()
 	}
 	updated.receivedAt = now
 	r.notices[key] = updated
@@ -99,24 +96,15 @@
 	}
 }
 
-// dropNotices drops the notices of servers that are not listed and have expired, or else
-// the oldest quarter of all that are not listed.
-func (r *Registry) dropNotices(now clock.Millis) {
+// dropOldNotices drops the oldest quarter of the notices of servers that are not listed.
+func (r *Registry) dropOldNotices() {
 	var unlisted []start
-	for key, old := range r.notices {
-		if server, ok := r.servers[key.id]; ok && server.StartedAt == key.startedAt {
-			continue
-		}
-		if now.Since(old.receivedAt) > noticeLifetime {
-			delete(r.notices, key)
-			continue
+	for key := range r.notices {
+		if server, ok := r.servers[key.id]; !ok || server.StartedAt != key.startedAt {
+			unlisted = append(unlisted, key)
 		}
-		unlisted = append(unlisted, key)
-	}
-	if len(r.notices) < maxNotices {
-		return
 	}
-	slices.SortFunc(unlisted, func(a, b start) int { return int(r.notices[a].receivedAt - r.notices[b].receivedAt) })
+	slices.SortFunc(unlisted, func(a, b start) int { return cmp.Compare(r.notices[a].receivedAt, r.notices[b].receivedAt) })
 	for _, key := range unlisted[:len(unlisted)/4] {
 		delete(r.notices, key)
 	}
