Resume streams that their callers do not name while there is one software version

Such a stream now goes on if the instance has listed no other software version of the service for as long as a stream can last. A caller that names its stream is still looked up, and refused if no instance knows it: with several versions, callers name it.

--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -180,6 +180,7 @@
 	// from other instances, by the identifier of their query.
 	origins        *originkeeper.Keeper
 	lookups        map[uint64]*flight
+	soleVersions   map[string]soleVersion
 	nextOriginsLog clock.Millis
 	// replicas decides from where the store's objects are read, and eras what a new era of
 	// the store invalidates.
@@ -222,7 +223,7 @@
 		sentNotices:    relayer.New[sentPart](sentNoticePeriod, noticeMemory, maxNotices),
 		orders:         map[string]receivedOrders{},
 		keeper:         backlogkeeper.New(), queries: map[uint64]*flight{}, silentKeepers: map[string]clock.Millis{},
-		origins: originkeeper.New(), lookups: map[uint64]*flight{},
+		origins: originkeeper.New(), lookups: map[uint64]*flight{}, soleVersions: map[string]soleVersion{},
 		interruptions:  map[string][]interruption{},
 		crashedServers: map[string][]string{},
 		eras:           eratracker.New(),
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -110,6 +110,10 @@
 		f.resumeStream(fl, origin, f.settings.Name)
 		return
 	}
+	if origin, known := f.soleOrigin(fl.service); known && fl.route.Resumable && fl.request.ResumedRequest == "" {
+		f.resumeStream(fl, origin, "servers")
+		return
+	}
 	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}}
 	f.lookups[fl.lookup.id] = fl
 	f.askOriginKeepers(fl)
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -114,6 +114,7 @@
 		f.handleServerChanged(ServerChanged{Entry: entry})
 	}
 	f.servers.Replace(f.now, listed.Entries, max(f.expiryWindowEnd(), f.eras.EntriesSettledAt()))
+	f.updateSoleVersions()
 	f.forgetRemoved()
 }
 
@@ -131,6 +132,7 @@
 		f.keepers = nil
 		f.log(eventlog.New(eventlog.ServerListed, "").With("server", changed.Entry.ID).With("state", "removed").With("lapsed", f.now < f.expiryWindowEnd()))
 		f.servers.Remove(f.now, changed.Entry.ID, f.expiryWindowEnd())
+		f.updateSoleVersions()
 		f.forgetRemoved()
 		return
 	}
@@ -142,6 +144,9 @@
 	if !known {
 		f.keepers = nil
 	}
+	if !known || previous.SoftwareVersion != changed.Entry.SoftwareVersion || previous.Service != changed.Entry.Service {
+		f.updateSoleVersions()
+	}
 	if known && previous.StartedAt != changed.Entry.StartedAt {
 		f.handleServerCrash(changed.Entry.ID)
 	}
