--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -390,20 +390,3 @@
 	c.step(i, forwarder.RequestArrived{Request: arrived})
 	return id
 }
-
-func (c *cluster) recordFinalAction(action forwarder.Action) {
-	var id string
-	switch action := action.(type) {
-	case forwarder.ForwardResponse:
-		id = action.Request
-	case forwarder.Refuse:
-		id = action.Request
-	case forwarder.AbortStream:
-		id = action.Request
-	case forwarder.DropRequest:
-		id = action.Request
-	}
-	r := c.requests[id]
-	r.finalActions++
-	r.finalAction = action
-}
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -104,3 +104,20 @@
 	require.Positive(c.t, dispatch.Timeout)
 	require.Equal(c.t, "press", dispatch.Team)
 }
+
+func (c *cluster) recordFinalAction(action forwarder.Action) {
+	var id string
+	switch action := action.(type) {
+	case forwarder.ForwardResponse:
+		id = action.Request
+	case forwarder.Refuse:
+		id = action.Request
+	case forwarder.AbortStream:
+		id = action.Request
+	case forwarder.DropRequest:
+		id = action.Request
+	}
+	r := c.requests[id]
+	r.finalActions++
+	r.finalAction = action
+}
