--- /dev/null
+++ b/internal/runtime/edge/alternatives.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+)
+
+// runAlternative runs an attempt beside the current one. It hands the attempt over to the
+// handler's goroutine if it sends the next event of the response.
+func (h *requestHandler) runAlternative(dispatch forwarder.Dispatch) {
+	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
+	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, cancel)
+	h.mu.Lock()
+	if h.lastEventID != "" {
+		dispatch.LastEventID = h.lastEventID
+	}
+	if h.claimed == dispatch.PartDelivered {
+		h.alternatives[dispatch.Attempt] = cancel
+	} else {
+		// The server was chosen before the first event, so that it might not fit to it.
+		cancel()
+	}
+	h.mu.Unlock()
+	result, stream := h.attempt(ctx, dispatch)
+	if stream != nil {
+		stream.cancel = cancel
+		if result = h.adopt(stream); result.Outcome == 0 {
+			return
+		}
+		stream.close()
+	}
+	cancel()
+	if !h.endAlternative(result) && !result.Outcome.NotRun() {
+		result = withOutcome(result, forwarder.OutcomeSuperseded, nil)
+	}
+	h.edge.machine.submit(result)
+}
+
+// adopt reads the first event of an alternative and hands the stream over if no event of
+// the current attempt came before it. It returns no outcome then.
+func (h *requestHandler) adopt(stream *openStream) forwarder.AttemptEnded {
+	stream.first, stream.firstErr = stream.events.next()
+	if stream.firstErr != nil && !(stream.firstErr == io.EOF && len(stream.first) == 0) {
+		return withOutcome(stream.result, forwarder.OutcomeInterrupted, stream.firstErr)
+	}
+	stream.hasFirst, stream.started = true, true
+	if !h.takeOver(stream.result.Attempt) {
+		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
+	}
+	h.edge.machine.submit(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt})
+	h.adopted <- stream
+	return stream.result
+}
+
+// takeOver makes an alternative the attempt whose response is forwarded. It reports false
+// if another attempt has sent an event before.
+func (h *requestHandler) takeOver(attempt int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.takeOverLocked(attempt)
+}
+
+func (h *requestHandler) takeOverLocked(attempt int) bool {
+	if _, ok := h.alternatives[attempt]; !ok {
+		return false
+	}
+	delete(h.alternatives, attempt)
+	h.owner, h.claimed = attempt, true
+	h.cancelAlternatives()
+	return true
+}
+
+// cancelAlternatives cancels the alternatives, as they would repeat the event that another
+// attempt has sent. The caller holds the lock.
+func (h *requestHandler) cancelAlternatives() {
+	for _, cancel := range h.alternatives {
+		cancel()
+	}
+	clear(h.alternatives)
+}
+
+// endAlternative removes an alternative that has ended without a stream. It reports false if
+// another attempt has sent an event before. A response to forward takes over, so that no
+// attempt begins a stream instead.
+func (h *requestHandler) endAlternative(result forwarder.AttemptEnded) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.claimed && result.Outcome == forwarder.OutcomeCompleted && result.Status < http.StatusInternalServerError {
+		return h.takeOverLocked(result.Attempt)
+	}
+	_, ok := h.alternatives[result.Attempt]
+	delete(h.alternatives, result.Attempt)
+	return ok
+}
+
+// claim reports whether the attempt may forward its next event, or its end, after which the
+// identifier of the last event is id. The alternatives are cancelled.
+func (h *requestHandler) claim(attempt int, id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owner != attempt {
+		return false
+	}
+	h.claimed = true
+	h.cancelAlternatives()
+	if id != "" {
+		h.lastEventID = id
+	}
+	return true
+}
