Stop the engine's idle timer while a caller takes a chunk

Callers of the standalone router who read slowly lost their streams: if the write of a chunk blocked for longer than the idle timeout, the attempt ended as the engine's timeout, and the sound engine was blamed.

Cause: the idle timer was reset when an event had arrived and ran on while its chunk was written to the caller, so it measured the caller's silence as well.

Change: the timer is stopped before a chunk is written and starts anew after it. Silent engines still time out, also if their silence begins while the caller takes nothing; it then counts from the end of the write.

--- a/internal/standalone/runtime/dispatcher/dispatcher.go
+++ b/internal/standalone/runtime/dispatcher/dispatcher.go
@@ -119,6 +119,11 @@
 	a.timer.Reset(timeout)
 }
 
+// stopTimeout keeps the attempt from timing out until resetTimeout.
+func (a *attempt) stopTimeout() {
+	a.timer.Stop()
+}
+
 func (a *attempt) close() {
 	a.timer.Stop()
 	a.cancel()
--- a/internal/standalone/runtime/dispatcher/stream.go
+++ b/internal/standalone/runtime/dispatcher/stream.go
@@ -49,7 +49,7 @@
 		return d.nonStreamResult(ctx, a, response)
 	}
 	reader := &streamReader{dispatch: dispatch, kind: kind, writer: writer, lastEvent: max(dispatch.ResumeAfter, 0)}
-	err = reader.read(response.Body, func() { a.resetTimeout(d.timeouts.Idle.Duration()) })
+	err = reader.read(response.Body, a, d.timeouts.Idle.Duration())
 	result := reader.result(ctx, a, err)
 	if result.Cancelled || result.Failure == retrier.Malformed {
 		d.cancelAttempt(ctx, dispatch)
@@ -118,16 +118,18 @@
 	callerDisconnected bool
 }
 
-// read reads the stream to its end and calls onEvent for each event.
-func (s *streamReader) read(body io.Reader, onEvent func()) error {
+// read reads the stream to its end. The attempt times out if the engine sends nothing for the
+// idle timeout; the time in which the caller takes no chunk does not count.
+func (s *streamReader) read(body io.Reader, a *attempt, idleTimeout time.Duration) error {
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return err
 		}
-		onEvent()
+		a.stopTimeout()
 		if !s.handleEvent(event) {
 			return nil
 		}
+		a.resetTimeout(idleTimeout)
 	}
 	return nil
 }
