Do not take a connect timeout for a crash

A sound server whose queue of new connections was full for a moment counted as crashed: what was known of its cache was forgotten, and requests that had been interrupted there in the last 2 s were blamed. Three such servers block a request for good.

Cause: a request that was not sent, whatever the reason, was handled like a refused connection, by attempts, health checks and reports. After 250 ms without a connection nothing is known of the server.

Evidence: failed with the new fields in place and handled as before: TestConnectTimeoutBlamesNoRequest (the request was blocked), TestConnectTimeoutForgetsNoCache in its four ways without a crash (the cache was read anew), and TestFullConnectionQueueIsNotACrash with a full queue on loopback (attempts after 250 ms with `i/o timeout`, then `gone=true`). TestConnectTimeoutIsNotReportedAsCrash had no such run: it checks the new fields.

Change: Gone, in HealthChecked and Report, and ConnectionRefused, in AttemptEnded, tell a refused connection or another server's answer from the rest, which is only Unreachable. Such a server is avoided until its next health check and the peers are told, but nothing is blamed. If it refuses a connection later, it has crashed after all (MarkGone). The known cache of an engine that is down is kept, as while it pauses; a crash or another epoch of the cache still discards it. The event serverSuspected names which of the two it was.

Tests: a server of the simulation that is down refuses connections, which attempts, health checks and now also reports say; reports of such a server only said that they failed before. New is a server whose queue is full. The random outcome `unsent` is a connect timeout. The test of the silent health check compares the whole result, so it now excludes Unreachable as well.

--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -229,9 +229,7 @@
 	f.log(entry.With("status", event.Status).With("detail", event.Detail).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 	switch event.Outcome {
 	case OutcomeNotSent:
-		if f.servers.MarkUnreachable(f.now, server) {
-			f.handleServerCrash(server)
-		}
+		f.recordUnreachable(server, event.ConnectionRefused)
 	case OutcomeDeclined, OutcomeMisdirected:
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
--- a/internal/decision/forwarder/caches.go
+++ b/internal/decision/forwarder/caches.go
@@ -17,7 +17,7 @@
 const cacheScanInterval = 100 * clock.Millisecond
 
 // readDueCaches reads the caches that are due: those of the engines that are up and of
-// the cache store.
+// the cache store. What is known of an engine that is down is kept, unless it has crashed.
 func (f *Forwarder) readDueCaches() {
 	if f.now < f.nextCacheScan || !f.haveServers || f.draining {
 		return
@@ -25,8 +25,8 @@
 	f.nextCacheScan = f.now.Add(cacheScanInterval)
 	var servers []cachetracker.Server
 	for _, server := range f.servers.All() {
-		if len(server.Entry.WeightVersions) > 0 && !server.Down() {
-			servers = append(servers, cachetracker.Server{ID: server.ID, Address: server.Address, StartedAt: server.StartedAt, Paused: server.Paused(f.now)})
+		if len(server.Entry.WeightVersions) > 0 {
+			servers = append(servers, cachetracker.Server{ID: server.ID, Address: server.Address, StartedAt: server.StartedAt, Paused: server.Down() || server.Paused(f.now)})
 		}
 	}
 	if address := f.addressOf(scheduler.StoreID); address != "" {
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -124,8 +124,9 @@
 type server struct {
 	entry          registry.Entry
 	acceptedOrders int64
-	down           bool
-	drainingSince  clock.Millis
+	// down reports whether it refuses connections, and queueFull whether connects time out.
+	down, queueFull bool
+	drainingSince   clock.Millis
 	// leaving reports whether all its responses say that it will stop, and pausedUntil is
 	// the time until which it declines everything.
 	leaving     bool
@@ -303,11 +304,7 @@
 	case forwarder.SendOrigin:
 		c.sendOriginMessage(i, action)
 	case forwarder.CheckHealth:
-		c.after(3, func() {
-			s := c.servers[action.Server]
-			declined := c.tell(i, s, action.StartedAt)
-			c.step(i, forwarder.HealthChecked{Server: action.Server, Healthy: !s.down && !declined && !s.leaving, Gone: s.down})
-		})
+		c.checkHealth(i, action)
 	case forwarder.CallStore:
 		c.callStore(i, action.Step)
 	case forwarder.CallEngine:
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -20,14 +20,18 @@
 	require.Zero(c.t, r.finalActions, "%s is dispatched after its final response", dispatch.Request)
 	c.checkDispatch(i, dispatch, s)
 	end := func(delay clock.Millis, outcome forwarder.Outcome, status int) {
+		refused := outcome == forwarder.OutcomeNotSent && s.down
 		c.after(delay, func() {
-			c.step(i, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: outcome, Status: status, Delivered: r.partDelivered, LastEventID: "1"})
+			c.step(i, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: outcome, Status: status, Delivered: r.partDelivered, LastEventID: "1", ConnectionRefused: refused})
 		})
 	}
 	switch {
 	case s.down:
 		end(5, forwarder.OutcomeNotSent, 0)
 		return
+	case s.queueFull:
+		end(connectTimeout, forwarder.OutcomeNotSent, 0)
+		return
 	case dispatch.WeightsVersion != 0 && s.entry.WeightVersions[model] != dispatch.WeightsVersion:
 		end(5, forwarder.OutcomeMisdirected, 421)
 		return
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -81,6 +81,9 @@
 	// identifier of the last one.
 	Delivered   bool
 	LastEventID string
+	// ConnectionRefused reports whether nothing listens at the server's address, which only
+	// happens with OutcomeNotSent.
+	ConnectionRefused bool
 	// Detail describes the failure for the log.
 	Detail string
 }
@@ -192,9 +195,11 @@
 type HealthChecked struct {
 	Server  string
 	Healthy bool
-	// Gone reports whether the check failed before a byte was sent, such as on a
-	// refused connection or a connect timeout, or another server responded.
-	Gone bool
+	// Unreachable reports whether the check failed before a byte was sent, such as on a
+	// connect timeout, or another server responded. Gone is set as well if the connection
+	// was refused or another server responded.
+	Unreachable bool
+	Gone        bool
 }
 
 // ServerNotice is what the head of a server's response says about the server itself. It is
--- a/internal/decision/forwarder/notices_test.go
+++ b/internal/decision/forwarder/notices_test.go
@@ -58,7 +58,7 @@
 // of a pause.
 func (c *cluster) tell(i int, s *server, startedAt int64) bool {
 	pause := max(0, s.pausedUntil.Since(c.now))
-	if s.down || (!s.leaving && pause == 0) {
+	if s.down || s.queueFull || (!s.leaving && pause == 0) {
 		return false
 	}
 	// A suspended instance learns of it at its return.
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -32,8 +32,8 @@
 		}
 		f.broadcastNow()
 	case EngineReported:
-		if event.Report.Unreachable && !f.paused(event.Server) && f.servers.MarkUnreachable(f.now, event.Server) {
-			f.handleServerCrash(event.Server)
+		if event.Report.Unreachable && !f.paused(event.Server) {
+			f.recordUnreachable(event.Server, event.Report.Gone)
 		}
 		for model, version := range event.Report.WeightVersions {
 			if !event.Report.Busy {
--- a/internal/decision/forwarder/store_test.go
+++ b/internal/decision/forwarder/store_test.go
@@ -46,7 +46,7 @@
 		case rollout.RequestReport:
 			s := c.servers[step.Server]
 			declined := c.tell(i, s, step.StartedAt)
-			c.step(i, forwarder.EngineReported{Server: step.Server, Report: rollout.Report{Failed: s.down || declined, WeightVersions: s.entry.WeightVersions, AcceptedOrders: s.acceptedOrders, StartedAt: s.entry.StartedAt}})
+			c.step(i, forwarder.EngineReported{Server: step.Server, Report: rollout.Report{Failed: s.down || s.queueFull || declined, Unreachable: s.down || s.queueFull, Gone: s.down, WeightVersions: s.entry.WeightVersions, AcceptedOrders: s.acceptedOrders, StartedAt: s.entry.StartedAt}})
 		case rollout.Order:
 			if c.tell(i, c.servers[step.Server], step.StartedAt) {
 				c.step(i, forwarder.OrderReplied{Server: step.Server, Reply: rollout.NoResponse})
@@ -69,7 +69,7 @@
 // acceptOrder makes an engine load weights, unless it has accepted another order since.
 func (c *cluster) acceptOrder(order rollout.Order) rollout.OrderOutcome {
 	s := c.servers[order.Server]
-	if order.AcceptedOrders != s.acceptedOrders || s.down {
+	if order.AcceptedOrders != s.acceptedOrders || s.down || s.queueFull {
 		return rollout.Refused
 	}
 	s.acceptedOrders++
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -159,14 +159,34 @@
 	}
 }
 
+// recordUnreachable records that this instance can't reach a server, which is avoided until
+// its next health check. Only a server that is gone has crashed: a sound one whose queue of
+// new connections is full can't be reached either.
+func (f *Forwarder) recordUnreachable(id string, gone bool) {
+	if gone {
+		if f.servers.MarkGone(f.now, id) {
+			f.handleServerCrash(id)
+		}
+		return
+	}
+	if f.servers.MarkUnreachable(f.now, id) {
+		f.suspectServer(id, false)
+	}
+}
+
+// suspectServer logs that a server is avoided, and tells the peers.
+func (f *Forwarder) suspectServer(id string, gone bool) {
+	f.unreachableNotices.Add(f.now, id, relayer.Own)
+	f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id).With("gone", gone))
+}
+
 // handleServerCrash handles a crashed server: its cache is lost, and the requests that
 // were recently interrupted there become suspects.
 func (f *Forwarder) handleServerCrash(id string) {
 	f.scheduler.Forget(id)
 	f.caches.Forget(id)
 	f.keeper.Forget(id)
-	f.unreachableNotices.Add(f.now, id, relayer.Own)
-	f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id))
+	f.suspectServer(id, true)
 	for _, interrupted := range f.interruptions[id] {
 		if f.now.Since(interrupted.at) <= interruptionTTL {
 			f.recordCrash(interrupted.fingerprint, id)
@@ -219,8 +239,8 @@
 		}
 		return
 	}
-	if checked.Gone && f.servers.MarkUnreachable(f.now, checked.Server) {
-		f.handleServerCrash(checked.Server)
+	if checked.Unreachable {
+		f.recordUnreachable(checked.Server, checked.Gone)
 	}
 }
 
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -38,8 +38,11 @@
 	Entry
 	// expiresAt is the time until which a server is used after its entry was removed; 0
 	// for a server with an entry.
-	expiresAt   clock.Millis
-	down        bool
+	expiresAt clock.Millis
+	down      bool
+	// unanswered reports whether it is down only since this instance failed to reach it
+	// without finding it gone.
+	unanswered  bool
 	nextCheck   clock.Millis // nextCheck is the due time of the health check.
 	errorRate   float64      // errorRate is the error rate at errorRateAt.
 	errorRateAt clock.Millis
@@ -220,11 +223,29 @@
 		return false
 	}
 	changed := !server.down
+	server.unanswered = changed || server.unanswered
+	r.markDown(now, server)
+	return changed
+}
+
+// MarkGone does the same after a failure which shows that the server no longer runs at its
+// address. It also reports true if the server was down only by MarkUnreachable before.
+func (r *Registry) MarkGone(now clock.Millis, id string) bool {
+	server, ok := r.servers[id]
+	if !ok {
+		return false
+	}
+	changed := !server.down || server.unanswered
+	server.unanswered = false
+	r.markDown(now, server)
+	return changed
+}
+
+func (r *Registry) markDown(now clock.Millis, server Server) {
 	server.down = true
 	server.lastUnreachable = now
 	server.nextCheck = now.Add(healthCheckInterval)
 	r.put(server)
-	return changed
 }
 
 // MarkReportedUnreachable records that a peer can't reach the server. The server counts
@@ -236,7 +257,7 @@
 	if !ok || server.down || (server.lastReached != 0 && now.Since(server.lastReached) < healthCheckInterval) {
 		return false
 	}
-	server.down = true
+	server.down, server.unanswered = true, false
 	server.nextCheck = now.Add(clock.Millis(spread * float64(reportedCheckDelay*(r.checkSpacing-1))))
 	r.put(server)
 	return true
--- a/internal/decision/rollout/step.go
+++ b/internal/decision/rollout/step.go
@@ -45,10 +45,12 @@
 
 // Report is an engine's report.
 type Report struct {
-	// Failed is set if no valid report was received, and Unreachable as well if the request
-	// was not sent or another server responded.
+	// Failed is set if no valid report was received, Unreachable as well if the request was
+	// not sent or another server responded, and Gone as well if the connection was refused
+	// or another server responded.
 	Failed      bool
 	Unreachable bool
+	Gone        bool
 	// WeightVersions are the versions of the loaded weights by model.
 	WeightVersions map[string]int64
 	// Busy is set while the engine carries out an order.
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -70,8 +70,7 @@
 }
 
 func (e *Edge) checkHealth(check forwarder.CheckHealth) {
-	healthy, gone := e.platform.CheckHealth(e.ctx, check, e.notify(check.Server, check.StartedAt))
-	e.machine.submit(forwarder.HealthChecked{Server: check.Server, Healthy: healthy, Gone: gone})
+	e.machine.submit(e.platform.CheckHealth(e.ctx, check, e.notify(check.Server, check.StartedAt)))
 }
 
 func (e *Edge) callStore(step rollout.Step) {
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -68,6 +68,7 @@
 	exchange, err := httpclient.Send(ctx, dispatch.Address, h.edge.platform.EncodeRequest(h.inbound, dispatch))
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
+		result.ConnectionRefused = notSent.ConnectionRefused
 		return withOutcome(result, forwarder.OutcomeNotSent, err), nil
 	}
 	if err != nil {
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -89,9 +89,7 @@
 	FetchReport(ctx context.Context, request rollout.RequestReport, notify Notify) rollout.Report
 	// SendOrder sends the order if allowed, called immediately before, returns true.
 	SendOrder(ctx context.Context, order rollout.Order, allowed func() bool, notify Notify) rollout.OrderOutcome
-	// CheckHealth reports whether the server is healthy, and whether it is gone: the
-	// check failed before a byte was sent, or another server responded.
-	CheckHealth(ctx context.Context, check forwarder.CheckHealth, notify Notify) (healthy, gone bool)
+	CheckHealth(ctx context.Context, check forwarder.CheckHealth, notify Notify) forwarder.HealthChecked
 	// ReadCache reads which prompt parts a server or the cache store holds.
 	ReadCache(ctx context.Context, read cachetracker.ReadRequest, notify Notify) forwarder.CacheRead
 	// ReadyPath returns the path of the readiness check.
