--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -108,9 +108,9 @@
 	// originMessages counts the messages about the origins of streams.
 	originMessages map[originmessage.Kind]int
 
-	// contacts are the calls to servers, and told the notices that instances received.
-	contacts []contact
-	told     []toldNotice
+	// contacts are the calls to servers, and receivedNotices those that instances received.
+	contacts        []contact
+	receivedNotices []receivedNotice
 
 	leaseRevision int64
 	leaseRecord   rollout.Record
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -42,7 +42,7 @@
 		end(20, forwarder.OutcomeInterrupted, 0)
 		return
 	}
-	if c.tell(i, s, dispatch.StartedAt) {
+	if c.sendNotice(i, s, dispatch.StartedAt) {
 		end(1, forwarder.OutcomeDeclined, 503)
 		return
 	}
--- a/internal/decision/forwarder/leaving_test.go
+++ b/internal/decision/forwarder/leaving_test.go
@@ -46,7 +46,7 @@
 			c.sendLookups(40)
 			require.NotEmpty(t, c.requestsTo("r0", 0))
 			s.leaving = true
-			for len(c.told) == 0 {
+			for len(c.receivedNotices) == 0 {
 				c.sendLookups(1)
 			}
 			seen := c.now
@@ -100,7 +100,7 @@
 	s.leaving = true
 	s.entry.StartedAt, s.entry.Revision = 2, 2
 	c.sendLookups(20)
-	require.NotEmpty(t, c.told)
+	require.NotEmpty(t, c.receivedNotices)
 	c.run(c.settings[0].Bounds.ServerDrain)
 	listed := c.now
 	c.step(0, forwarder.ServerChanged{Entry: s.entry})
--- a/internal/decision/forwarder/notices_simulation_test.go
+++ b/internal/decision/forwarder/notices_simulation_test.go
@@ -129,23 +129,23 @@
 	}
 	seenLeaving := map[callKey]clock.Millis{}
 	drain := c.settings[0].Bounds.ServerDrain
-	for _, told := range c.told {
-		key := callKey{told.instance, told.server, told.startedAt}
-		if _, known := seenLeaving[key]; told.leaving && !known {
-			seenLeaving[key] = told.at
+	for _, notice := range c.receivedNotices {
+		key := callKey{notice.instance, notice.server, notice.startedAt}
+		if _, known := seenLeaving[key]; notice.leaving && !known {
+			seenLeaving[key] = notice.at
 		}
 		during := 0
 		for _, called := range calls[key] {
-			if called.at > told.at.Add(500) && called.at < told.pausedUntil {
+			if called.at > notice.at.Add(500) && called.at < notice.pausedUntil {
 				during++
 			}
 		}
-		require.LessOrEqual(c.t, during, 1, "calls to %s, started at %d, between %s and %s", told.server, told.startedAt, told.at, told.pausedUntil)
+		require.LessOrEqual(c.t, during, 1, "calls to %s, started at %d, between %s and %s", notice.server, notice.startedAt, notice.at, notice.pausedUntil)
 	}
 	for key, since := range seenLeaving {
 		for _, called := range calls[key] {
 			require.False(c.t, called.request != "" && called.at > since.Add(drain/2), "%s is sent at %s to %s, started at %d, known to leave since %s\n%s", called.request, called.at, key.server, key.startedAt, since, c.logOf(called.request))
 		}
 	}
-	c.t.Logf("%d notices, %d leaving servers seen, %d calls, %.3f served", len(c.told), len(seenLeaving), len(c.contacts), c.servedFraction())
+	c.t.Logf("%d notices, %d leaving servers seen, %d calls, %.3f served", len(c.receivedNotices), len(seenLeaving), len(c.contacts), c.servedFraction())
 }
--- a/internal/decision/forwarder/notices_test.go
+++ b/internal/decision/forwarder/notices_test.go
@@ -19,8 +19,8 @@
 	request   string
 }
 
-// toldNotice is a notice that an instance received from a server.
-type toldNotice struct {
+// receivedNotice is a notice that an instance received from a server.
+type receivedNotice struct {
 	at          clock.Millis
 	instance    *forwarder.Forwarder
 	server      string
@@ -53,17 +53,17 @@
 	}
 }
 
-// tell delivers what the head of the server's response says, to an instance that knows the
+// sendNotice delivers what the head of the server's response says, to an instance that knows the
 // server as it started at startedAt. It reports whether the server declines the call because
 // of a pause.
-func (c *cluster) tell(i int, s *server, startedAt int64) bool {
+func (c *cluster) sendNotice(i int, s *server, startedAt int64) bool {
 	pause := max(0, s.pausedUntil.Since(c.now))
 	if s.down || s.queueFull || (!s.leaving && pause == 0) {
 		return false
 	}
 	// A suspended instance learns of it at its return.
 	at := max(c.now, c.pausedUntil[i])
-	c.told = append(c.told, toldNotice{at: at, instance: c.instances[i], server: s.entry.ID, startedAt: s.entry.StartedAt, leaving: s.leaving, pausedUntil: c.now.Add(pause)})
+	c.receivedNotices = append(c.receivedNotices, receivedNotice{at: at, instance: c.instances[i], server: s.entry.ID, startedAt: s.entry.StartedAt, leaving: s.leaving, pausedUntil: c.now.Add(pause)})
 	c.step(i, forwarder.ServerNotice{Server: s.entry.ID, StartedAt: startedAt, Leaving: s.leaving, Pause: pause})
 	return pause > 0
 }
--- a/internal/decision/forwarder/origins_test.go
+++ b/internal/decision/forwarder/origins_test.go
@@ -42,7 +42,7 @@
 	return r
 }
 
-// TestResumedStreams verifies what becomes of a request that resumes a stream, by what is
+// TestResumedStreams verifies the outcome of a request that resumes a stream, by what is
 // known of the stream and by the servers that are left.
 func TestResumedStreams(t *testing.T) {
 	v2 := originkeeper.Origin{Service: "engines", SoftwareVersion: "v2"}
--- a/internal/decision/forwarder/pauses_test.go
+++ b/internal/decision/forwarder/pauses_test.go
@@ -24,7 +24,7 @@
 		t.Run(kind, func(t *testing.T) {
 			c := newCluster(t, 1, 1)
 			c.pause(server, pause)
-			for len(c.told) == 0 {
+			for len(c.receivedNotices) == 0 {
 				c.sendRequest(0, kind)
 				c.run(10)
 			}
--- a/internal/decision/forwarder/store_test.go
+++ b/internal/decision/forwarder/store_test.go
@@ -45,10 +45,10 @@
 		switch step := step.(type) {
 		case rollout.RequestReport:
 			s := c.servers[step.Server]
-			declined := c.tell(i, s, step.StartedAt)
+			declined := c.sendNotice(i, s, step.StartedAt)
 			c.step(i, forwarder.EngineReported{Server: step.Server, Report: rollout.Report{Failed: s.down || s.queueFull || declined, Unreachable: s.down || s.queueFull, Gone: s.down, WeightVersions: s.entry.WeightVersions, AcceptedOrders: s.acceptedOrders, StartedAt: s.entry.StartedAt}})
 		case rollout.Order:
-			if c.tell(i, c.servers[step.Server], step.StartedAt) {
+			if c.sendNotice(i, c.servers[step.Server], step.StartedAt) {
 				c.step(i, forwarder.OrderReplied{Server: step.Server, Reply: rollout.NoResponse})
 				return
 			}
--- a/internal/decision/forwarder/unreachable_test.go
+++ b/internal/decision/forwarder/unreachable_test.go
@@ -25,7 +25,7 @@
 	}
 	c.after(delay, func() {
 		s := c.servers[check.Server]
-		declined := c.tell(i, s, check.StartedAt)
+		declined := c.sendNotice(i, s, check.StartedAt)
 		unreachable := s.down || s.queueFull
 		c.step(i, forwarder.HealthChecked{Server: check.Server, Healthy: !unreachable && !declined && !s.leaving, Unreachable: unreachable, Gone: s.down})
 	})
