--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -50,8 +50,8 @@
 	// Alternative reports whether the attempt runs beside the current one. It forwards
 	// nothing if that one sends the next part of the response first.
 	Alternative bool
-	// PartDelivered reports whether the server was chosen for the rest of a stream of which
-	// the caller has received a part.
+	// PartDelivered reports whether the caller had received a part of the stream when the
+	// server was selected.
 	PartDelivered bool
 	// Stream reports whether events are forwarded as they arrive.
 	Stream bool
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -70,7 +70,7 @@
 	return defaultRetryAfter/2 + clock.Millis(f.jitter(int64(defaultRetryAfter)))
 }
 
-// dispatch starts the next attempt at the chosen server.
+// dispatch starts the next attempt at the selected server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
 	fl.attempt = f.startAttempt(fl, choice, false)
@@ -82,7 +82,7 @@
 	f.scheduleCheck(fl)
 }
 
-// startAttempt sends the request to the chosen server, as the next attempt or as an
+// startAttempt sends the request to the selected server, as the next attempt or as an
 // alternative to the current one. It returns the attempt's number.
 func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) int {
 	server, _ := f.servers.Server(choice.Server)
--- a/internal/decision/forwarder/eras.go
+++ b/internal/decision/forwarder/eras.go
@@ -7,7 +7,7 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// storeName stands for the store where the log names who has told of an era.
+// storeName is the source of an era in the log if the store itself named it.
 const storeName = "store"
 
 // handleStoreEraSeen records the era of an answer.
@@ -33,9 +33,8 @@
 }
 
 // seeEra records an era that the store or an instance has named, and a time at which it had
-// begun. After a change, an
-// instance that watches the store lists everything again; the others get the copies from
-// their neighbors. No instance holds the lease of orders in a new era.
+// begun. After a change, an instance that watches the store lists everything again; the
+// others get the copies from their neighbors. No instance holds the lease of orders in a new era.
 func (f *Forwarder) seeEra(era int64, begunAt clock.Millis, from string) {
 	before := f.eras.Era()
 	verdict := f.eras.See(begunAt, era)
--- a/internal/runtime/edge/alternatives.go
+++ b/internal/runtime/edge/alternatives.go
@@ -20,7 +20,8 @@
 	if h.claimed == dispatch.PartDelivered {
 		h.alternatives[dispatch.Attempt] = cancel
 	} else {
-		// The server was chosen before the first event, so that it might not fit to it.
+		// The server was selected before the first event, and may have other software than
+		// the one that sent it.
 		cancel()
 	}
 	h.mu.Unlock()
