--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
@@ -226,7 +227,8 @@
 // recordFailure logs a failed attempt and records what it shows about the server.
 func (f *Forwarder) recordFailure(fl *flight, event AttemptEnded, server string) {
 	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", server).With("attempt", event.Attempt).With("failure", event.Outcome)
-	f.log(entry.With("status", event.Status).With("detail", event.Detail).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
+	entry = entry.With("status", event.Status).With("detail", event.Detail).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt))
+	f.log(entry.With("parts", strings.Join(fl.sharedParts(), ",")))
 	switch event.Outcome {
 	case OutcomeNotSent:
 		f.recordUnreachable(server, event.ConnectionRefused)
@@ -234,7 +236,7 @@
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
 		f.servers.RecordResult(f.now, server, true)
-		f.recordInterruption(fl, server)
+		f.recordInterruption(fl, event, server)
 		f.checkHealth(server)
 	case OutcomeCorrupted, OutcomeCompleted:
 		f.servers.RecordResult(f.now, server, true)
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -73,6 +73,16 @@
 	fl.leftServers = nil
 }
 
+// sharedParts returns the identifiers of the prompt's parts that other requests may share:
+// all but the last one.
+func (fl *flight) sharedParts() []string {
+	var ids []string
+	for _, part := range fl.request.PromptParts[:max(0, len(fl.request.PromptParts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 func (fl *flight) hasPrompt() bool { return fl.request.PromptTokens != 0 }
 
 // remaining returns the time until the deadline.
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -37,6 +37,10 @@
 type interruption struct {
 	fingerprint string
 	at          clock.Millis
+	// hasHead reports whether the head of a successful response had arrived, and answering
+	// whether events had.
+	hasHead   bool
+	answering bool
 }
 
 // handleStateRead applies a newer desired state and ignores older ones.
@@ -187,17 +191,35 @@
 	f.caches.Forget(id)
 	f.keeper.Forget(id)
 	f.suspectServer(id, true)
-	for _, interrupted := range f.interruptions[id] {
-		if f.now.Since(interrupted.at) <= interruptionTTL {
-			f.recordCrash(interrupted.fingerprint, id)
+	interrupted := slices.DeleteFunc(f.interruptions[id], func(i interruption) bool { return f.now.Since(i.at) > interruptionTTL })
+	delete(f.interruptions, id)
+	if len(interrupted) > 0 {
+		f.logInterrupted(id, interrupted)
+	}
+	for _, request := range interrupted {
+		f.recordCrash(request.fingerprint, id)
+	}
+}
+
+// logInterrupted logs how far the responses were that a crash interrupted.
+func (f *Forwarder) logInterrupted(id string, interrupted []interruption) {
+	answering, begun := 0, 0
+	for _, request := range interrupted {
+		switch {
+		case request.answering:
+			answering++
+		case request.hasHead:
+			begun++
 		}
 	}
-	delete(f.interruptions, id)
+	entry := eventlog.New(eventlog.RequestsInterrupted, "").With("server", id).With("answering", answering).With("begun", begun)
+	f.log(entry.With("waiting", len(interrupted)-answering-begun))
 }
 
 // recordInterruption keeps the request until it is known whether the server crashed.
-func (f *Forwarder) recordInterruption(fl *flight, id string) {
-	recent := append(f.interruptions[id], interruption{fingerprint: fl.request.Fingerprint, at: f.now})
+func (f *Forwarder) recordInterruption(fl *flight, event AttemptEnded, id string) {
+	answering := fl.streamStarted && event.Attempt == fl.attempt
+	recent := append(f.interruptions[id], interruption{fingerprint: fl.request.Fingerprint, at: f.now, hasHead: event.Status == statusOK, answering: answering})
 	f.interruptions[id] = recent[max(0, len(recent)-maxInterruptions):]
 	if server, ok := f.servers.Server(id); ok && server.Down() {
 		f.recordCrash(fl.request.Fingerprint, id)
