--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -116,6 +116,11 @@
 	leaseRecord   rollout.Record
 	logLines      []string
 
+	// lossPercent is the percentage of datagrams that are lost.
+	lossPercent int
+	// parts has the crashes of engines by parts of prompts; nil where no part crashes them.
+	parts *partCrashes
+
 	// objects is the store from which the instances read; nil for a cluster that gets
 	// the store's objects as events.
 	objects *objectStore
@@ -295,6 +300,10 @@
 	switch action := action.(type) {
 	case forwarder.Dispatch:
 		c.dispatch(i, action)
+	case forwarder.CancelAttempt:
+		if run := c.requests[action.Request]; c.parts != nil {
+			delete(c.parts.runs[run.lastDispatch.Server], fmt.Sprint(action.Request, "/", action.Attempt))
+		}
 	case forwarder.ForwardResponse, forwarder.Refuse, forwarder.AbortStream, forwarder.DropRequest:
 		c.recordFinalAction(action)
 	case forwarder.SendDigest:
@@ -354,6 +363,9 @@
 	sender := c.traffic[from]
 	sender.sent, sender.sentBytes = sender.sent+1, sender.sentBytes+bytes
 	c.traffic[from] = sender
+	if c.lossPercent > 0 && c.faultRandom.IntN(100) < c.lossPercent {
+		return
+	}
 	to := c.instanceAt(address)
 	if to < 0 || (c.cut != nil && c.cut(from, to)) {
 		return
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -42,6 +42,10 @@
 		end(20, forwarder.OutcomeInterrupted, 0)
 		return
 	}
+	if c.parts != nil && dispatch.HasPrompt {
+		c.runAtEngine(i, dispatch, s, r)
+		return
+	}
 	if c.sendNotice(i, s, dispatch.StartedAt) {
 		end(1, forwarder.OutcomeDeclined, 503)
 		return
--- a/internal/decision/forwarder/faults_test.go
+++ b/internal/decision/forwarder/faults_test.go
@@ -81,6 +81,7 @@
 			r.finalAction = forwarder.DropRequest{}
 		}
 	}
+	c.disturb(i, c.now.Add(500))
 	c.after(500, func() {
 		c.stopped[i] = false
 		c.storeCutOff[i] = false
@@ -88,6 +89,13 @@
 	})
 }
 
+// disturb records the time until which an instance is out of touch.
+func (c *cluster) disturb(i int, until clock.Millis) {
+	if c.parts != nil {
+		c.parts.disturbedAt[i] = max(c.parts.disturbedAt[i], until)
+	}
+}
+
 // cutOffStore disconnects a random instance from the store for some seconds.
 func (c *cluster) cutOffStore() {
 	i := c.random.IntN(len(c.instances))
@@ -113,6 +121,7 @@
 	i := c.random.IntN(len(c.instances))
 	if !c.stopped[i] && c.now >= c.pausedUntil[i] {
 		c.pausedUntil[i] = c.now.Add(clock.Millis(500 + c.random.IntN(6000)))
+		c.disturb(i, c.pausedUntil[i])
 	}
 }
 
--- a/internal/decision/forwarder/notices_simulation_test.go
+++ b/internal/decision/forwarder/notices_simulation_test.go
@@ -107,7 +107,13 @@
 func (c *cluster) cutNetwork() {
 	domain := c.random.IntN(c.domains)
 	c.cut = func(from, to int) bool { return (from%c.domains == domain) != (to%c.domains == domain) }
-	c.after(clock.Millis(1000+c.random.IntN(3000)), func() { c.cut = nil })
+	duration := clock.Millis(1000 + c.random.IntN(3000))
+	for i := range c.instances {
+		if i%c.domains == domain {
+			c.disturb(i, c.now.Add(duration))
+		}
+	}
+	c.after(duration, func() { c.cut = nil })
 }
 
 // callKey identifies the calls of one process to one start of a server.
