Find the parts of prompts that crash engines, and refuse requests with them

Cause: the identity of what crashes engines was taken to be the whole request. The quarantine counts crashes by the fingerprint of a request, and requests that share only a part never share a record. The repetition then carried the part to the next engine.

Change: the new package partquarantine accuses the parts of the requests that an engine had begun to answer when it crashed. Only crashes one after the other add up, an answer clears a part, and of the parts of one request one is convicted at a time. Instances exchange three counters for each part, of which the maximum holds. A request that was interrupted at the beginning of its answer waits for the health check of its engine before it is repeated.

Why it works: the bad part is in each of the crashing requests and is never cleared; the others are in sound requests too, whose answers clear them.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -94,6 +95,8 @@
 	// CrashedServers are the servers that crashed, by the fingerprint of a request that
 	// ran there.
 	CrashedServers map[string][]string
+	// AccusedParts are the parts of prompts that may crash engines.
+	AccusedParts []partquarantine.Evidence
 	// Replicas are the states of the sender's copies of the store's objects.
 	Replicas []Replica
 	Outage   Outage
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -54,6 +54,8 @@
 	ServerPaused        Number = 2210
 	ServerPauseInvalid  Number = 2211
 	RequestsInterrupted Number = 2212
+	PartConvicted       Number = 2213
+	PartCleared         Number = 2214
 	WeightsNamed        Number = 2301
 	StoreEraChanged     Number = 2401
 	StoreEraInvalid     Number = 2402
@@ -120,6 +122,8 @@
 	ServerPaused:        "serverPaused",
 	ServerPauseInvalid:  "serverPauseInvalid",
 	RequestsInterrupted: "requestsInterrupted",
+	PartConvicted:       "partConvicted",
+	PartCleared:         "partCleared",
 	WeightsNamed:        "weightsNamed",
 	StoreEraChanged:     "storeEraChanged",
 	StoreEraInvalid:     "storeEraInvalid",
--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -26,6 +26,9 @@
 	if fl.alternative != nil || !fl.attemptActive || fl.callerDisconnected || !f.canRetry(fl) || fl.remaining(f.now) < minRemaining {
 		return scheduler.Choice{}, false
 	}
+	if f.mayCrashServers(fl) {
+		return scheduler.Choice{}, false
+	}
 	f.scheduler.ExcludeSources(f.excludedSources())
 	choice, ok := f.scheduler.Choose(f.now, f.schedulerRequest(fl), f.candidates(fl))
 	if !ok || fl.queueTooLong(choice, f.now) {
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
@@ -90,6 +89,7 @@
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
 	fl.possibleRuns++
+	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
@@ -129,6 +129,9 @@
 	if !fl.partDelivered {
 		f.emit(ObserveDuration{Histogram: HistogramFirstEvent, Duration: f.now.Since(fl.arrivedAt)})
 	}
+	if !fl.streamStarted {
+		fl.answeringSince, fl.survived = f.now, false
+	}
 	fl.streamStarted = true
 	f.recordOrigin(fl)
 	f.dropAlternative(fl)
@@ -183,6 +186,9 @@
 func (f *Forwarder) handleCompletedAttempt(fl *flight, event AttemptEnded) {
 	failed := event.Status >= 500
 	f.servers.RecordResult(f.now, fl.server, failed)
+	if event.Status == statusOK && fl.streamStarted {
+		f.recordSurvival(fl)
+	}
 	if failed {
 		fl.answered, fl.answeredStatus = event.Attempt, event.Status
 	}
@@ -208,6 +214,9 @@
 // retry sends the request to another server if time, a server and retry budget are
 // left. Otherwise it returns the reason; it is empty after a retry.
 func (f *Forwarder) retry(fl *flight) Reason {
+	if f.mayCrashServers(fl) {
+		return ReasonCrashesServers
+	}
 	if fl.remaining(f.now) < minRemaining {
 		return ReasonDeadlineTooClose
 	}
@@ -228,7 +237,7 @@
 func (f *Forwarder) recordFailure(fl *flight, event AttemptEnded, server string) {
 	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", server).With("attempt", event.Attempt).With("failure", event.Outcome)
 	entry = entry.With("status", event.Status).With("detail", event.Detail).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt))
-	f.log(entry.With("parts", strings.Join(fl.sharedParts(), ",")))
+	f.log(entry.With("parts", fl.formatParts()))
 	switch event.Outcome {
 	case OutcomeNotSent:
 		f.recordUnreachable(server, event.ConnectionRefused)
@@ -270,6 +279,13 @@
 		f.refuse(fl, ReasonServerFailed, f.jitteredRetryAfter())
 		return
 	}
+	if !f.awaitCrashCheck(fl, event) {
+		f.retryOrRefuse(fl)
+	}
+}
+
+// retryOrRefuse retries the request, or refuses it if that is not possible.
+func (f *Forwarder) retryOrRefuse(fl *flight) {
 	if reason := f.retry(fl); reason != "" {
 		f.refuse(fl, reason, f.retryAfter(fl))
 	}
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -115,6 +115,7 @@
 	leaseRevision int64
 	leaseRecord   rollout.Record
 	logLines      []string
+	requestLines  map[string][]string // requestLines are the log lines by request.
 
 	// lossPercent is the percentage of datagrams that are lost.
 	lossPercent int
@@ -177,7 +178,7 @@
 		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{}, originMessages: map[originmessage.Kind]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
-		loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
+		requestLines: map[string][]string{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
 	}
 	for i := range max(6, instances/2) {
 		engine := registry.Entry{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i), Domain: string(rune('a' + i%domains)), Slots: 64, WeightVersions: map[string]int64{model: 1}, StartedAt: 1, Revision: 1}
@@ -321,7 +322,9 @@
 	case forwarder.ReadCache:
 		c.readCache(i, action.Read)
 	case forwarder.Log:
-		c.logLines = append(c.logLines, fmt.Sprintf("%s %s %s", c.now, c.settings[i].Name, action.Entry))
+		line := fmt.Sprintf("%s %s %s", c.now, c.settings[i].Name, action.Entry)
+		c.logLines = append(c.logLines, line)
+		c.requestLines[action.Entry.Request] = append(c.requestLines[action.Entry.Request], line)
 		if action.Entry.Number == eventlog.RequestConvicted {
 			c.logLines = append(c.logLines, "blocked")
 		}
--- a/internal/decision/forwarder/crashing_parts_test.go
+++ b/internal/decision/forwarder/crashing_parts_test.go
@@ -98,7 +98,7 @@
 			}
 		}
 	})
-	c.after(head+10, func() {
+	c.afterPause(i, head+10, func() {
 		if active() && r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 {
 			p.began[dispatch.Request] = p.began[dispatch.Request] || dispatch.Attempt == 1
 			r.partDelivered = true
@@ -113,6 +113,17 @@
 	})
 }
 
+// afterPause runs a function of an instance after a delay, not before the end of a pause.
+func (c *cluster) afterPause(i int, delay clock.Millis, run func()) {
+	c.after(delay, func() {
+		if c.now < c.pausedUntil[i] {
+			c.afterPause(i, c.pausedUntil[i].Since(c.now), run)
+			return
+		}
+		run()
+	})
+}
+
 // stepOf delivers an event about an attempt, unless its instance has started anew.
 func (c *cluster) stepOf(run *engineRun, event forwarder.Event) {
 	if c.instances[run.index] == run.instance {
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -54,6 +54,10 @@
 	f.recordAlive(append(slices.Clone(message.MemberIDs), digest.ID(message.Name)))
 	f.mergeNotices(message, originOf(received))
 	f.mergeReplicas(message)
+	if !wasReachable {
+		// What seldom changes is new to an instance that has just started.
+		f.broadcastFull = true
+	}
 	if received == below && !wasReachable {
 		f.sendAll(message)
 	}
@@ -180,6 +184,7 @@
 		}
 		f.weightsNotices.Add(f.now, reported, origin)
 	}
+	f.mergeAccusedParts(message.AccusedParts)
 	for _, leaving := range message.LeavingServers {
 		f.markLeaving(leaving, origin)
 	}
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -61,6 +61,19 @@
 	// streamStarted reports whether the current attempt has delivered an event.
 	streamStarted      bool
 	callerDisconnected bool
+	// partKeys are the keys of the prompt's parts that other requests may share, and
+	// partGenerations their generations when the request was last sent.
+	partKeys        []uint64
+	partGenerations []uint32
+	// answeringSince is the time of the current attempt's first event; survived reports
+	// whether it was recorded that the server did not crash.
+	answeringSince clock.Millis
+	survived       bool
+	// confirms reports whether the request confirms the conviction of one of its parts.
+	confirms bool
+	// crashCheck is the server of which the request waits to learn whether it has crashed;
+	// empty for none.
+	crashCheck string
 }
 
 func (fl *flight) id() string { return fl.request.ID }
@@ -73,16 +86,6 @@
 	fl.leftServers = nil
 }
 
-// sharedParts returns the identifiers of the prompt's parts that other requests may share:
-// all but the last one.
-func (fl *flight) sharedParts() []string {
-	var ids []string
-	for _, part := range fl.request.PromptParts[:max(0, len(fl.request.PromptParts)-1)] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
-
 func (fl *flight) hasPrompt() bool { return fl.request.PromptTokens != 0 }
 
 // remaining returns the time until the deadline.
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -5,7 +5,7 @@
 //
 // It composes the packages that decide: desired (route and team), tokenbucket (the
 // team's limit), scheduler (server selection), retrybudget (retry budget), quarantine
-// (requests that crash servers), cachetracker (cached prompt parts at servers), registry
+// (requests that crash servers), partquarantine (parts of prompts that do), cachetracker (cached prompt parts at servers), registry
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
 // backlogkeeper (how long engines still take for the prompts that they were sent) and
@@ -37,6 +37,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/organizer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/outbox"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/quarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
@@ -192,6 +193,12 @@
 	interruptions  map[string][]interruption
 	crashedServers map[string][]string
 	draining       bool
+	// parts has the parts of prompts that crash engines, and pendingCrashes the crashes for
+	// which no part is accused yet.
+	parts          *partquarantine.Quarantine
+	pendingCrashes []pendingCrash
+	// newConvictions are the parts that were convicted in this step.
+	newConvictions []uint64
 
 	flights map[string]*flight
 }
@@ -227,6 +234,7 @@
 		interruptions:  map[string][]interruption{},
 		crashedServers: map[string][]string{},
 		eras:           eratracker.New(),
+		parts:          partquarantine.New(maxAccusedParts),
 		flights:        map[string]*flight{},
 	}
 }
@@ -321,6 +329,8 @@
 		f.limiter.MarkSynced()
 	}
 	f.updateInstanceCounts()
+	f.recordPendingCrashes()
+	f.refuseConvicted()
 	f.checkFlights()
 	if f.now >= f.nextServerScan {
 		f.nextServerScan = f.now.Add(serverScanInterval)
--- a/internal/decision/forwarder/forwarder_test.go
+++ b/internal/decision/forwarder/forwarder_test.go
@@ -36,13 +36,7 @@
 }
 
 func (c *cluster) logOf(id string) string {
-	var lines []string
-	for _, line := range c.logLines {
-		if strings.Contains(line, "request="+id+" ") {
-			lines = append(lines, line)
-		}
-	}
-	return strings.Join(lines, "\n")
+	return strings.Join(c.requestLines[id], "\n")
 }
 
 // servedFraction returns the fraction of the requests that received a server's
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -23,6 +23,7 @@
 		return
 	}
 	f.nextMoveCheck = f.now.Add(moveCheckInterval)
+	f.recordSurvivals()
 	loading := f.loadingEngines()
 	maps.DeleteFunc(f.loadingSince, func(id string, _ clock.Millis) bool { return !loading[id] })
 	overdue := map[string]bool{}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/quarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/retrybudget"
@@ -41,6 +42,9 @@
 	// whether events had.
 	hasHead   bool
 	answering bool
+	// answeringSince is the time of the first event, and parts has the parts of the prompt.
+	answeringSince clock.Millis
+	parts          partquarantine.Request
 }
 
 // handleStateRead applies a newer desired state and ignores older ones.
@@ -199,6 +203,8 @@
 	for _, request := range interrupted {
 		f.recordCrash(request.fingerprint, id)
 	}
+	f.accuse(id, interrupted)
+	f.endCrashChecks(id, true)
 }
 
 // logInterrupted logs how far the responses were that a crash interrupted.
@@ -219,11 +225,17 @@
 // recordInterruption keeps the request until it is known whether the server crashed.
 func (f *Forwarder) recordInterruption(fl *flight, event AttemptEnded, id string) {
 	answering := fl.streamStarted && event.Attempt == fl.attempt
-	recent := append(f.interruptions[id], interruption{fingerprint: fl.request.Fingerprint, at: f.now, hasHead: event.Status == statusOK, answering: answering})
-	f.interruptions[id] = recent[max(0, len(recent)-maxInterruptions):]
+	latest := interruption{
+		fingerprint: fl.request.Fingerprint, at: f.now, hasHead: event.Status == statusOK, answering: answering, answeringSince: fl.answeringSince,
+		parts: partquarantine.Request{Parts: fl.partKeys, Generations: fl.partGenerations, Begun: event.Status == statusOK && !answering},
+	}
 	if server, ok := f.servers.Server(id); ok && server.Down() {
 		f.recordCrash(fl.request.Fingerprint, id)
+		f.accuse(id, []interruption{latest})
+		return
 	}
+	recent := append(f.interruptions[id], latest)
+	f.interruptions[id] = recent[max(0, len(recent)-maxInterruptions):]
 }
 
 // recordCrash records that a server crashed while the request ran there.
@@ -252,6 +264,9 @@
 }
 
 func (f *Forwarder) handleHealthChecked(checked HealthChecked) {
+	if !checked.Gone {
+		f.endCrashChecks(checked.Server, false)
+	}
 	if checked.Healthy {
 		server, ok := f.servers.Server(checked.Server)
 		if ok && server.Down() {
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -61,6 +61,10 @@
 			f.refuse(fl, ReasonTimeout, 0)
 			continue
 		}
+		if fl.crashCheck != "" {
+			f.endCrashCheck(fl)
+			continue
+		}
 		if fl.lookup != nil {
 			f.askOriginKeepers(fl)
 			continue
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
@@ -32,6 +33,7 @@
 		Lease: rollout.Observation{Era: 2, Revision: 44, Holder: "edge-2", Writes: 2}, ReportedWeights: []digest.ReportedWeights{{Server: "e1", Model: "m", Version: 3}},
 		LeavingServers: []digest.LeavingServer{{Server: "e2", StartedAt: 9}},
 		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
+		AccusedParts: []partquarantine.Evidence{{Part: 1 << 60, Generation: 4, Cleared: 1, Convicted: 4, Server: 15}},
 		Replicas: []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
 	}
 }
@@ -75,6 +77,7 @@
 		"teams without counts":      func(m *edgev1.Digest) { m.Admitted = nil },
 		"levels without teams":      func(m *edgev1.Digest) { m.LevelTeams = nil },
 		"servers without loads":     func(m *edgev1.Digest) { m.LoadRequests = nil },
+		"a huge generation":         func(m *edgev1.Digest) { m.AccusedParts[0].Generation = 1 << 30 },
 		"a negative age":            func(m *edgev1.Digest) { m.Replicas[0].AgeMs = -1 },
 		"a revision that goes back": func(m *edgev1.Digest) { m.Replicas[0].Through = 1 },
 	}
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -17,6 +18,10 @@
 // format is the version of the meaning of the fields. A new field needs no new format.
 const format = 1
 
+// maxGeneration limits the counters of an accused part: an engine would have to end for
+// each second generation.
+const maxGeneration = 1 << 24
+
 // EncodeDigest returns the digest as a datagram. Its fields are in a fixed order, so that
 // equal digests have equal datagrams.
 func EncodeDigest(d digest.Digest) ([]byte, error) {
@@ -57,6 +62,9 @@
 	for _, fingerprint := range slices.Sorted(maps.Keys(d.CrashedServers)) {
 		message.Crashes = append(message.Crashes, &edgev1.Crash{Fingerprint: fingerprint, Servers: d.CrashedServers[fingerprint]})
 	}
+	for _, part := range d.AccusedParts {
+		message.AccusedParts = append(message.AccusedParts, &edgev1.AccusedPart{Part: part.Part, Generation: part.Generation, Cleared: part.Cleared, Convicted: part.Convicted, Server: part.Server})
+	}
 	for _, replica := range d.Replicas {
 		message.Replicas = append(message.Replicas, &edgev1.Replica{
 			Kind: uint32(replica.Kind), Era: replica.Era, Revision: replica.Revision, Through: replica.Through, AgeMs: int64(replica.Age), Source: replica.Source,
@@ -144,6 +152,9 @@
 	for _, crash := range message.GetCrashes() {
 		d.CrashedServers[crash.GetFingerprint()] = crash.GetServers()
 	}
+	for _, part := range message.GetAccusedParts() {
+		d.AccusedParts = append(d.AccusedParts, partquarantine.Evidence{Part: part.GetPart(), Generation: part.GetGeneration(), Cleared: part.GetCleared(), Convicted: part.GetConvicted(), Server: part.GetServer()})
+	}
 	for _, replica := range message.GetReplicas() {
 		d.Replicas = append(d.Replicas, digest.Replica{
 			Kind: int(replica.GetKind()), Era: replica.GetEra(), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
@@ -200,6 +211,11 @@
 			return errors.New("datagram.DecodeDigest: a replica's age or revision is out of range")
 		}
 	}
+	for _, part := range message.GetAccusedParts() {
+		if max(part.GetGeneration(), part.GetCleared(), part.GetConvicted()) > maxGeneration {
+			return errors.Errorf("datagram.DecodeDigest: a generation of an accused part is above %d", maxGeneration)
+		}
+	}
 	return nil
 }
 
