Do not block requests that were being answered when their engine crashed

Cause: whoever was interrupted by a crash was accused by its fingerprint, however far its response was, and at each instance by itself.

Evidence: TestAnsweredRequestIsNotBlocked failed before: the fourth repetition of a request whose engines ended while they answered it, because of requests at another instance, was refused as crashesServers.

Change: the fingerprint follows the same evidence as the parts. Plain requests are accused at once, as before.

--- a/internal/decision/forwarder/crashing_parts_test.go
+++ b/internal/decision/forwarder/crashing_parts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"testing"
 
 	"github.com/stretchr/testify/require"
 
@@ -58,6 +59,11 @@
 
 // sendParts sends a prompt with the shared parts and one of its own to an instance.
 func (c *cluster) sendParts(i int, shared ...string) string {
+	return c.sendPartsAs(i, fmt.Sprint("fingerprint-", len(c.requests)), shared...)
+}
+
+// sendPartsAs does the same with a fingerprint that requests may share.
+func (c *cluster) sendPartsAs(i int, fingerprint string, shared ...string) string {
 	id := fmt.Sprint("stream-", len(c.requests))
 	r := &request{instance: i, kind: "stream", sentAt: c.now}
 	c.requests[id] = r
@@ -69,7 +75,7 @@
 		return id
 	}
 	c.step(i, forwarder.RequestArrived{Request: forwarder.Request{
-		ID: id, Host: host, Method: "POST", Path: "/stream/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: id,
+		ID: id, Host: host, Method: "POST", Path: "/stream/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: fingerprint,
 		Model: model, PromptTokens: int64(200 * len(r.parts)), OutputTokens: 20, PromptParts: r.parts,
 	}})
 	return id
@@ -105,7 +111,7 @@
 			c.stepOf(run, forwarder.StreamStarted{Request: dispatch.Request, Attempt: dispatch.Attempt})
 		}
 	})
-	c.after(head+50+clock.Millis(c.random.IntN(300)), func() {
+	c.after(head+50+clock.Millis(c.random.IntN(300))+c.streamDuration, func() {
 		if active() {
 			delete(p.runs[dispatch.Server], key)
 			c.stepOf(run, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: forwarder.OutcomeCompleted, Status: 200, Delivered: r.partDelivered, LastEventID: "9"})
@@ -209,3 +215,30 @@
 		require.LessOrEqual(c.t, c.parts.receivedLate(part), 3, "requests with %s that reached engines late", part)
 	}
 }
+
+// TestAnsweredRequestIsNotBlocked repeats a request whose engine ends while it answers it,
+// because of requests at another instance. It must not be blocked as one that crashes engines.
+func TestAnsweredRequestIsNotBlocked(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.streamDuration = clock.Second
+	p := c.crashOnParts()
+	for _, id := range c.serverIDs() {
+		if c.servers[id].entry.Service == "engines" && id != "e0" {
+			for i := range c.instances {
+				c.step(i, forwarder.ServerChanged{Entry: c.servers[id].entry, Removed: true})
+			}
+		}
+	}
+	for n := range 4 {
+		id := c.sendPartsAs(0, "same", "guide")
+		require.Positive(t, c.requests[id].attempts, "%s is sent\n%s", id, c.logOf(id))
+		for !p.began[id] {
+			c.run(5)
+		}
+		bad := fmt.Sprint("bad-", n)
+		p.bad[bad] = c.now
+		c.sendParts(1, bad)
+		c.run(4 * clock.Second)
+		require.Len(t, p.crashes, n+1)
+	}
+}
--- a/internal/decision/forwarder/crashingparts.go
+++ b/internal/decision/forwarder/crashingparts.go
@@ -35,8 +35,9 @@
 
 // pendingCrash is a crash whose requests are accused unless another instance explains it.
 type pendingCrash struct {
-	crash partquarantine.Crash
-	dueAt clock.Millis
+	server   string
+	requests []interruption
+	dueAt    clock.Millis
 }
 
 // partKeys returns the keys of the prompt's parts that other requests may share.
@@ -76,36 +77,53 @@
 	return rank
 }
 
-// accuse accuses the parts of the requests that a crash interrupted.
+// accuse accuses the requests that a crash interrupted, and the parts of their prompts. If the
+// server had begun to answer some of them, the others are not accused. If not, prompts
+// are accused later, unless another instance had such a request there.
 func (f *Forwarder) accuse(id string, interrupted []interruption) {
-	crash := partquarantine.Crash{Server: digest.ID(id)}
+	begun := slices.DeleteFunc(slices.Clone(interrupted), func(i interruption) bool { return !i.parts.Begun })
+	if len(begun) > 0 {
+		f.recordCrash(id, begun)
+		return
+	}
+	var now, later []interruption
 	for _, request := range interrupted {
-		if len(request.parts.Parts) == 0 || (request.answering && f.now.Since(request.answeringSince) > weakAccusationWindow) {
-			continue
+		switch {
+		case request.answering && f.now.Since(request.answeringSince) > weakAccusationWindow:
+		case len(request.parts.Parts) == 0:
+			now = append(now, request)
+		default:
+			later = append(later, request)
 		}
-		crash.Requests = append(crash.Requests, request.parts)
 	}
-	switch {
-	case len(crash.Requests) == 0:
-	case crash.Begun():
-		f.recordPartCrash(crash)
-	case len(f.pendingCrashes) < maxPendingCrashes:
-		f.pendingCrashes = append(f.pendingCrashes, pendingCrash{crash: crash, dueAt: f.now.Add(weakAccusationDelay)})
+	f.recordCrash(id, now)
+	if len(later) > 0 && len(f.pendingCrashes) < maxPendingCrashes {
+		f.pendingCrashes = append(f.pendingCrashes, pendingCrash{server: id, requests: later, dueAt: f.now.Add(weakAccusationDelay)})
 	}
 }
 
-func (f *Forwarder) recordPartCrash(crash partquarantine.Crash) {
-	f.expediteRelay()
-	f.convictParts(f.parts.RecordCrash(f.now, crash), "crash")
+// recordCrash records that the server crashed because of one of the requests.
+func (f *Forwarder) recordCrash(id string, requests []interruption) {
+	crash := partquarantine.Crash{Server: digest.ID(id)}
+	for _, request := range requests {
+		f.recordRequestCrash(request.fingerprint, id)
+		if len(request.parts.Parts) > 0 {
+			crash.Requests = append(crash.Requests, request.parts)
+		}
+	}
+	if len(crash.Requests) > 0 {
+		f.expediteRelay()
+		f.convictParts(f.parts.RecordCrash(f.now, crash), "crash")
+	}
 }
 
 // recordPendingCrashes handles the crashes that no instance has explained.
 func (f *Forwarder) recordPendingCrashes() {
 	for len(f.pendingCrashes) > 0 && f.now >= f.pendingCrashes[0].dueAt {
-		crash := f.pendingCrashes[0].crash
+		pending := f.pendingCrashes[0]
 		f.pendingCrashes = f.pendingCrashes[1:]
-		if !f.parts.Explained(crash.Server) {
-			f.recordPartCrash(crash)
+		if !f.parts.Explained(digest.ID(pending.server)) {
+			f.recordCrash(pending.server, pending.requests)
 		}
 	}
 }
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -190,7 +190,7 @@
 	}
 	for fingerprint, servers := range message.CrashedServers {
 		for _, server := range servers {
-			f.recordCrash(fingerprint, server)
+			f.recordRequestCrash(fingerprint, server)
 		}
 	}
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -200,9 +200,6 @@
 	if len(interrupted) > 0 {
 		f.logInterrupted(id, interrupted)
 	}
-	for _, request := range interrupted {
-		f.recordCrash(request.fingerprint, id)
-	}
 	f.accuse(id, interrupted)
 	f.endCrashChecks(id, true)
 }
@@ -230,7 +227,6 @@
 		parts: partquarantine.Request{Parts: fl.partKeys, Generations: fl.partGenerations, Begun: event.Status == statusOK && !answering},
 	}
 	if server, ok := f.servers.Server(id); ok && server.Down() {
-		f.recordCrash(fl.request.Fingerprint, id)
 		f.accuse(id, []interruption{latest})
 		return
 	}
@@ -238,8 +234,8 @@
 	f.interruptions[id] = recent[max(0, len(recent)-maxInterruptions):]
 }
 
-// recordCrash records that a server crashed while the request ran there.
-func (f *Forwarder) recordCrash(fingerprint, server string) {
+// recordRequestCrash records that a server crashed while the request ran there.
+func (f *Forwarder) recordRequestCrash(fingerprint, server string) {
 	stateBefore := f.quarantine.State(f.now, fingerprint)
 	// The server counts as a failure domain of its own, so that only the limit on the
 	// total of crashed servers applies.
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -34,7 +34,7 @@
 		LeavingServers: []digest.LeavingServer{{Server: "e2", StartedAt: 9}},
 		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
 		AccusedParts: []partquarantine.Evidence{{Part: 1 << 60, Generation: 4, Cleared: 1, Convicted: 4, Server: 15}},
-		Replicas: []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
+		Replicas:     []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
 	}
 }
 
