Do not take a response without length that ends before an event for an empty stream

What callers saw: a complete, empty stream (200) where the engine had ended before its first event, if its response had neither a length nor chunks.

Cause: the end of the connection counts as the end of such a response, so that a crash at the beginning of an answer looked like its orderly end. It also hid the crash from the quarantine of parts.

Change: a stream without length that ends before its first event is interrupted, unless the caller resumes it after an event: then there may be none left. It goes on at another server, as after any interruption.

--- a/internal/runtime/edge/alternatives.go
+++ b/internal/runtime/edge/alternatives.go
@@ -43,7 +43,10 @@
 // adopt reads the first event of an alternative and hands the stream over if no event of
 // the current attempt came before it. It returns no outcome then.
 func (h *requestHandler) adopt(stream *openStream) forwarder.AttemptEnded {
-	stream.first, stream.firstErr = stream.events.next()
+	h.mu.Lock()
+	resumes := h.resumes()
+	h.mu.Unlock()
+	stream.first, stream.firstErr = stream.next(resumes)
 	if stream.firstErr != nil && !(stream.firstErr == io.EOF && len(stream.first) == 0) {
 		return withOutcome(stream.result, forwarder.OutcomeInterrupted, stream.firstErr)
 	}
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -36,7 +36,10 @@
 	events       *eventReader
 	exchange     *httpclient.Exchange
 	silenceLimit clock.Millis
-	cancel       context.CancelFunc // cancel releases the attempt's context; nil for none.
+	// unframed reports whether the response has neither a length nor chunks, so that its end
+	// and a crash of the server look alike.
+	unframed bool
+	cancel   context.CancelFunc // cancel releases the attempt's context; nil for none.
 	// first is the first event of an alternative, or firstErr the end of its stream, if
 	// hasFirst is set. started reports whether StreamStarted was submitted.
 	first    []byte
@@ -52,13 +55,21 @@
 	}
 }
 
-// next returns the next event, as eventReader.next does.
-func (s *openStream) next() ([]byte, error) {
+// errNoEvent means that an unframed stream has ended before its first event.
+var errNoEvent = errors.New("the connection ended before an event")
+
+// next returns the next event, as eventReader.next does. resumed reports whether the caller
+// has received events before: then there may be none left.
+func (s *openStream) next(resumed bool) ([]byte, error) {
 	if s.hasFirst {
 		s.hasFirst = false
 		return s.first, s.firstErr
 	}
-	return s.events.next()
+	event, err := s.events.next()
+	if err == io.EOF && len(event) == 0 && s.unframed && !s.started && !resumed {
+		return nil, errNoEvent
+	}
+	return event, err
 }
 
 // attempt sends the request to a server and reads the response. It returns the event for
@@ -85,7 +96,8 @@
 	result.WeightsVersion = head.WeightsVersion
 	if dispatch.Stream && response.StatusCode == http.StatusOK && isUsable(head, response) {
 		events := &eventReader{reader: bufio.NewReaderSize(response.Body, eventBufferBytes)}
-		return result, &openStream{result: result, head: head, events: events, exchange: exchange, silenceLimit: dispatch.SilenceLimit}
+		unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+		return result, &openStream{result: result, head: head, events: events, exchange: exchange, silenceLimit: dispatch.SilenceLimit, unframed: unframed}
 	}
 	defer exchange.Close()
 	switch {
@@ -149,7 +161,7 @@
 	})
 	defer silence.stop()
 	for {
-		event, err := stream.next()
+		event, err := stream.next(h.resumes())
 		silence.pause()
 		id, _ := eventID(event)
 		ended := err == io.EOF && len(event) == 0
@@ -176,6 +188,9 @@
 	}
 }
 
+// resumes reports whether the caller has received events of the stream.
+func (h *requestHandler) resumes() bool { return h.lastEventID != "" || h.request.LastEventID != "" }
+
 // writeStreamHead writes the head of the response, unless an earlier attempt has written one.
 func (h *requestHandler) writeStreamHead(status int, head ResponseHead) {
 	if !h.streamStarted {
