Limit the head of a server's response

What callers saw: nothing yet; a faulty engine that sends a head without end, a line without end, or interim responses without end kept an attempt until the caller's deadline, and the first two filled the memory of the instance.

Cause: the head of a response was read without a limit, by requests, health checks, reports, orders and reads of caches alike.

Change: httpclient reads at most 64 KB until the head is complete; the attempt then counts as a corrupted response, and goes on elsewhere.

--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -124,7 +124,7 @@
 
 // outcomeOfReadError distinguishes an invalid response from a broken connection.
 func outcomeOfReadError(err error) forwarder.Outcome {
-	if strings.Contains(err.Error(), "malformed") {
+	if errors.Is(err, httpclient.ErrHeadTooLong) || strings.Contains(err.Error(), "malformed") {
 		return forwarder.OutcomeCorrupted
 	}
 	return forwarder.OutcomeInterrupted
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -39,8 +39,34 @@
 	// readBufferBytes is the size of the read buffer; a response that is not streamed
 	// usually fits.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the head of a response, with the interim responses before it.
+	maxHeadBytes = 64 << 10
 )
 
+// ErrHeadTooLong means that the head of a response has no end within the limit.
+var ErrHeadTooLong = errors.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
+
+// headReader limits the bytes that are read until the head is complete.
+type headReader struct {
+	conn      net.Conn
+	remaining int // remaining is negative without a limit.
+}
+
+// Read reads from the connection.
+func (r *headReader) Read(buffer []byte) (int, error) {
+	if r.remaining == 0 {
+		return 0, ErrHeadTooLong
+	}
+	if r.remaining > 0 {
+		buffer = buffer[:min(len(buffer), r.remaining)]
+	}
+	n, err := r.conn.Read(buffer)
+	if r.remaining > 0 {
+		r.remaining -= n
+	}
+	return n, err
+}
+
 // keepAlive detects a connection that has become unresponsive while the client waits for a
 // response. The kernel's unit is a second; the detection takes about the ack timeout, but
 // at least two seconds.
@@ -75,6 +101,7 @@
 // Exchange is a request that was sent and its response.
 type Exchange struct {
 	conn                net.Conn
+	head                *headReader
 	reader              *bufio.Reader
 	method              string
 	stopWatchingContext func() bool
@@ -89,7 +116,8 @@
 	if err != nil {
 		return nil, &NotSentError{ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
-	exchange := &Exchange{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), method: request.Method}
+	head := &headReader{conn: conn, remaining: maxHeadBytes}
+	exchange := &Exchange{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), method: request.Method}
 	exchange.stopWatchingContext = context.AfterFunc(ctx, exchange.closeConn)
 	if ctx.Err() != nil {
 		exchange.Close()
@@ -129,8 +157,9 @@
 	return buffer.Bytes()
 }
 
-// ReadResponse reads the head of the response and skips interim responses (status 1xx). Reading
-// the body returns an error if the connection ends before the body is complete.
+// ReadResponse reads the head of the response and skips interim responses (status 1xx). It
+// returns ErrHeadTooLong if they have no end within 64 KB. Reading the body returns an error if
+// the connection ends before the body is complete.
 func (e *Exchange) ReadResponse() (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(e.reader, &http.Request{Method: e.method})
@@ -138,6 +167,7 @@
 			return nil, errors.Wrap(err, "read the response")
 		}
 		if response.StatusCode >= http.StatusOK {
+			e.head.remaining = -1
 			return response, nil
 		}
 	}
