Keep the limits of requests that servers name, over all instances together

Cause: nothing read the field. The class is a notice of a server that is dropped: what a server says of itself has to reach the choice of servers at all instances, as its leaving and its pauses do.

Evidence: the arrivals of both servers were the same before and after they had named their limits, from all instances.

Change: the new package limitsharer gives each limited server a few holders by rendezvous hash, a few more than the requests that it takes in a second; only they send to it, each from a bucket with an equal part that is empty at first. The answer that came last holds, and its version goes to all instances with the digests. Values that can't be read are logged and lift no limit. Caches of limited servers are not read. Requests wait for room for as long as for a loading server, the most urgent first, and are refused at once if there is none in time.

Why it works: the holders' saved requests and their refill together stay below one and a half times the limit and five requests in any four seconds, whatever the number of instances.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -97,6 +98,8 @@
 	CrashedServers map[string][]string
 	// AccusedParts are the parts of prompts that may crash engines.
 	AccusedParts []partquarantine.Evidence
+	// ServerLimits are the limits of requests that servers named.
+	ServerLimits []limitsharer.Notice
 	// Replicas are the states of the sender's copies of the store's objects.
 	Replicas []Replica
 	Outage   Outage
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -56,6 +56,8 @@
 	RequestsInterrupted Number = 2212
 	PartConvicted       Number = 2213
 	PartCleared         Number = 2214
+	ServerLimited       Number = 2215
+	ServerLimitInvalid  Number = 2216
 	WeightsNamed        Number = 2301
 	StoreEraChanged     Number = 2401
 	StoreEraInvalid     Number = 2402
@@ -124,6 +126,8 @@
 	RequestsInterrupted: "requestsInterrupted",
 	PartConvicted:       "partConvicted",
 	PartCleared:         "partCleared",
+	ServerLimited:       "serverLimited",
+	ServerLimitInvalid:  "serverLimitInvalid",
 	WeightsNamed:        "weightsNamed",
 	StoreEraChanged:     "storeEraChanged",
 	StoreEraInvalid:     "storeEraInvalid",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -23,6 +23,8 @@
 	Address string
 	// StartedAt is the server's start as it is listed.
 	StartedAt int64
+	// Limited reports whether the server is known to have a limit of requests.
+	Limited bool
 	// Team is the team name to send to the server; empty for none.
 	Team string
 	// HasPrompt reports whether the request carries a prompt. CacheSalt is then the
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -91,6 +91,7 @@
 	fl.possibleRuns++
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
+	f.takeLimit(server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
@@ -104,7 +105,7 @@
 	}
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
-		Server: choice.Server, Address: server.Address, StartedAt: server.StartedAt,
+		Server: choice.Server, Address: server.Address, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)),
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
--- a/internal/decision/forwarder/caches.go
+++ b/internal/decision/forwarder/caches.go
@@ -26,7 +26,7 @@
 	var servers []cachetracker.Server
 	for _, server := range f.servers.All() {
 		if len(server.Entry.WeightVersions) > 0 {
-			servers = append(servers, cachetracker.Server{ID: server.ID, Address: server.Address, StartedAt: server.StartedAt, Paused: server.Down() || server.Paused(f.now)})
+			servers = append(servers, cachetracker.Server{ID: server.ID, Address: server.Address, StartedAt: server.StartedAt, Paused: server.Down() || server.Paused(f.now) || f.limits.Limited(startOf(server))})
 		}
 	}
 	if address := f.addressOf(scheduler.StoreID); address != "" {
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -27,6 +27,9 @@
 		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || f.holdsBack(server) || !fl.mayRunAt(server) {
 			continue
 		}
+		if wait, holds := f.limitWait(server); wait > 0 || !holds {
+			continue
+		}
 		candidate := scheduler.Candidate{
 			Server: server.ID, OtherDomain: server.Domain != f.settings.Domain, ErrorRate: server.ErrorRate(f.now),
 			MemoryTokens: service.CacheTokens, Slots: server.Slots,
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -117,6 +117,12 @@
 	logLines      []string
 	requestLines  map[string][]string // requestLines are the log lines by request.
 
+	// disturbedUntil are the times until which instances were killed, suspended or cut off.
+	disturbedUntil map[int]clock.Millis
+	// limitPeriods are the limits that servers named, and told the times at which each start of
+	// an instance first received one.
+	limitPeriods []*limitPeriod
+	told         map[callKey]clock.Millis
 	// lossPercent is the percentage of datagrams that are lost.
 	lossPercent int
 	// parts has the crashes of engines by parts of prompts; nil where no part crashes them.
@@ -137,6 +143,8 @@
 	// the time until which it declines everything.
 	leaving     bool
 	pausedUntil clock.Millis
+	// limit is the limit that it names in its responses; nil for none.
+	limit *limitPeriod
 	// cacheChanges are the changes of the cache since the server's start.
 	cacheChanges []forwarder.CacheChange
 	// cached has the parts in the cache, with their salt.
@@ -178,7 +186,7 @@
 		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{}, originMessages: map[originmessage.Kind]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
-		requestLines: map[string][]string{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
+		requestLines: map[string][]string{}, told: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
 	}
 	for i := range max(6, instances/2) {
 		engine := registry.Entry{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i), Domain: string(rune('a' + i%domains)), Slots: 64, WeightVersions: map[string]int64{model: 1}, StartedAt: 1, Revision: 1}
--- a/internal/decision/forwarder/crashing_parts_simulation_test.go
+++ b/internal/decision/forwarder/crashing_parts_simulation_test.go
@@ -135,7 +135,7 @@
 		switch {
 		case r.sentAt < badSince.Add(-clock.Second):
 			before, beganBefore = before+1, beganBefore+began
-		case r.sentAt > from && r.sentAt > c.parts.disturbedAt[r.instance].Add(stableWindow):
+		case r.sentAt > from && r.sentAt > c.disturbedUntil[r.instance].Add(stableWindow):
 			after, beganAfter = after+1, beganAfter+began
 		}
 	}
--- a/internal/decision/forwarder/crashing_parts_test.go
+++ b/internal/decision/forwarder/crashing_parts_test.go
@@ -36,14 +36,12 @@
 	crashes []engineCrash
 	// received are the requests that reached engines, by bad part.
 	received map[string][]contact
-	// disturbedAt are the times until which instances were killed, paused or cut off.
-	disturbedAt map[int]clock.Millis
-	began       map[string]bool // began are the requests that began to be answered at the first attempt.
-	refused     int
+	began    map[string]bool // began are the requests that began to be answered at the first attempt.
+	refused  int
 }
 
 func (c *cluster) crashOnParts() *partCrashes {
-	c.parts = &partCrashes{bad: map[string]clock.Millis{}, runs: map[string]map[string]*engineRun{}, received: map[string][]contact{}, disturbedAt: map[int]clock.Millis{}, began: map[string]bool{}}
+	c.parts = &partCrashes{bad: map[string]clock.Millis{}, runs: map[string]map[string]*engineRun{}, received: map[string][]contact{}, began: map[string]bool{}}
 	return c.parts
 }
 
@@ -193,13 +191,14 @@
 
 // receivedLate counts the requests with the part that reached engines later than the stable
 // window after its fifth crash, from instances in touch.
-func (p *partCrashes) receivedLate(part string) int {
+func (c *cluster) receivedLate(part string) int {
+	p := c.parts
 	crashes, late := p.crashesUnder(part), 0
 	if len(crashes) < 5 {
 		return 0
 	}
 	for _, request := range p.received[part] {
-		if request.at > crashes[4].Add(stableWindow) && request.at > p.disturbedAt[request.index].Add(stableWindow) {
+		if request.at > crashes[4].Add(stableWindow) && request.at > c.disturbedUntil[request.index].Add(stableWindow) {
 			late++
 		}
 	}
@@ -211,8 +210,8 @@
 	c.t.Helper()
 	for part := range c.parts.bad {
 		times := c.parts.crashesUnder(part)
-		c.t.Logf("%s: %d engines ended, %d after the fifth, %d requests received late of %d", part, len(times), max(0, len(times)-5), c.parts.receivedLate(part), len(c.parts.received[part]))
-		require.LessOrEqual(c.t, c.parts.receivedLate(part), 3, "requests with %s that reached engines late", part)
+		c.t.Logf("%s: %d engines ended, %d after the fifth, %d requests received late of %d", part, len(times), max(0, len(times)-5), c.receivedLate(part), len(c.parts.received[part]))
+		require.LessOrEqual(c.t, c.receivedLate(part), 3, "requests with %s that reached engines late", part)
 	}
 }
 
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -185,6 +185,7 @@
 		f.weightsNotices.Add(f.now, reported, origin)
 	}
 	f.mergeAccusedParts(message.AccusedParts)
+	f.mergeLimits(message.ServerLimits)
 	for _, leaving := range message.LeavingServers {
 		f.markLeaving(leaving, origin)
 	}
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -50,6 +50,7 @@
 		end(1, forwarder.OutcomeDeclined, 503)
 		return
 	}
+	c.after(15, func() { c.nameLimit(i, s, dispatch) })
 	draw := c.random.IntN(100)
 	for _, outcome := range []forwarder.Outcome{forwarder.OutcomeNotSent, forwarder.OutcomeDeclined, forwarder.OutcomeInterrupted, forwarder.OutcomeCorrupted} {
 		if draw -= c.faultPercents[outcome]; draw < 0 {
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -5,6 +5,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
@@ -215,6 +216,13 @@
 	Pause clock.Millis
 	// InvalidPause is the text of a pause that can't be used; empty for none.
 	InvalidPause string
+	// Limit is the limit of requests that the server names, if HasLimit is set. NamesNoLimit
+	// reports that it names none in the response to a request that was sent while it had one.
+	Limit        limitsharer.Limit
+	HasLimit     bool
+	NamesNoLimit bool
+	// InvalidLimit is the text of a limit that can't be used; empty for none.
+	InvalidLimit string
 }
 
 // LeaseRead and LeaseWritten are the store's responses about the rollout lease.
--- a/internal/decision/forwarder/faults_test.go
+++ b/internal/decision/forwarder/faults_test.go
@@ -91,9 +91,10 @@
 
 // disturb records the time until which an instance is out of touch.
 func (c *cluster) disturb(i int, until clock.Millis) {
-	if c.parts != nil {
-		c.parts.disturbedAt[i] = max(c.parts.disturbedAt[i], until)
+	if c.disturbedUntil == nil {
+		c.disturbedUntil = map[int]clock.Millis{}
 	}
+	c.disturbedUntil[i] = max(c.disturbedUntil[i], until)
 }
 
 // cutOffStore disconnects a random instance from the store for some seconds.
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -8,8 +8,8 @@
 // (requests that crash servers), partquarantine (parts of prompts that do), cachetracker (cached prompt parts at servers), registry
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
-// backlogkeeper (how long engines still take for the prompts that they were sent) and
-// originkeeper (where streams began).
+// backlogkeeper (how long engines still take for the prompts that they were sent),
+// limitsharer (limits that servers name) and originkeeper (where streams began).
 //
 // The age of the desired state is the time since the store last confirmed it. With
 // strict key withdrawal, requests with a key are refused while the state is too old,
@@ -34,6 +34,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eratracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/organizer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/outbox"
@@ -199,6 +200,9 @@
 	pendingCrashes []pendingCrash
 	// newConvictions are the parts that were convicted in this step.
 	newConvictions []uint64
+	// limits has the limits that servers named, and holders who may send to those servers.
+	limits  *limitsharer.Sharer
+	holders map[limitsharer.Start]limitHolders
 
 	flights map[string]*flight
 }
@@ -235,7 +239,8 @@
 		crashedServers: map[string][]string{},
 		eras:           eratracker.New(),
 		parts:          partquarantine.New(maxAccusedParts),
-		flights:        map[string]*flight{},
+		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
+		flights: map[string]*flight{},
 	}
 }
 
--- a/internal/decision/forwarder/leaving.go
+++ b/internal/decision/forwarder/leaving.go
@@ -23,6 +23,7 @@
 // handleServerNotice handles what a server says of itself.
 func (f *Forwarder) handleServerNotice(notice ServerNotice) {
 	f.handlePause(notice)
+	f.handleLimit(notice)
 	if notice.Leaving {
 		f.markLeaving(digest.LeavingServer{Server: notice.Server, StartedAt: notice.StartedAt}, relayer.Own)
 	}
--- a/internal/decision/forwarder/pauses.go
+++ b/internal/decision/forwarder/pauses.go
@@ -63,15 +63,21 @@
 	return f.holdsBack(server) && server.ReturnsAt() < deadline
 }
 
-// retryAfter returns the retry delay for the caller: if all servers of the service pause, the
-// time until the first one returns, and a random delay.
+// retryAfter returns the retry delay for the caller: if all servers of the service pause or
+// have a limit, the time until the first one takes a request, and a random delay.
 func (f *Forwarder) retryAfter(fl *flight) clock.Millis {
 	first := clock.Millis(0)
 	for _, server := range f.servers.Available(f.now, fl.service) {
 		switch {
 		case server.Down():
 		case !server.Paused(f.now):
-			return f.jitteredRetryAfter()
+			wait, holds := f.limitWait(server)
+			if wait == 0 || !holds {
+				return f.jitteredRetryAfter()
+			}
+			if at := f.now.Add(wait); first == 0 || at < first {
+				first = at
+			}
 		case first == 0 || server.ReturnsAt() < first:
 			first = server.ReturnsAt()
 		}
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -37,11 +36,15 @@
 	return f.now.Add(min(maxWait, fl.remaining(f.now)/waitDivisor))
 }
 
-// serverExpected reports whether a server for the request is loading weights or pauses, and
-// will be available soon.
+// serverExpected reports whether a server for the request is loading weights, pauses or has a
+// limit, and will be available soon.
 func (f *Forwarder) serverExpected(fl *flight) bool {
 	loading := f.loadingEngines()
-	for _, server := range f.servers.Available(f.now, fl.service) {
+	available := f.servers.Available(f.now, fl.service)
+	if f.limitedInTime(fl, available) {
+		return true
+	}
+	for _, server := range available {
 		if (loading[server.ID] || f.returnsInTime(fl, server)) && !server.Down() && !fl.triedServers[server.ID] && fl.mayRunAt(server) {
 			return true
 		}
@@ -49,11 +52,22 @@
 	return false
 }
 
+// dueFlights returns the flights whose check is due, the most urgent first.
+func (f *Forwarder) dueFlights() []*flight {
+	var due []*flight
+	for _, fl := range f.flights {
+		if f.now >= fl.checkAt {
+			due = append(due, fl)
+		}
+	}
+	slices.SortFunc(due, compareUrgency)
+	return due
+}
+
 // checkFlights handles the flights whose check is due.
 func (f *Forwarder) checkFlights() {
-	for _, id := range slices.Sorted(maps.Keys(f.flights)) {
-		fl := f.flights[id]
-		if f.now < fl.checkAt {
+	for _, fl := range f.dueFlights() {
+		if f.flights[fl.id()] != fl {
 			continue
 		}
 		if f.now >= fl.deadline {
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
@@ -34,6 +35,7 @@
 		LeavingServers: []digest.LeavingServer{{Server: "e2", StartedAt: 9}},
 		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
 		AccusedParts: []partquarantine.Evidence{{Part: 1 << 60, Generation: 4, Cleared: 1, Convicted: 4, Server: 15}},
+		ServerLimits: []limitsharer.Notice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Limit: 1100}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Limit: limitsharer.None}},
 		Replicas:     []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
 	}
 }
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
@@ -65,6 +66,9 @@
 	for _, part := range d.AccusedParts {
 		message.AccusedParts = append(message.AccusedParts, &edgev1.AccusedPart{Part: part.Part, Generation: part.Generation, Cleared: part.Cleared, Convicted: part.Convicted, Server: part.Server})
 	}
+	for _, limit := range d.ServerLimits {
+		message.ServerLimits = append(message.ServerLimits, &edgev1.ServerLimit{Server: limit.Server, StartedAt: limit.StartedAt, Version: limit.Version, Limit: int64(limit.Limit)})
+	}
 	for _, replica := range d.Replicas {
 		message.Replicas = append(message.Replicas, &edgev1.Replica{
 			Kind: uint32(replica.Kind), Era: replica.Era, Revision: replica.Revision, Through: replica.Through, AgeMs: int64(replica.Age), Source: replica.Source,
@@ -155,6 +159,10 @@
 	for _, part := range message.GetAccusedParts() {
 		d.AccusedParts = append(d.AccusedParts, partquarantine.Evidence{Part: part.GetPart(), Generation: part.GetGeneration(), Cleared: part.GetCleared(), Convicted: part.GetConvicted(), Server: part.GetServer()})
 	}
+	for _, limit := range message.GetServerLimits() {
+		start := limitsharer.Start{Server: limit.GetServer(), StartedAt: limit.GetStartedAt()}
+		d.ServerLimits = append(d.ServerLimits, limitsharer.Notice{Start: start, Version: limit.GetVersion(), Limit: max(limitsharer.None, limitsharer.Limit(limit.GetLimit()))})
+	}
 	for _, replica := range message.GetReplicas() {
 		d.Replicas = append(d.Replicas, digest.Replica{
 			Kind: int(replica.GetKind()), Era: replica.GetEra(), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -91,6 +91,7 @@
 		return withOutcome(result, outcomeOfReadError(err), err), nil
 	}
 	head := h.edge.platform.DecodeResponse(response, h.callerRequestID)
+	head.Notice.NamesNoLimit = dispatch.Limited && !head.Misdirected && !head.Notice.HasLimit && head.Notice.InvalidLimit == ""
 	h.edge.notify(dispatch.Server, dispatch.StartedAt)(head.Notice)
 	result.Status = response.StatusCode
 	result.WeightsVersion = head.WeightsVersion
