Limit the memory of all responses that are buffered at a time

What callers saw: nothing yet; servers that send bodies without end could fill the memory of an instance, and the platform ends a process that uses more than it may.

Cause: the body of each response was limited to 8 MB, and their sum was not.

Change: what a body has beyond 64 KB reserves memory from a fifth of that of the process; without any left, the attempt ends as a corrupted response. Short responses need no reservation, so that they still arrive.

--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -20,8 +20,6 @@
 	// attemptGrace is added to an attempt's timeout. The state machine and the server end
 	// the attempt before that; the context is only a safeguard.
 	attemptGrace = 500 * time.Millisecond
-	// maxResponseBytes limits the body of a response that is buffered.
-	maxResponseBytes = 8 << 20
 	// maxEventBytes limits one event of a stream. eventBufferBytes is the size of the read
 	// buffer; a typical event fits.
 	maxEventBytes    = 1 << 20
@@ -141,16 +139,14 @@
 
 // bufferResponse reads the complete response.
 func (h *requestHandler) bufferResponse(result forwarder.AttemptEnded, head ResponseHead, response *http.Response) forwarder.AttemptEnded {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
+	body, reserved, err := h.edge.responseMemory.read(response.Body)
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return withOutcome(result, forwarder.OutcomeCorrupted, err)
+	case err != nil:
 		return withOutcome(result, forwarder.OutcomeInterrupted, err)
 	}
-	if len(body) > maxResponseBytes {
-		return withOutcome(result, forwarder.OutcomeCorrupted, errors.Errorf("the response body is longer than %d bytes", maxResponseBytes))
-	}
-	h.mu.Lock()
-	h.buffered[result.Attempt] = &bufferedResponse{status: response.StatusCode, header: head.Header, body: body}
-	h.mu.Unlock()
+	h.keep(result.Attempt, &bufferedResponse{status: response.StatusCode, header: head.Header, body: body}, reserved)
 	return withOutcome(result, forwarder.OutcomeCompleted, nil)
 }
 
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -120,6 +120,8 @@
 	// httpServer serves the callers.
 	httpServer *httpserver.Server
 	peerSocket net.PacketConn
+	// responseMemory limits the responses that are buffered.
+	responseMemory responseMemory
 	// kinds are the kinds of the store's objects, of which objects has the copies.
 	// endWatch ends the watches of the store.
 	kinds    []WatchedKind
@@ -148,6 +150,7 @@
 	platform.ObserveEras(e.seeEra)
 	e.kinds = platform.WatchedKinds(e.machine.submit, e.log)
 	e.httpServer = httpserver.New(e, settings.MemoryMB<<20/bodyMemoryDivisor)
+	e.responseMemory.limit = settings.MemoryMB << 20 / responseMemoryDivisor
 	if err := e.listen(); err != nil {
 		e.Close()
 		return nil, err
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -49,6 +49,7 @@
 		}
 	}()
 	handler := newRequestHandler(e, inbound, response, request, callerRequestID)
+	defer handler.release()
 	defer handler.logIncomplete(time.Now())
 	e.machine.handleAlternatives(request.ID, func(dispatch forwarder.Dispatch) {
 		e.start(func() { handler.runAlternative(dispatch) })
@@ -79,6 +80,10 @@
 	// buffered are the responses by attempt. They are held back until the state machine
 	// decides whether to forward one or to retry the request.
 	buffered map[int]*bufferedResponse
+	// reserved is the memory reserved for them, in bytes, and released reports whether the
+	// request has ended.
+	reserved int64
+	released bool
 	// streamStarted reports whether events have been forwarded to the caller.
 	// lastEventID is the identifier of the last one.
 	streamStarted bool
@@ -99,6 +104,26 @@
 	body   []byte
 }
 
+// keep keeps a response until the request ends.
+func (h *requestHandler) keep(attempt int, response *bufferedResponse, reserved int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.released {
+		h.edge.responseMemory.release(reserved)
+		return
+	}
+	h.buffered[attempt] = response
+	h.reserved += reserved
+}
+
+// release releases the memory of the responses.
+func (h *requestHandler) release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.released = true
+	h.edge.responseMemory.release(h.reserved)
+}
+
 // run performs the request's actions until one of them ends it.
 func (h *requestHandler) run(actions <-chan forwarder.Action) {
 	for {
