Confirm a conviction only with requests that have no other accused part

What callers would see: a sound part that was convicted beside a bad one runs again after some time to find out. If that request also had the bad part, accused but not convicted yet, the engine would end and the sound part would stay convicted for ten minutes.

Cause: only other convicted parts were excluded.

Change: the other parts of such a request must not be accused at all. The instances take turns a second apart instead of half a second, so that the outcome of one run is known to the next.

--- a/internal/decision/partquarantine/confirmation.go
+++ b/internal/decision/partquarantine/confirmation.go
@@ -9,15 +9,15 @@
 	survivorDelay  = 1500 * clock.Millisecond
 	strangerDelay  = 30 * clock.Second
 	confirmedDelay = 10 * clock.Minute
-	// rankDelay is the time from one instance to the next: an engine's crash is known to
-	// all of a small cluster by then.
-	rankDelay = 500 * clock.Millisecond
+	// rankDelay is the time from one instance to the next: in it, a request ends and its
+	// outcome reaches all instances.
+	rankDelay = clock.Second
 	// confirmationTime is the time for which an instance waits for the outcome.
 	confirmationTime = 3 * clock.Second
 )
 
-// ConfirmationDue reports whether a request whose only convicted part is the given one may
-// run to find out whether the conviction is right. rank returns the rank of this instance for
+// ConfirmationDue reports whether a request whose only accused part is the given one may run
+// to find out whether the conviction is right. rank returns the rank of this instance for
 // the part, from 0; it is called only if it matters.
 func (q *Quarantine) ConfirmationDue(now clock.Millis, part uint64, rank func() int) bool {
 	found := q.records[part]
--- a/internal/decision/partquarantine/partquarantine.go
+++ b/internal/decision/partquarantine/partquarantine.go
@@ -140,6 +140,11 @@
 	return parts[i], true
 }
 
+// Accused reports whether one of the parts is accused and not cleared.
+func (q *Quarantine) Accused(parts []uint64) bool {
+	return slices.ContainsFunc(parts, func(part uint64) bool { return q.records[part].score() > 0 })
+}
+
 // Survived reports whether all of the parts have survived within recentSurvival.
 func (q *Quarantine) Survived(now clock.Millis, parts []uint64) bool {
 	return !slices.ContainsFunc(parts, func(part uint64) bool { return !q.survivedRecently(now, part) })
@@ -301,12 +306,12 @@
 	return q.collect(func(r record) bool { return r.score() > 0 || r.Convicted > 0 })
 }
 
-// collect returns at most maxSent of the chosen records: the convicted ones and those that
+// collect returns at most maxSent of the wanted records: the convicted ones and those that
 // changed last go first.
-func (q *Quarantine) collect(chosen func(record) bool) []Evidence {
+func (q *Quarantine) collect(wanted func(record) bool) []Evidence {
 	var found []record
 	for _, r := range q.records {
-		if chosen(r) {
+		if wanted(r) {
 			found = append(found, r)
 		}
 	}
