--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -119,10 +119,10 @@
 
 	// disturbedUntil are the times until which instances were killed, suspended or cut off.
 	disturbedUntil map[int]clock.Millis
-	// limitPeriods are the limits that servers named, and told the times at which each start of
-	// an instance first received one.
-	limitPeriods []*limitPeriod
-	told         map[callKey]clock.Millis
+	// limitPeriods are the limits that servers named, and limitsReceived the times at which each
+	// start of an instance first received one.
+	limitPeriods   []*limitPeriod
+	limitsReceived map[callKey]clock.Millis
 	// lossPercent is the percentage of datagrams that are lost.
 	lossPercent int
 	// parts has the crashes of engines by parts of prompts; nil where no part crashes them.
@@ -186,7 +186,7 @@
 		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{}, originMessages: map[originmessage.Kind]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
-		requestLines: map[string][]string{}, told: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
+		requestLines: map[string][]string{}, limitsReceived: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
 	}
 	for i := range max(6, instances/2) {
 		engine := registry.Entry{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i), Domain: string(rune('a' + i%domains)), Slots: 64, WeightVersions: map[string]int64{model: 1}, StartedAt: 1, Revision: 1}
@@ -391,22 +391,3 @@
 func (c *cluster) instanceAt(address string) int {
 	return slices.IndexFunc(c.settings, func(settings instancesettings.Settings) bool { return settings.PeerAddress == address })
 }
-
-// sendRequest sends a request of the kind to an instance.
-func (c *cluster) sendRequest(i int, kind string) string {
-	id := fmt.Sprint(kind, "-", len(c.requests))
-	c.requests[id] = &request{instance: i, kind: kind, sentAt: c.now}
-	arrived := forwarder.Request{ID: id, Host: host, Method: "POST", Path: "/" + kind + "/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: id}
-	if kind == "stream" || kind == "once" {
-		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
-		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%c.subjects), Tokens: 300}, {ID: id, Tokens: 300}}
-	}
-	c.requests[id].parts = arrived.PromptParts
-	if c.stopped[i] {
-		c.requests[id].finalActions = 1
-		c.requests[id].finalAction = forwarder.DropRequest{}
-		return id
-	}
-	c.step(i, forwarder.RequestArrived{Request: arrived})
-	return id
-}
--- a/internal/decision/forwarder/crashing_parts_simulation_test.go
+++ b/internal/decision/forwarder/crashing_parts_simulation_test.go
@@ -20,8 +20,6 @@
 // a part that all callers share, and one of its caller.
 type partLoad struct {
 	bad [][]string // bad are the shared parts of the prompts with bad parts.
-	// since is the time from which the part counts as bad.
-	since map[string]clock.Millis
 }
 
 const partCallers = 5
@@ -120,8 +118,11 @@
 	c.t.Helper()
 	from := badSince
 	for part := range c.parts.bad {
-		if crashes := c.parts.crashesUnder(part); len(crashes) > 0 {
-			from = max(from, crashes[min(5, len(crashes))-1])
+		for _, at := range c.parts.crashesUnder(part)[:min(5, len(c.parts.crashesUnder(part)))] {
+			// A later crash is the latest one only for requests that are not sent any more.
+			if at < c.now.Add(-4*stableWindow) {
+				from = max(from, at)
+			}
 		}
 	}
 	from = from.Add(2 * stableWindow)
--- a/internal/decision/forwarder/crashing_parts_test.go
+++ b/internal/decision/forwarder/crashing_parts_test.go
@@ -37,7 +37,6 @@
 	// received are the requests that reached engines, by bad part.
 	received map[string][]contact
 	began    map[string]bool // began are the requests that began to be answered at the first attempt.
-	refused  int
 }
 
 func (c *cluster) crashOnParts() *partCrashes {
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -130,3 +132,22 @@
 	r.finalActions++
 	r.finalAction = action
 }
+
+// sendRequest sends a request of the kind to an instance.
+func (c *cluster) sendRequest(i int, kind string) string {
+	id := fmt.Sprint(kind, "-", len(c.requests))
+	c.requests[id] = &request{instance: i, kind: kind, sentAt: c.now}
+	arrived := forwarder.Request{ID: id, Host: host, Method: "POST", Path: "/" + kind + "/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: id}
+	if kind == "stream" || kind == "once" {
+		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
+		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%c.subjects), Tokens: 300}, {ID: id, Tokens: 300}}
+	}
+	c.requests[id].parts = arrived.PromptParts
+	if c.stopped[i] {
+		c.requests[id].finalActions = 1
+		c.requests[id].finalAction = forwarder.DropRequest{}
+		return id
+	}
+	c.step(i, forwarder.RequestArrived{Request: arrived})
+	return id
+}
--- a/internal/decision/forwarder/eras_simulation_test.go
+++ b/internal/decision/forwarder/eras_simulation_test.go
@@ -29,7 +29,7 @@
 		domains: 3, subjects: 7, traffic: map[int]traffic{}, objects: newObjectStore(),
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
-		requestLines: map[string][]string{}, told: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
+		requestLines: map[string][]string{}, limitsReceived: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
 	}
 	for i := range 6 {
 		engine := registry.Entry{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i), Domain: string(rune('a' + i%3)), Slots: 64, WeightVersions: map[string]int64{model: 1}, StartedAt: 1}
--- a/internal/decision/forwarder/server_limits_simulation_test.go
+++ b/internal/decision/forwarder/server_limits_simulation_test.go
@@ -43,8 +43,8 @@
 	instance := c.instances[i]
 	c.afterPause(i, 1, func() {
 		key := callKey{instance, dispatch.Server, dispatch.StartedAt}
-		if _, known := c.told[key]; notice.HasLimit && !known {
-			c.told[key] = c.now
+		if _, known := c.limitsReceived[key]; notice.HasLimit && !known {
+			c.limitsReceived[key] = c.now
 		}
 		if c.instances[i] == instance {
 			c.step(i, notice)
@@ -81,8 +81,8 @@
 			continue
 		}
 		all = append(all, called.at)
-		told, isTold := c.told[callKey{called.instance, period.server, period.startedAt}]
-		if isTold && called.at >= told.Add(500) && called.at > c.disturbedUntil[called.index].Add(stableWindow) {
+		receivedAt, received := c.limitsReceived[callKey{called.instance, period.server, period.startedAt}]
+		if received && called.at >= receivedAt.Add(500) && called.at > c.disturbedUntil[called.index].Add(stableWindow) {
 			counted = append(counted, called.at)
 		}
 	}
--- a/internal/decision/limitsharer/limitsharer.go
+++ b/internal/decision/limitsharer/limitsharer.go
@@ -218,10 +218,10 @@
 	return s.collect(func(entry) bool { return true })
 }
 
-func (s *Sharer) collect(chosen func(entry) bool) []Notice {
+func (s *Sharer) collect(wanted func(entry) bool) []Notice {
 	var found []entry
 	for _, e := range s.entries {
-		if chosen(e) {
+		if wanted(e) {
 			found = append(found, e)
 		}
 	}
