Confirm convictions also beside accused parts that had survived before

Change: other parts stand against a confirmation only if they are convicted, or accused without ever having survived.

--- a/internal/decision/forwarder/crashingparts.go
+++ b/internal/decision/forwarder/crashingparts.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	others := slices.DeleteFunc(slices.Clone(fl.partKeys), func(key uint64) bool { return key == part })
-	if f.parts.Accused(others) || !f.parts.ConfirmationDue(f.now, part, func() int { return f.rankFor(part) }) {
+	if f.parts.Suspicious(others) || !f.parts.ConfirmationDue(f.now, part, func() int { return f.rankFor(part) }) {
 		return true
 	}
 	fl.confirms = true
--- a/internal/decision/partquarantine/confirmation.go
+++ b/internal/decision/partquarantine/confirmation.go
@@ -16,8 +16,8 @@
 	confirmationTime = 3 * clock.Second
 )
 
-// ConfirmationDue reports whether a request whose only accused part is the given one may run
-// to find out whether the conviction is right. rank returns the rank of this instance for
+// ConfirmationDue reports whether a request whose only suspicious part is the given one may
+// run to find out whether the conviction is right. rank returns the rank of this instance for
 // the part, from 0; it is called only if it matters.
 func (q *Quarantine) ConfirmationDue(now clock.Millis, part uint64, rank func() int) bool {
 	found := q.records[part]
--- a/internal/decision/partquarantine/partquarantine.go
+++ b/internal/decision/partquarantine/partquarantine.go
@@ -140,9 +140,13 @@
 	return parts[i], true
 }
 
-// Accused reports whether one of the parts is accused and not cleared.
-func (q *Quarantine) Accused(parts []uint64) bool {
-	return slices.ContainsFunc(parts, func(part uint64) bool { return q.records[part].score() > 0 })
+// Suspicious reports whether one of the parts is convicted, or accused without having survived
+// before.
+func (q *Quarantine) Suspicious(parts []uint64) bool {
+	return slices.ContainsFunc(parts, func(part uint64) bool {
+		_, survivor := q.survived.at(part)
+		return q.records[part].convicted() || (q.records[part].score() > 0 && !survivor)
+	})
 }
 
 // Survived reports whether all of the parts have survived within recentSurvival.
