Do not repeat a request that confirms a conviction

What callers would see: a request that runs to find out whether a conviction is right could be repeated at a second engine, and end that too, if the first one ended without the head of an answer, or was silent.

Cause: a request that may run in spite of a conviction passed the same check before each further attempt. Found by reading; no run has shown it. Change: it gets no further attempt. The simulation of parts verifies that a request that is sent after the conviction of one of its parts is sent once.

--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -215,7 +215,7 @@
 // retry sends the request to another server if time, a server and retry budget are
 // left. Otherwise it returns the reason; it is empty after a retry.
 func (f *Forwarder) retry(fl *flight) Reason {
-	if f.mayCrashServers(fl) {
+	if fl.confirms || f.mayCrashServers(fl) {
 		return ReasonCrashesServers
 	}
 	if fl.remaining(f.now) < minRemaining {
--- a/internal/decision/forwarder/crashing_parts_simulation_test.go
+++ b/internal/decision/forwarder/crashing_parts_simulation_test.go
@@ -49,6 +49,7 @@
 					c.lossPercent = 2
 					c.playPartLoad(partLoads[load], seed%2 == 1)
 					c.requireLateBudget()
+					c.requireSingleConfirmations()
 					c.checkInvariants()
 				})
 			}
--- a/internal/decision/forwarder/crashing_parts_test.go
+++ b/internal/decision/forwarder/crashing_parts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -214,6 +215,30 @@
 	}
 }
 
+// requireSingleConfirmations verifies that a request which is sent although one of its parts was
+// convicted is sent only once.
+func (c *cluster) requireSingleConfirmations() {
+	c.t.Helper()
+	for part, received := range c.parts.received {
+		convictedAt := clock.Millis(0)
+		for _, line := range c.logLines {
+			var at clock.Millis
+			if strings.Contains(line, "partConvicted") && strings.Contains(line, fmt.Sprintf("part=%016x", scheduler.PartKey("", part))) {
+				_, err := fmt.Sscanf(line, "%dms", &at)
+				require.NoError(c.t, err)
+				convictedAt = max(convictedAt, at)
+			}
+		}
+		attempts := map[string]int{}
+		for _, request := range received {
+			if convictedAt > 0 && c.requests[request.request].sentAt > convictedAt.Add(stableWindow) {
+				attempts[request.request]++
+				require.Equal(c.t, 1, attempts[request.request], "%s", c.logOf(request.request))
+			}
+		}
+	}
+}
+
 // TestAnsweredRequestIsNotBlocked repeats a request whose engine ends while it answers it,
 // because of requests at another instance. It must not be blocked as one that crashes engines.
 func TestAnsweredRequestIsNotBlocked(t *testing.T) {
