--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/outbox"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
@@ -204,13 +205,13 @@
 			continue
 		}
 		spread := float64(f.jitter(jitterSteps)) / jitterSteps
-		if server, ok := f.servers.Server(id); ok && !server.Down() {
-			f.servers.MarkReportedUnreachable(f.now, id, spread)
+		if f.servers.MarkReportedUnreachable(f.now, id, spread) {
+			f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id).With("gone", false).With("from", message.Name))
 		}
 	}
 	for _, id := range message.RecoveredServers {
 		if f.recoveredNotices.Add(f.now, id, origin) && f.servers.MarkReportedRecovered(f.now, id) {
-			f.logRecovered(id)
+			f.logRecovered(id, message.Name)
 		}
 	}
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -185,9 +185,12 @@
 // suspectServer logs that a server is avoided, and tells the peers.
 func (f *Forwarder) suspectServer(id string, gone bool) {
 	f.unreachableNotices.Add(f.now, id, relayer.Own)
-	f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id).With("gone", gone))
+	f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id).With("gone", gone).With("from", ownObservation))
 }
 
+// ownObservation is the source, as it is logged, of what this instance has observed itself.
+const ownObservation = "own"
+
 // handleServerCrash handles a crashed server: its cache is lost, and the requests that
 // were recently interrupted there become suspects.
 func (f *Forwarder) handleServerCrash(id string) {
@@ -268,7 +271,7 @@
 		if ok && server.Down() {
 			f.servers.RecordResult(f.now, checked.Server, false)
 			f.recoveredNotices.Add(f.now, checked.Server, relayer.Own)
-			f.logRecovered(checked.Server)
+			f.logRecovered(checked.Server, ownObservation)
 		}
 		return
 	}
@@ -277,8 +280,8 @@
 	}
 }
 
-func (f *Forwarder) logRecovered(id string) {
-	f.log(eventlog.New(eventlog.ServerRecovered, "").With("server", id))
+func (f *Forwarder) logRecovered(id, source string) {
+	f.log(eventlog.New(eventlog.ServerRecovered, "").With("server", id).With("from", source))
 }
 
 // handleSettingsReloaded applies changed settings. New bounds take effect at once;
