Add failing simulations of instances without a path to any server

Instances are cut off from all servers, one, most, a domain, all but one, or all but one of each domain; connections hang, are reset, or live on while new ones are refused. Callers, the store and the other instances still reach them.

--- a/internal/decision/forwarder/caches_test.go
+++ b/internal/decision/forwarder/caches_test.go
@@ -45,7 +45,8 @@
 	c.after(5, func() {
 		result := forwarder.CacheRead{Server: read.Server, Full: read.Full, Since: read.Since, Epoch: s.entry.StartedAt, LastChange: int64(len(s.cacheChanges))}
 		declined := read.Server != scheduler.StoreID && c.sendNotice(i, s, read.StartedAt)
-		result.Failed = s.down || s.queueFull || declined || c.faultRandom.IntN(100) < c.cacheFaultPercent
+		_, isCut := c.cutFrom(i, read.Server)
+		result.Failed = isCut || s.down || s.queueFull || declined || c.faultRandom.IntN(100) < c.cacheFaultPercent
 		result.ChangesLost = !read.Full && c.faultRandom.IntN(100) < c.cacheFaultPercent
 		result.Changes = append(result.Changes, s.cacheChanges[min(read.Since, result.LastChange):]...)
 		c.step(i, result)
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -128,6 +128,9 @@
 	// parts has the crashes of engines by parts of prompts; nil where no part crashes them.
 	parts *partCrashes
 
+	// serverCuts are the times in which instances can't reach servers.
+	serverCuts []serverCut
+
 	// objects is the store from which the instances read; nil for a cluster that gets
 	// the store's objects as events.
 	objects *objectStore
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -21,12 +21,21 @@
 	require.True(c.t, known)
 	require.Zero(c.t, r.finalActions, "%s is dispatched after its final response", dispatch.Request)
 	c.checkDispatch(i, dispatch, s)
+	startedAt := c.now
+	cut, isCut := c.cutFrom(i, dispatch.Server)
 	end := func(delay clock.Millis, outcome forwarder.Outcome, status int) {
-		refused := outcome == forwarder.OutcomeNotSent && s.down
+		refused := outcome == forwarder.OutcomeNotSent && (s.down || isCut)
 		c.after(delay, func() {
-			c.step(i, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: outcome, Status: status, Delivered: r.partDelivered, LastEventID: "1", ConnectionRefused: refused})
+			ended := forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: outcome, Status: status, Delivered: r.partDelivered, LastEventID: "1", ConnectionRefused: refused}
+			c.endAttempt(i, dispatch.Server, ended, startedAt, func(ended forwarder.AttemptEnded) { c.step(i, ended) })
 		})
 	}
+	if isCut {
+		var delay clock.Millis
+		delay, isCut = cut.failConnect()
+		end(delay, forwarder.OutcomeNotSent, 0)
+		return
+	}
 	switch {
 	case s.down:
 		end(5, forwarder.OutcomeNotSent, 0)
@@ -84,7 +93,8 @@
 
 func (c *cluster) startStream(i int, dispatch forwarder.Dispatch, r *request) {
 	c.after(10+c.firstEventDelays[r.kind], func() {
-		if r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 {
+		cut, isCut := c.cutFrom(i, dispatch.Server)
+		if r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 && !(isCut && cut.breaks()) {
 			r.partDelivered = true
 			r.receiveEvent(c.servers[dispatch.Server])
 			c.step(i, forwarder.StreamStarted{Request: dispatch.Request, Attempt: dispatch.Attempt})
--- a/internal/decision/forwarder/store_test.go
+++ b/internal/decision/forwarder/store_test.go
@@ -42,6 +42,9 @@
 // callEngine simulates an engine's reports and its replies to orders.
 func (c *cluster) callEngine(i int, step rollout.Step) {
 	c.after(3, func() {
+		if c.cutOffFromEngine(i, step) {
+			return
+		}
 		switch step := step.(type) {
 		case rollout.RequestReport:
 			s := c.servers[step.Server]
@@ -66,6 +69,30 @@
 	})
 }
 
+// cutOffFromEngine fails the call if a cut separates the instance from the engine.
+func (c *cluster) cutOffFromEngine(i int, step rollout.Step) bool {
+	switch step := step.(type) {
+	case rollout.RequestReport:
+		cut, isCut := c.cutFrom(i, step.Server)
+		if isCut {
+			delay, refused := cut.failConnect()
+			c.after(delay, func() {
+				c.step(i, forwarder.EngineReported{Server: step.Server, Report: rollout.Report{Failed: true, Unreachable: true, Gone: refused}})
+			})
+		}
+		return isCut
+	case rollout.Order:
+		cut, isCut := c.cutFrom(i, step.Server)
+		if isCut {
+			delay, _ := cut.failConnect()
+			c.after(delay, func() { c.step(i, forwarder.OrderReplied{Server: step.Server, Reply: rollout.Misdirected}) })
+		}
+		return isCut
+	default:
+		return false
+	}
+}
+
 // acceptOrder makes an engine load weights, unless it has accepted another order since.
 func (c *cluster) acceptOrder(order rollout.Order) rollout.OrderOutcome {
 	s := c.servers[order.Server]
--- a/internal/decision/forwarder/unreachable_test.go
+++ b/internal/decision/forwarder/unreachable_test.go
@@ -20,6 +20,13 @@
 // checkHealth simulates a health check.
 func (c *cluster) checkHealth(i int, check forwarder.CheckHealth) {
 	delay := 3 * clock.Millisecond
+	if cut, isCut := c.cutFrom(i, check.Server); isCut {
+		failsAfter, refused := cut.failConnect()
+		c.after(failsAfter, func() {
+			c.step(i, forwarder.HealthChecked{Server: check.Server, Unreachable: true, Gone: refused})
+		})
+		return
+	}
 	if c.servers[check.Server].queueFull {
 		delay = connectTimeout
 	}
