Reach servers through other instances where the own path is blocked

Cause: a failed connect was taken for a fact about the server, and an instance had no way to a server but its own connections. The same cause made sound instances avoid servers on the reports of instances without a path, and, where connects were refused, ascribed crashes to servers that ran.

Change: pathfinder keeps the state of the paths, apart from the registry's state of the servers. Behind a blocked path, requests go through another instance, which opens the connection and copies framed bytes (HTTP CONNECT at the peer address). Whether a server is down is decided with other instances that connect to it, and a failure counts only from one that reaches other servers at that moment. Attempts of which nothing was sent use no retry budget. An instance without paths orders no weights.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -58,6 +58,10 @@
 	PartCleared         Number = 2214
 	ServerLimited       Number = 2215
 	ServerLimitInvalid  Number = 2216
+	PathBlocked         Number = 2217
+	PathOpen            Number = 2218
+	CutOffChanged       Number = 2219
+	TunnelRefused       Number = 2220
 	WeightsNamed        Number = 2301
 	StoreEraChanged     Number = 2401
 	StoreEraInvalid     Number = 2402
@@ -128,6 +132,10 @@
 	PartCleared:         "partCleared",
 	ServerLimited:       "serverLimited",
 	ServerLimitInvalid:  "serverLimitInvalid",
+	PathBlocked:         "pathBlocked",
+	PathOpen:            "pathOpen",
+	CutOffChanged:       "cutOffChanged",
+	TunnelRefused:       "tunnelRefused",
 	WeightsNamed:        "weightsNamed",
 	StoreEraChanged:     "storeEraChanged",
 	StoreEraInvalid:     "storeEraInvalid",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -21,6 +22,8 @@
 	Attempt int
 	Server  string
 	Address string
+	// Via is the instance through which the request is sent.
+	Via Hop
 	// StartedAt is the server's start as it is listed.
 	StartedAt int64
 	// Limited reports whether the server is known to have a limit of requests.
@@ -122,6 +125,38 @@
 	Address   string
 	StartedAt int64
 	Path      string
+	// BeganAt is the time of the action.
+	BeganAt clock.Millis
+}
+
+// ProbePath connects to a server, without a request, to learn whether it can be reached.
+type ProbePath struct {
+	Server    string
+	Address   string
+	StartedAt int64
+	Via       Hop
+	// BeganAt is the time of the action.
+	BeganAt clock.Millis
+}
+
+// OpenTunnel opens a connection to a server for another instance and copies bytes between the two.
+type OpenTunnel struct {
+	Tunnel    string
+	Server    string
+	StartedAt int64
+	Address   string
+	// Timeout is the longest time for which the tunnel is open.
+	Timeout clock.Millis
+	// Limited reports whether the server is known to have a limit of requests.
+	Limited bool
+	// Probe reports whether no request will be sent.
+	Probe bool
+}
+
+// RefuseTunnel refuses a request for a tunnel.
+type RefuseTunnel struct {
+	Tunnel  string
+	Verdict tunnelverdict.Verdict
 }
 
 // ReadCache reads the list of cached parts from a server or from the cache store.
@@ -168,6 +203,9 @@
 func (WatchStore) isAction()      {}
 func (FetchReplicas) isAction()   {}
 func (CheckHealth) isAction()     {}
+func (ProbePath) isAction()       {}
+func (OpenTunnel) isAction()      {}
+func (RefuseTunnel) isAction()    {}
 func (ReadCache) isAction()       {}
 func (CallStore) isAction()       {}
 func (CallEngine) isAction()      {}
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -80,7 +80,7 @@
 	fl := &flight{
 		request: request, route: route, service: service, team: team,
 		arrivedAt: f.now, deadline: f.now.Add(f.requestTimeout(request, route)),
-		triedServers: map[string]bool{}, lastEventID: request.LastEventID, partKeys: partKeys(request.PromptParts),
+		triedServers: map[string]bool{}, ways: map[int]way{}, lastEventID: request.LastEventID, partKeys: partKeys(request.PromptParts),
 	}
 	if f.mayCrashServers(fl) {
 		f.refuseOnArrival(request, statusUnavailable, ReasonCrashesServers, f.settings.Bounds.RetryWindow)
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -7,6 +7,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -89,12 +90,17 @@
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
 	fl.possibleRuns++
+	hop := f.wayTo(choice.Server)
+	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now}
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.takeLimit(server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
+	if !hop.Direct() {
+		entry = entry.With("via", hop.Instance)
+	}
 	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
 	entry = entry.With("weights", server.Entry.WeightVersions[fl.request.Model]).With("left", fl.remaining(f.now))
@@ -105,7 +111,7 @@
 	}
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
-		Server: choice.Server, Address: server.Address, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)),
+		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)),
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
@@ -116,7 +122,13 @@
 
 // canRetry reports whether a request that may have run may be sent again.
 func (f *Forwarder) canRetry(fl *flight) bool {
-	return fl.route.Repeatable() && fl.possibleRuns-fl.supersededRuns < max(1, fl.route.MaxAttempts) && fl.attempts < maxAttempts
+	return fl.route.Repeatable() && fl.possibleRuns-fl.supersededRuns < max(1, fl.route.MaxAttempts) && !fl.attemptsUsedUp()
+}
+
+// attemptsUsedUp reports whether the request must not be sent again. Attempts of which nothing was
+// sent have a limit of their own.
+func (fl *flight) attemptsUsedUp() bool {
+	return fl.attempts-fl.unsent >= maxAttempts || fl.unsent >= maxUnsent
 }
 
 func (f *Forwarder) handleStreamStarted(event StreamStarted) {
@@ -127,6 +139,9 @@
 	if !ok {
 		return
 	}
+	if used := fl.ways[fl.attempt]; used.hop.Direct() && used.beganAt > 0 {
+		f.recordConnect(fl.server, used.beganAt, true)
+	}
 	if !fl.partDelivered {
 		f.emit(ObserveDuration{Histogram: HistogramFirstEvent, Duration: f.now.Since(fl.arrivedAt)})
 	}
@@ -156,6 +171,7 @@
 }
 
 func (f *Forwarder) handleAttemptEnded(event AttemptEnded) {
+	f.recordWayOf(event)
 	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
 		f.handleAlternativeEnded(fl, event)
 		return
@@ -182,6 +198,23 @@
 	f.handleFailedAttempt(fl, event)
 }
 
+// recordWayOf records what the end of an attempt shows about the way to its server.
+func (f *Forwarder) recordWayOf(event AttemptEnded) {
+	fl, ok := f.flights[event.Request]
+	if !ok {
+		return
+	}
+	server := fl.server
+	if fl.isAlternative(event.Attempt) {
+		server = fl.alternative.server
+	} else if fl.attempt != event.Attempt {
+		return
+	}
+	if f.recordWay(fl, event, server) {
+		delete(fl.triedServers, server)
+	}
+}
+
 // handleCompletedAttempt forwards a server's response. A 5xx response to a retryable
 // request is retried at another server first.
 func (f *Forwarder) handleCompletedAttempt(fl *flight, event AttemptEnded) {
@@ -224,10 +257,11 @@
 	if len(f.candidatesOrLeaving(fl)) == 0 && !f.serverExpected(fl) {
 		fl.returnToLeftServers()
 	}
-	if fl.attempts >= maxAttempts || (len(f.candidatesOrLeaving(fl)) == 0 && !f.serverExpected(fl)) {
+	if fl.attemptsUsedUp() || (len(f.candidatesOrLeaving(fl)) == 0 && !f.serverExpected(fl)) {
 		return ReasonNoServer
 	}
-	if !f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
+	// The first request that reaches a server is no retry.
+	if fl.attempts > fl.unsent && !f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount()) {
 		return ReasonNoRetryBudget
 	}
 	f.assignServer(fl)
@@ -238,10 +272,12 @@
 func (f *Forwarder) recordFailure(fl *flight, event AttemptEnded, server string) {
 	entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", server).With("attempt", event.Attempt).With("failure", event.Outcome)
 	entry = entry.With("status", event.Status).With("detail", event.Detail).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt))
+	if event.Verdict != tunnelverdict.None {
+		entry = entry.With("verdict", event.Verdict)
+	}
 	f.log(entry.With("parts", fl.formatParts()))
 	switch event.Outcome {
 	case OutcomeNotSent:
-		f.recordUnreachable(server, event.ConnectionRefused)
 	case OutcomeDeclined, OutcomeMisdirected:
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
@@ -295,12 +331,15 @@
 // checkHealth sends a health check to the server, if it is known and does not pause.
 func (f *Forwarder) checkHealth(id string) {
 	server, ok := f.servers.Server(id)
-	if !ok || server.Paused(f.now) {
-		return
+	switch {
+	case !ok || server.Paused(f.now):
+	case f.paths.Blocked(id):
+		f.suspect(id, false)
+	default:
+		f.emitHealthCheck(server)
 	}
-	f.emitHealthCheck(server)
 }
 
 func (f *Forwarder) emitHealthCheck(server registry.Server) {
-	f.emit(CheckHealth{Server: server.ID, Address: server.Address, StartedAt: server.StartedAt, Path: f.desired.Services[server.Service].HealthPath})
+	f.emit(CheckHealth{Server: server.ID, Address: server.Address, StartedAt: server.StartedAt, Path: f.desired.Services[server.Service].HealthPath, BeganAt: f.now})
 }
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -21,10 +21,10 @@
 // candidatesAmong returns those of the servers that can take the request now.
 func (f *Forwarder) candidatesAmong(fl *flight, servers []registry.Server) []scheduler.Candidate {
 	service := f.desired.Services[fl.service]
-	loading := f.loadingEngines()
+	loading, hasHop := f.loadingEngines(), f.hasHop()
 	var candidates []scheduler.Candidate
 	for _, server := range servers {
-		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || f.holdsBack(server) || !fl.mayRunAt(server) {
+		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || f.holdsBack(server) || !fl.mayRunAt(server) || !f.hasWay(server.ID, hasHop) {
 			continue
 		}
 		if wait, holds := f.limitWait(server); wait > 0 || !holds {
@@ -45,6 +45,9 @@
 			}
 			candidate.Salt = f.cacheSalt(fl, version)
 		}
+		if f.paths.Blocked(server.ID) {
+			candidate.PenaltyMs += hopCost
+		}
 		candidates = append(candidates, candidate)
 	}
 	return candidates
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -130,6 +131,11 @@
 
 	// serverCuts are the times in which instances can't reach servers.
 	serverCuts []serverCut
+	// tunnels are the connections through other instances by name, tunnelCount the number of all
+	// that were asked for, and verdicts those of their outcomes.
+	tunnels     map[string]simulatedTunnel
+	tunnelCount int
+	verdicts    map[tunnelverdict.Verdict]int
 
 	// objects is the store from which the instances read; nil for a cluster that gets
 	// the store's objects as events.
@@ -186,6 +192,7 @@
 // engine for two instances, but at least six.
 func newClusterIn(t *testing.T, seed uint64, instances, domains int) *cluster {
 	c := &cluster{
+		tunnels: map[string]simulatedTunnel{}, verdicts: map[tunnelverdict.Verdict]int{},
 		domains: domains, subjects: max(7, instances), traffic: map[int]traffic{}, originMessages: map[originmessage.Kind]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
@@ -324,6 +331,12 @@
 		c.sendToKeeper(i, action)
 	case forwarder.SendOrigin:
 		c.sendOriginMessage(i, action)
+	case forwarder.ProbePath:
+		c.probePath(i, action)
+	case forwarder.OpenTunnel:
+		c.connectTunnel(i, action)
+	case forwarder.RefuseTunnel:
+		c.refuseTunnel(action)
 	case forwarder.CheckHealth:
 		c.checkHealth(i, action)
 	case forwarder.CallStore:
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -85,6 +86,9 @@
 	// ConnectionRefused reports whether nothing listens at the server's address, which only
 	// happens with OutcomeNotSent.
 	ConnectionRefused bool
+	// Verdict is the outcome of the request for a tunnel, if the attempt was sent through another
+	// instance and no tunnel was opened. Then the outcome is OutcomeNotSent.
+	Verdict tunnelverdict.Verdict
 	// Detail describes the failure for the log.
 	Detail string
 }
@@ -194,7 +198,9 @@
 
 // HealthChecked is the result of a health check.
 type HealthChecked struct {
-	Server  string
+	Server string
+	// BeganAt is that of the CheckHealth.
+	BeganAt clock.Millis
 	Healthy bool
 	// Unreachable reports whether the check failed before a byte was sent, such as on a
 	// connect timeout, or another server responded. Gone is set as well if the connection
@@ -203,6 +209,41 @@
 	Gone        bool
 }
 
+// PathProbed is the outcome of a ProbePath.
+type PathProbed struct {
+	Server    string
+	StartedAt int64
+	Via       Hop
+	BeganAt   clock.Millis
+	Verdict   tunnelverdict.Verdict
+}
+
+// TunnelRequested asks for a connection to a server, as it started at StartedAt, for another
+// instance at the IP address From.
+type TunnelRequested struct {
+	// Tunnel identifies the request at this instance.
+	Tunnel    string
+	From      string
+	Server    string
+	StartedAt int64
+	// Timeout is the time for which the connection may be used; 0 if it is not stated.
+	Timeout clock.Millis
+	// Limited reports whether the other instance has counted the request for a limit that the
+	// server names. Probe reports whether no request will be sent.
+	Limited bool
+	Probe   bool
+}
+
+// TunnelConnected is the outcome of the connect of an OpenTunnel; after one that has failed, the
+// tunnel is refused. TunnelEnded is the end of the tunnel.
+type (
+	TunnelConnected struct {
+		Tunnel  string
+		Verdict tunnelverdict.Verdict
+	}
+	TunnelEnded struct{ Tunnel string }
+)
+
 // ServerNotice is what the head of a server's response says about the server itself. It is
 // submitted as soon as the head has arrived.
 type ServerNotice struct {
@@ -303,6 +344,10 @@
 func (ReplicaUpdated) isEvent()        {}
 func (ReplicasFetched) isEvent()       {}
 func (HealthChecked) isEvent()         {}
+func (PathProbed) isEvent()            {}
+func (TunnelRequested) isEvent()       {}
+func (TunnelConnected) isEvent()       {}
+func (TunnelEnded) isEvent()           {}
 func (ServerNotice) isEvent()          {}
 func (LeaseRead) isEvent()             {}
 func (LeaseWritten) isEvent()          {}
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -26,7 +26,11 @@
 	attempt  int
 	attempts int
 	// supersededRuns counts those of them that were cancelled before their first event.
-	possibleRuns   int
+	possibleRuns int
+	// unsent counts the attempts of which nothing was sent, and ways has the ways of those that
+	// have not ended, by number.
+	unsent         int
+	ways           map[int]way
 	supersededRuns int
 	// answered is the attempt whose complete response reports a failure, while the request
 	// is retried; 0 for none. answeredStatus is the response's status.
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -9,7 +9,8 @@
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
 // backlogkeeper (how long engines still take for the prompts that they were sent),
-// limitsharer (limits that servers name) and originkeeper (where streams began).
+// limitsharer (limits that servers name), originkeeper (where streams began) and pathfinder
+// (through which instance a server is reached).
 //
 // The age of the desired state is the time since the store last confirmed it. With
 // strict key withdrawal, requests with a key are refused while the state is too old,
@@ -39,6 +40,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/outbox"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/pathfinder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/quarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
@@ -204,6 +206,15 @@
 	limits  *limitsharer.Sharer
 	holders map[limitsharer.Start]limitHolders
 
+	// paths has the ways to the servers, and suspicions those about which other instances are
+	// asked. tunnels are the connections that are open for other instances.
+	paths       *pathfinder.Pathfinder
+	suspicions  map[string]*suspicion
+	nextControl clock.Millis
+	// controls are the beginnings of the connects that show whether this instance is cut off.
+	controls map[string]clock.Millis
+	tunnels  map[string]tunnel
+
 	flights map[string]*flight
 }
 
@@ -240,6 +251,7 @@
 		eras:           eratracker.New(),
 		parts:          partquarantine.New(maxAccusedParts),
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
+		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		flights: map[string]*flight{},
 	}
 }
@@ -293,6 +305,14 @@
 		f.handleServerChanged(event)
 	case HealthChecked:
 		f.handleHealthChecked(event)
+	case PathProbed:
+		f.handlePathProbed(event)
+	case TunnelRequested:
+		f.handleTunnelRequested(event)
+	case TunnelConnected:
+		f.handleTunnelConnected(event)
+	case TunnelEnded:
+		delete(f.tunnels, event.Tunnel)
 	case ServerNotice:
 		f.handleServerNotice(event)
 	case StoreFailed:
@@ -336,10 +356,13 @@
 	f.updateInstanceCounts()
 	f.recordPendingCrashes()
 	f.refuseConvicted()
+	f.endSuspicions()
+	f.refuseFailedTunnels()
 	f.checkFlights()
 	if f.now >= f.nextServerScan {
 		f.nextServerScan = f.now.Add(serverScanInterval)
 		f.checkDownServers()
+		f.checkBlockedPaths()
 	}
 	f.advanceRollout()
 	f.moveStreams()
@@ -358,8 +381,8 @@
 	return !f.draining && f.desired.Version > 0 && f.haveServers && !f.keysStale()
 }
 
-// InFlight returns the number of in-flight requests.
-func (f *Forwarder) InFlight() int { return len(f.flights) }
+// InFlight returns the number of in-flight requests and of tunnels.
+func (f *Forwarder) InFlight() int { return len(f.flights) + len(f.tunnels) }
 
 // maxKeyAgeTenths is the age limit of the desired state for keyed requests, in tenths
 // of the bound for withdrawn keys; the rest covers clock drift and the network
--- a/internal/decision/forwarder/notices_test.go
+++ b/internal/decision/forwarder/notices_test.go
@@ -34,6 +34,9 @@
 	called := contact{at: c.now, instance: c.instances[i], index: i}
 	switch action := action.(type) {
 	case forwarder.Dispatch:
+		if !action.Via.Direct() {
+			return
+		}
 		called.server, called.request = action.Server, action.Request
 	case forwarder.CheckHealth:
 		called.server = action.Server
--- a/internal/decision/forwarder/partitions_test.go
+++ b/internal/decision/forwarder/partitions_test.go
@@ -1,7 +1,10 @@
 package forwarder_test
 
 import (
+	"fmt"
+
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -72,3 +75,133 @@
 	}
 	c.after(cut.since.Add(hangTime).Since(c.now), func() { deliver(interrupted) })
 }
+
+// simulatedTunnel is a tunnel through another instance, at index to.
+type simulatedTunnel struct {
+	to   int
+	done func(tunnelverdict.Verdict)
+}
+
+// tunnelTimeout is the time after which an instance does not wait for a tunnel any more.
+const tunnelTimeout = 600 * clock.Millisecond
+
+// openTunnel asks another instance for a connection to a server and passes the verdict to done, with
+// the tunnel's name and the index of the instance.
+func (c *cluster) openTunnel(i int, hop forwarder.Hop, request forwarder.TunnelRequested, done func(tunnel string, to int, verdict tunnelverdict.Verdict)) {
+	to := c.instanceAt(hop.Address)
+	request.Tunnel, request.From = fmt.Sprint("tunnel-", c.tunnelCount), c.settings[i].PeerAddress
+	c.tunnelCount++
+	answered := false
+	answer := func(verdict tunnelverdict.Verdict) {
+		if !answered {
+			answered = true
+			c.verdicts[verdict]++
+			done(request.Tunnel, to, verdict)
+		}
+	}
+	switch {
+	case to < 0 || c.stopped[to]:
+		c.after(2, func() { answer(tunnelverdict.Unavailable) })
+		return
+	case c.cut != nil && c.cut(i, to):
+		c.after(connectTimeout, func() { answer(tunnelverdict.Unavailable) })
+		return
+	}
+	c.tunnels[request.Tunnel] = simulatedTunnel{to: to, done: answer}
+	c.after(tunnelTimeout, func() {
+		if !answered {
+			c.endTunnel(request.Tunnel)
+		}
+		answer(tunnelverdict.Unavailable)
+	})
+	c.after(1, func() { c.step(to, request) })
+}
+
+func (c *cluster) endTunnel(id string) {
+	if tunnel, ok := c.tunnels[id]; ok {
+		delete(c.tunnels, id)
+		c.step(tunnel.to, forwarder.TunnelEnded{Tunnel: id})
+	}
+}
+
+// refuseTunnel answers a request for a tunnel.
+func (c *cluster) refuseTunnel(refusal forwarder.RefuseTunnel) {
+	tunnel := c.tunnels[refusal.Tunnel]
+	delete(c.tunnels, refusal.Tunnel)
+	c.after(1, func() {
+		if tunnel.done != nil {
+			tunnel.done(refusal.Verdict)
+		}
+	})
+}
+
+// connectTunnel connects the instance at index i to a server for another instance.
+func (c *cluster) connectTunnel(i int, open forwarder.OpenTunnel) {
+	delay, verdict := c.connect(i, open.Server)
+	c.after(delay, func() {
+		c.step(i, forwarder.TunnelConnected{Tunnel: open.Tunnel, Verdict: verdict})
+		if verdict != tunnelverdict.Reached {
+			return
+		}
+		tunnel, waiting := c.tunnels[open.Tunnel]
+		if open.Probe {
+			c.endTunnel(open.Tunnel)
+		}
+		if waiting {
+			c.after(1, func() { tunnel.done(verdict) })
+		}
+	})
+}
+
+// connect returns the time that a connect takes, and its outcome.
+func (c *cluster) connect(i int, id string) (clock.Millis, tunnelverdict.Verdict) {
+	s := c.servers[id]
+	cut, isCut := c.cutFrom(i, id)
+	switch {
+	case isCut:
+		delay, refused := cut.failConnect()
+		if refused {
+			return delay, tunnelverdict.Refused
+		}
+		return delay, tunnelverdict.Unanswered
+	case s.down:
+		return 2, tunnelverdict.Refused
+	case s.queueFull:
+		return connectTimeout, tunnelverdict.Unanswered
+	default:
+		return 2, tunnelverdict.Reached
+	}
+}
+
+// probePath connects to a server without a request.
+func (c *cluster) probePath(i int, probe forwarder.ProbePath) {
+	probed := forwarder.PathProbed{Server: probe.Server, StartedAt: probe.StartedAt, Via: probe.Via, BeganAt: probe.BeganAt}
+	if probe.Via.Direct() {
+		delay, verdict := c.connect(i, probe.Server)
+		probed.Verdict = verdict
+		c.after(delay, func() { c.step(i, probed) })
+		return
+	}
+	request := forwarder.TunnelRequested{Server: probe.Server, StartedAt: probe.StartedAt, Probe: true}
+	c.openTunnel(i, probe.Via, request, func(_ string, _ int, verdict tunnelverdict.Verdict) {
+		probed.Verdict = verdict
+		c.step(i, probed)
+	})
+}
+
+// dispatchThrough sends a request through another instance.
+func (c *cluster) dispatchThrough(i int, dispatch forwarder.Dispatch, s *server, r *request) {
+	request := forwarder.TunnelRequested{Server: dispatch.Server, StartedAt: dispatch.StartedAt, Timeout: dispatch.Timeout, Limited: dispatch.Limited}
+	c.openTunnel(i, dispatch.Via, request, func(tunnel string, to int, verdict tunnelverdict.Verdict) {
+		if verdict != tunnelverdict.Reached {
+			c.step(i, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: forwarder.OutcomeNotSent, Verdict: verdict, Delivered: r.partDelivered, LastEventID: "1"})
+			return
+		}
+		if r.finalActions > 0 || c.stopped[i] {
+			c.endTunnel(tunnel)
+			return
+		}
+		c.contacts = append(c.contacts, contact{at: c.now, instance: c.instances[to], index: to, server: dispatch.Server, startedAt: s.entry.StartedAt, request: dispatch.Request})
+		c.serve(i, to, dispatch, s, r, func() { c.endTunnel(tunnel) })
+	})
+}
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -33,7 +33,7 @@
 		f.broadcastNow()
 	case EngineReported:
 		if event.Report.Unreachable && !f.paused(event.Server) {
-			f.recordUnreachable(event.Server, event.Report.Gone)
+			f.recordUnreachable(event.Server, event.Report.Gone, f.now)
 		}
 		for model, version := range event.Report.WeightVersions {
 			if !event.Report.Busy {
@@ -102,6 +102,10 @@
 	}
 	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown, MaxWeightsAge: f.settings.Bounds.MaxWeightsAge}
 	for _, server := range f.servers.All() {
+		// Orders must come from one instance, and another one reaches the engines.
+		if f.paths.CutOff() {
+			break
+		}
 		if !server.AcceptsRequests() || server.Paused(f.now) || len(server.Entry.WeightVersions) == 0 {
 			continue
 		}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -133,6 +133,10 @@
 		_, known := f.servers.Server(id)
 		return known || id == scheduler.StoreID
 	})
+	f.paths.Retain(func(id string) bool {
+		_, known := f.servers.Server(id)
+		return known
+	})
 }
 
 func (f *Forwarder) handleServerChanged(changed ServerChanged) {
@@ -156,6 +160,8 @@
 		f.updateSoleVersions()
 	}
 	if known && previous.StartedAt != changed.Entry.StartedAt {
+		f.paths.Forget(changed.Entry.ID)
+		delete(f.suspicions, changed.Entry.ID)
 		f.handleServerCrash(changed.Entry.ID)
 	}
 	if !known || previous.Draining != changed.Entry.Draining || previous.StartedAt != changed.Entry.StartedAt {
@@ -167,21 +173,6 @@
 	}
 }
 
-// recordUnreachable records that this instance can't reach a server, which is avoided until
-// its next health check. Only a server that is gone has crashed: a sound one whose queue of
-// new connections is full can't be reached either.
-func (f *Forwarder) recordUnreachable(id string, gone bool) {
-	if gone {
-		if f.servers.MarkGone(f.now, id) {
-			f.handleServerCrash(id)
-		}
-		return
-	}
-	if f.servers.MarkUnreachable(f.now, id) {
-		f.suspectServer(id, false)
-	}
-}
-
 // suspectServer logs that a server is avoided, and tells the peers.
 func (f *Forwarder) suspectServer(id string, gone bool) {
 	f.unreachableNotices.Add(f.now, id, relayer.Own)
@@ -258,25 +249,29 @@
 // checkDownServers sends the health checks that are due.
 func (f *Forwarder) checkDownServers() {
 	for _, server := range f.servers.DueHealthChecks(f.now) {
-		f.emitHealthCheck(server)
+		f.checkDownServer(server)
 	}
 }
 
 func (f *Forwarder) handleHealthChecked(checked HealthChecked) {
+	if checked.BeganAt == 0 {
+		checked.BeganAt = f.now
+	}
+	if !checked.Unreachable {
+		f.recordConnect(checked.Server, checked.BeganAt, true)
+	}
 	if !checked.Gone {
 		f.endCrashChecks(checked.Server, false)
 	}
 	if checked.Healthy {
 		server, ok := f.servers.Server(checked.Server)
 		if ok && server.Down() {
-			f.servers.RecordResult(f.now, checked.Server, false)
-			f.recoveredNotices.Add(f.now, checked.Server, relayer.Own)
-			f.logRecovered(checked.Server, ownObservation)
+			f.recordReached(server)
 		}
 		return
 	}
 	if checked.Unreachable {
-		f.recordUnreachable(checked.Server, checked.Gone)
+		f.recordUnreachable(checked.Server, checked.Gone, checked.BeganAt)
 	}
 }
 
--- a/internal/decision/registry/registry.go
+++ b/internal/decision/registry/registry.go
@@ -56,6 +56,10 @@
 // Down reports whether the server counts as unreachable.
 func (s Server) Down() bool { return s.down }
 
+// Unanswered reports whether the server counts as unreachable only since this instance failed to
+// reach it without finding it gone.
+func (s Server) Unanswered() bool { return s.unanswered }
+
 // ErrorRate returns the fraction of the latest attempts that failed. It decays with
 // errorHalfLife.
 func (s Server) ErrorRate(now clock.Millis) float64 {
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -47,6 +47,12 @@
 		e.start(func() { e.fetchReplicas(action.Address) })
 	case forwarder.CheckHealth:
 		e.start(func() { e.checkHealth(action) })
+	case forwarder.ProbePath:
+		e.start(func() { e.probePath(action) })
+	case forwarder.OpenTunnel:
+		e.machine.deliver(action.Tunnel, action)
+	case forwarder.RefuseTunnel:
+		e.machine.deliver(action.Tunnel, action)
 	case forwarder.ReadCache:
 		e.start(func() {
 			e.machine.submit(e.platform.ReadCache(e.ctx, action.Read, e.notify(action.Read.Server, action.Read.StartedAt)))
@@ -70,7 +76,9 @@
 }
 
 func (e *Edge) checkHealth(check forwarder.CheckHealth) {
-	e.machine.submit(e.platform.CheckHealth(e.ctx, check, e.notify(check.Server, check.StartedAt)))
+	checked := e.platform.CheckHealth(e.ctx, check, e.notify(check.Server, check.StartedAt))
+	checked.BeganAt = check.BeganAt
+	e.machine.submit(checked)
 }
 
 func (e *Edge) callStore(step rollout.Step) {
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -74,10 +74,14 @@
 // the state machine, or a stream whose head has been read.
 func (h *requestHandler) attempt(ctx context.Context, dispatch forwarder.Dispatch) (forwarder.AttemptEnded, *openStream) {
 	result := forwarder.AttemptEnded{Request: h.request.ID, Attempt: dispatch.Attempt}
-	exchange, err := httpclient.Send(ctx, dispatch.Address, h.edge.platform.EncodeRequest(h.inbound, dispatch))
+	request := h.edge.platform.EncodeRequest(h.inbound, dispatch)
+	if request.Tunnel = tunnelOf(dispatch.Via, dispatch.Server, dispatch.StartedAt); request.Tunnel != nil {
+		request.Tunnel.Timeout, request.Tunnel.Limited = dispatch.Timeout, dispatch.Limited
+	}
+	exchange, err := httpclient.Send(ctx, dispatch.Address, request)
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
-		result.ConnectionRefused = notSent.ConnectionRefused
+		result.ConnectionRefused, result.Verdict = notSent.ConnectionRefused, notSent.Verdict
 		return withOutcome(result, forwarder.OutcomeNotSent, err), nil
 	}
 	if err != nil {
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -138,11 +138,17 @@
 
 // Start starts an instance with the settings.
 func Start(settings instancesettings.Settings, platform Platform, logger Logger) (*Edge, error) {
+	return StartIn(context.Background(), settings, platform, logger)
+}
+
+// StartIn does the same in a context, whose values apply to all connections that the instance
+// opens. The instance is closed by Close or Drain, not by the context.
+func StartIn(parent context.Context, settings instancesettings.Settings, platform Platform, logger Logger) (*Edge, error) {
 	var random [24]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, errors.Wrap(err, "edge.Start")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	e := &Edge{settings: settings, platform: platform, logger: logger, meter: meter.New(), objects: objectcache.New(), endWatch: func() {}, ctx: ctx, cancel: cancel}
 	fwd := forwarder.New(settings, hex.EncodeToString(random[:8]), binary.LittleEndian.Uint64(random[8:]))
 	e.machine = newStateMachine(fwd, e.perform)
@@ -176,7 +182,14 @@
 	}
 	replicas := http.NewServeMux()
 	replicas.HandleFunc("GET "+replicasPath, e.serveReplicas)
-	if err := e.serve(e.settings.PeerAddress, replicas); err != nil {
+	peers := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			e.serveTunnel(w, r)
+			return
+		}
+		replicas.ServeHTTP(w, r)
+	})
+	if err := e.serve(e.settings.PeerAddress, peers); err != nil {
 		return errors.Wrap(err, "edge.Start: copies for peers")
 	}
 	readiness := http.NewServeMux()
--- /dev/null
+++ b/internal/runtime/edge/tunnels.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/framer"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+const (
+	// tunnelBufferBytes is the size of the buffer for each direction of a tunnel.
+	tunnelBufferBytes = 4 << 10
+	// maxTunnelHeadBytes limits the bytes that are kept to read the head of a response; a longer
+	// one is not read.
+	maxTunnelHeadBytes = 64 << 10
+	// tunnelRefusalTimeout limits the time to write a refusal, or the head of a tunnel.
+	tunnelRefusalTimeout = time.Second
+)
+
+// tunnelNumber numbers the tunnels for other instances.
+var tunnelNumber atomic.Int64
+
+// headEnd is the empty line that ends a head.
+var headEnd = []byte("\r\n\r\n")
+
+// tunnelOf returns how a dispatch or probe is sent; nil for a connection of this instance.
+func tunnelOf(hop forwarder.Hop, server string, startedAt int64) *httpclient.Tunnel {
+	if hop.Direct() {
+		return nil
+	}
+	return &httpclient.Tunnel{Address: hop.Address, Server: server, StartedAt: startedAt}
+}
+
+// probePath connects to a server without a request.
+func (e *Edge) probePath(probe forwarder.ProbePath) {
+	tunnel := tunnelOf(probe.Via, probe.Server, probe.StartedAt)
+	if tunnel != nil {
+		tunnel.Probe = true
+	}
+	verdict := httpclient.Probe(e.ctx, probe.Address, tunnel)
+	e.machine.submit(forwarder.PathProbed{Server: probe.Server, StartedAt: probe.StartedAt, Via: probe.Via, BeganAt: probe.BeganAt, Verdict: verdict})
+}
+
+// serveTunnel opens a connection to a server for another instance, if the state machine admits it,
+// and copies bytes between the two until one of them ends.
+func (e *Edge) serveTunnel(w http.ResponseWriter, r *http.Request) {
+	startedAt, err := strconv.ParseInt(r.Header.Get(httpclient.TunnelStartedAt), 10, 64)
+	timeout, timeoutErr := strconv.ParseInt(r.Header.Get(httpclient.TunnelTimeout), 10, 64)
+	if err != nil || timeoutErr != nil {
+		http.Error(w, "the start of the server or the timeout is not a number", http.StatusBadRequest)
+		return
+	}
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	id := "tunnel-" + strconv.FormatInt(tunnelNumber.Add(1), 10)
+	actions, ok := e.machine.register(id)
+	if !ok {
+		writeVerdict(w, tunnelverdict.Stopping)
+		return
+	}
+	defer e.machine.unregister(id)
+	defer e.machine.submit(forwarder.TunnelEnded{Tunnel: id})
+	e.machine.submit(forwarder.TunnelRequested{
+		Tunnel: id, From: from, Server: r.Header.Get(httpclient.TunnelServer), StartedAt: startedAt, Timeout: clock.Millis(max(0, timeout)),
+		Limited: r.Header.Get(httpclient.TunnelLimited) == "true", Probe: r.Header.Get(httpclient.TunnelProbe) == "true",
+	})
+	for {
+		var action forwarder.Action
+		select {
+		case action = <-actions:
+		case <-e.ctx.Done():
+			return
+		}
+		switch action := action.(type) {
+		case forwarder.OpenTunnel:
+			if e.runTunnel(w, action) {
+				return
+			}
+		case forwarder.RefuseTunnel:
+			e.meter.Add("tunnelsRefused", 1)
+			writeVerdict(w, action.Verdict)
+			return
+		}
+	}
+}
+
+func writeVerdict(w http.ResponseWriter, verdict tunnelverdict.Verdict) {
+	w.Header().Set(httpclient.TunnelVerdict, verdict.String())
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// runTunnel connects to the server and copies bytes. It reports false if the connect has failed;
+// then the state machine decides what that shows.
+func (e *Edge) runTunnel(w http.ResponseWriter, open forwarder.OpenTunnel) bool {
+	ctx, cancel := context.WithTimeout(e.ctx, open.Timeout.Duration())
+	defer cancel()
+	server, err := httpclient.Connect(ctx, open.Address)
+	connected := forwarder.TunnelConnected{Tunnel: open.Tunnel, Verdict: tunnelverdict.Reached}
+	if err != nil {
+		connected.Verdict = tunnelverdict.Unanswered
+		var notSent *httpclient.NotSentError
+		if errors.As(err, &notSent) && notSent.ConnectionRefused {
+			connected.Verdict = tunnelverdict.Refused
+		}
+		e.machine.submit(connected)
+		return false
+	}
+	defer server.Close()
+	e.machine.submit(connected)
+	e.meter.Add("tunnelsOpened", 1)
+	peer, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	defer peer.Close()
+	if !greet(peer) || open.Probe {
+		return true
+	}
+	stop := context.AfterFunc(ctx, func() { _ = peer.Close(); _ = server.Close() })
+	defer stop()
+	go func() {
+		// The other instance ends the request by closing its connection.
+		buffer := make([]byte, tunnelBufferBytes)
+		_, _ = io.CopyBuffer(writerOnly{server}, readerOnly{buffered.Reader}, buffer)
+		_ = server.Close()
+		_ = peer.Close()
+	}()
+	e.copyResponse(peer, server, open)
+	return true
+}
+
+// greet prepares the connection to the other instance and tells it that the tunnel is open.
+func greet(peer net.Conn) bool {
+	if conn, ok := peer.(*net.TCPConn); ok && httpclient.DetectSilence(conn) != nil {
+		return false
+	}
+	if peer.SetDeadline(time.Now().Add(tunnelRefusalTimeout)) != nil {
+		return false
+	}
+	_, err := io.WriteString(peer, "HTTP/1.1 200 OK\r\n"+httpclient.TunnelVerdict+": "+tunnelverdict.Reached.String()+"\r\n\r\n")
+	return err == nil && peer.SetDeadline(time.Time{}) == nil
+}
+
+// copyResponse copies what the server sends. The end is marked only if the server has ended its
+// side in order.
+func (e *Edge) copyResponse(peer, server net.Conn, open forwarder.OpenTunnel) {
+	writer := framer.NewWriter(peer)
+	head := &headCollector{}
+	buffer := make([]byte, tunnelBufferBytes)
+	for {
+		n, err := server.Read(buffer)
+		if response := head.add(buffer[:n]); response != nil {
+			decoded := e.platform.DecodeResponse(response, "")
+			decoded.Notice.NamesNoLimit = open.Limited && !decoded.Misdirected && !decoded.Notice.HasLimit && decoded.Notice.InvalidLimit == ""
+			e.notify(open.Server, open.StartedAt)(decoded.Notice)
+		}
+		if n > 0 {
+			if _, writeErr := writer.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err == io.EOF {
+			// An error means that the other instance has left.
+			_ = writer.End()
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// headCollector collects the bytes of a response until its head is complete.
+type headCollector struct {
+	bytes []byte
+	done  bool
+}
+
+// add returns the response when the head has become complete; else nil.
+func (c *headCollector) add(received []byte) *http.Response {
+	if c.done || len(received) == 0 {
+		return nil
+	}
+	c.bytes = append(c.bytes, received...)
+	for {
+		end := bytes.Index(c.bytes, headEnd)
+		if end < 0 {
+			c.done = len(c.bytes) > maxTunnelHeadBytes
+			return nil
+		}
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.bytes)), nil)
+		if err == nil && response.StatusCode < http.StatusOK {
+			c.bytes = c.bytes[end+len(headEnd):]
+			continue
+		}
+		c.done, c.bytes = true, nil
+		if err != nil {
+			return nil
+		}
+		return response
+	}
+}
+
+// writerOnly and readerOnly hide the methods that would copy without the buffer.
+type (
+	writerOnly struct{ io.Writer }
+	readerOnly struct{ io.Reader }
+)
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -24,6 +24,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -83,13 +84,17 @@
 	// AckTimeout is the time in milliseconds after which a connection whose other end
 	// acknowledges nothing is closed; 0 for a default.
 	AckTimeout clock.Millis
+	// Tunnel is the instance through which the request is sent; nil for none.
+	Tunnel *Tunnel
 }
 
 // NotSentError means that no byte of the request was sent.
 type NotSentError struct {
 	// ConnectionRefused reports whether the connection was refused: nothing listens at the address.
 	ConnectionRefused bool
-	Err               error
+	// Verdict is the outcome of the request for a tunnel, if the request had to be sent through one.
+	Verdict tunnelverdict.Verdict
+	Err     error
 }
 
 // Error describes the error.
@@ -108,13 +113,50 @@
 	closeOnce           sync.Once
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialKey is the key of a Dial in a context.
+type dialKey struct{}
+
+// WithDial returns a context in which connections are opened by dial. Its connections have no
+// timeouts of the kernel but their own.
+func WithDial(ctx context.Context, dial Dial) context.Context {
+	return context.WithValue(ctx, dialKey{}, dial)
+}
+
+// Connect opens a connection to the address. Its error is a NotSentError.
+func Connect(ctx context.Context, address string) (net.Conn, error) {
+	return connect(ctx, address, Request{})
+}
+
+func connect(ctx context.Context, address string, request Request) (net.Conn, error) {
+	dialer := net.Dialer{Control: request.setAckTimeout, KeepAliveConfig: keepAlive}
+	dial := dialer.DialContext
+	if replaced, ok := ctx.Value(dialKey{}).(Dial); ok {
+		dial = replaced
+	}
+	limited := func(address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
+		defer cancel()
+		return dial(ctx, "tcp", address)
+	}
+	if request.Tunnel != nil {
+		return request.Tunnel.open(ctx, limited, address)
+	}
+	conn, err := limited(address)
+	if err != nil {
+		return nil, &NotSentError{ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
+	}
+	return conn, nil
+}
+
 // Send opens a connection and sends the request. The connection is closed when the
 // context ends.
 func Send(ctx context.Context, address string, request Request) (*Exchange, error) {
-	dialer := net.Dialer{Timeout: connectTimeout.Duration(), Control: request.setAckTimeout, KeepAliveConfig: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := connect(ctx, address, request)
 	if err != nil {
-		return nil, &NotSentError{ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
+		return nil, err
 	}
 	head := &headReader{conn: conn, remaining: maxHeadBytes}
 	exchange := &Exchange{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), method: request.Method}
@@ -143,6 +185,16 @@
 	return errors.Join(err, optionErr)
 }
 
+// DetectSilence sets the timeouts after which the kernel closes an accepted connection whose other
+// end does not respond.
+func DetectSilence(conn *net.TCPConn) error {
+	socket, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return errors.Join(conn.SetKeepAliveConfig(keepAlive), Request{}.setAckTimeout("", "", socket))
+}
+
 // encode returns the bytes to send.
 func (r Request) encode() []byte {
 	buffer := bytes.NewBuffer(make([]byte, 0, 1024+len(r.Body)))
