--- a/internal/decision/forwarder/notices_simulation_test.go
+++ b/internal/decision/forwarder/notices_simulation_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -49,6 +50,53 @@
 	}
 }
 
+// TestNoticesUnderCuts does the same while instances are cut off from some or all servers, so that
+// the calls of several instances reach a server from the same one.
+func TestNoticesUnderCuts(t *testing.T) {
+	for name, scale := range scales {
+		for seed := range uint64(max(*noticeSeeds, fewNoticeSeeds[name])) {
+			if scale.instances > 7 && raceDetector {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				c := newClusterIn(t, seed, scale.instances, scale.domains)
+				for range 24 {
+					for range 20 {
+						for range 1 + scale.instances/20 {
+							c.sendRequest(c.random.IntN(len(c.instances)), kinds[c.random.IntN(len(kinds))])
+						}
+						c.run(20)
+					}
+					c.oneIn(2, c.leave)
+					c.oneIn(2, c.pauseServer)
+					c.oneIn(3, c.cutAtRandom)
+					c.oneIn(8, c.crashServer)
+					c.oneIn(8, c.restartInstance)
+				}
+				c.run(8 * clock.Second)
+				c.checkInvariants()
+				c.checkNotices()
+				require.NotZero(t, c.verdicts[tunnelverdict.Reached])
+			})
+		}
+	}
+}
+
+// cutAtRandom cuts a third to all but one of the instances off from all servers, or from half of
+// them, for some seconds.
+func (c *cluster) cutAtRandom() {
+	share := 2 + c.random.IntN(len(c.instances))
+	chosen := c.indexes(func(i int) bool { return i != 0 && c.random.IntN(len(c.instances)+2) < share })
+	var only map[string]bool
+	if c.random.IntN(2) == 0 {
+		only = map[string]bool{}
+		for _, id := range c.serverIDs() {
+			only[id] = c.random.IntN(2) == 0
+		}
+	}
+	c.cutServers(chosen, cutMode(c.random.IntN(3)), clock.Millis(1000+c.random.IntN(5000)), only)
+}
+
 // leave lets a random server say that it leaves. Its entry says so later or not at all; the
 // server stops some seconds later and starts again.
 func (c *cluster) leave() {
