Log brittle servers, and add a failing simulation of them

The field was read nowhere; it is decoded and logged now (serverBrittle, serverBrittleInvalid), and nothing follows from it yet.

--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -154,6 +154,8 @@
 	pausedUntil clock.Millis
 	// limit is the limit that it names in its responses; nil for none.
 	limit *limitPeriod
+	// room is its capacity; nil for an unlimited one.
+	room *room
 	// cacheChanges are the changes of the cache since the server's start.
 	cacheChanges []forwarder.CacheChange
 	// cached has the parts in the cache, with their salt.
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -31,14 +31,14 @@
 // serve simulates the server's response to an instance's request, on a connection from the
 // instance at index from. At its end, closed is called.
 func (c *cluster) serve(i, from int, dispatch forwarder.Dispatch, s *server, r *request, closed func()) {
-	startedAt := c.now
+	startedAt, interrupted := c.now, false
 	cut, isCut := c.cutFrom(from, dispatch.Server)
 	sender := c.instances[from]
 	end := func(delay clock.Millis, outcome forwarder.Outcome, status int) {
 		refused := outcome == forwarder.OutcomeNotSent && (s.down || isCut)
 		c.after(delay, func() {
 			ended := forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: outcome, Status: status, Delivered: r.partDelivered, LastEventID: "1", ConnectionRefused: refused}
-			if from != i && (c.instances[from] != sender || c.stopped[from] || (c.cut != nil && c.cut(i, from))) {
+			if interrupted || from != i && (c.instances[from] != sender || c.stopped[from] || (c.cut != nil && c.cut(i, from))) {
 				ended = forwarder.AttemptEnded{Request: ended.Request, Attempt: ended.Attempt, Outcome: forwarder.OutcomeInterrupted, Delivered: ended.Delivered, LastEventID: ended.LastEventID}
 			}
 			c.endAttempt(from, dispatch.Server, ended, startedAt, func(ended forwarder.AttemptEnded) {
@@ -81,6 +81,24 @@
 		end(1, forwarder.OutcomeDeclined, 503)
 		return
 	}
+	c.after(2, func() {
+		c.nameBrittleness(i, s, dispatch.StartedAt)
+		if from != i {
+			c.nameBrittleness(from, s, dispatch.StartedAt)
+		}
+	})
+	if s.room != nil {
+		if !c.enterRoom(s) {
+			end(2, forwarder.OutcomeDeclined, 503)
+			return
+		}
+		generation := s.room.generation
+		leave := end
+		end = func(delay clock.Millis, outcome forwarder.Outcome, status int) {
+			c.after(max(1, delay-1), func() { interrupted = !c.leaveRoom(s, generation, delay) })
+			leave(delay, outcome, status)
+		}
+	}
 	c.after(15, func() { c.nameLimit(i, s, dispatch) })
 	draw := c.random.IntN(100)
 	for _, outcome := range []forwarder.Outcome{forwarder.OutcomeNotSent, forwarder.OutcomeDeclined, forwarder.OutcomeInterrupted, forwarder.OutcomeCorrupted} {
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -264,6 +264,19 @@
 	NamesNoLimit bool
 	// InvalidLimit is the text of a limit that can't be used; empty for none.
 	InvalidLimit string
+	// Brittle is whether the server crashes for rejections. InvalidBrittle is the text of a
+	// value that can't be used; empty for none.
+	Brittle        Brittleness
+	InvalidBrittle string
+}
+
+// Brittleness is what a server says of the rejections that it bears.
+type Brittleness struct {
+	// Known reports whether the server has named a number.
+	Known bool
+	// Rejections is the number of requests that it may reject for want of room within a second;
+	// one more crashes it.
+	Rejections int
 }
 
 // LeaseRead and LeaseWritten are the store's responses about the rollout lease.
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -206,6 +206,8 @@
 	limits  *limitsharer.Sharer
 	holders map[limitsharer.Start]limitHolders
 
+	// brittle has the servers that crash for rejections.
+	brittle map[limitsharer.Start]Brittleness
 	// paths has the ways to the servers, and suspicions those about which other instances are
 	// asked. tunnels are the connections that are open for other instances.
 	paths       *pathfinder.Pathfinder
@@ -251,7 +253,8 @@
 		eras:           eratracker.New(),
 		parts:          partquarantine.New(maxAccusedParts),
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
-		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
+		brittle: map[limitsharer.Start]Brittleness{},
+		paths:   pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		flights: map[string]*flight{},
 	}
 }
--- a/internal/decision/forwarder/leaving.go
+++ b/internal/decision/forwarder/leaving.go
@@ -24,6 +24,7 @@
 func (f *Forwarder) handleServerNotice(notice ServerNotice) {
 	f.handlePause(notice)
 	f.handleLimit(notice)
+	f.handleBrittleness(notice)
 	if notice.Leaving {
 		f.markLeaving(digest.LeavingServer{Server: notice.Server, StartedAt: notice.StartedAt}, relayer.Own)
 	}
