Give brittle servers no more requests than they have room for

Cause: instances send by loads that are up to a digest old, and learn of a shortage by rejections; nothing summed rejections over the instances, and Server-Brittle was read nowhere.

Change: limitsharer.Rooms shares the room of such a server over all instances by parts, and lowers it after a rejection at all of them.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -100,6 +100,8 @@
 	AccusedParts []partquarantine.Evidence
 	// ServerLimits are the limits of requests that servers named.
 	ServerLimits []limitsharer.Notice
+	// ServerRooms are the requests that brittle servers may have.
+	ServerRooms []limitsharer.RoomNotice
 	// Replicas are the states of the sender's copies of the store's objects.
 	Replicas []Replica
 	Outage   Outage
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -26,8 +26,10 @@
 	Via Hop
 	// StartedAt is the server's start as it is listed.
 	StartedAt int64
-	// Limited reports whether the server is known to have a limit of requests.
+	// Limited reports whether the server is known to have a limit of requests, and Brittle whether
+	// it is known to crash for rejections.
 	Limited bool
+	Brittle bool
 	// Team is the team name to send to the server; empty for none.
 	Team string
 	// HasPrompt reports whether the request carries a prompt. CacheSalt is then the
@@ -149,6 +151,8 @@
 	Timeout clock.Millis
 	// Limited reports whether the server is known to have a limit of requests.
 	Limited bool
+	// Brittle reports whether it is known to crash for rejections.
+	Brittle bool
 	// Probe reports whether no request will be sent.
 	Probe bool
 }
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -111,7 +111,7 @@
 	}
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
-		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)),
+		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
@@ -278,7 +278,10 @@
 	f.log(entry.With("parts", fl.formatParts()))
 	switch event.Outcome {
 	case OutcomeNotSent:
-	case OutcomeDeclined, OutcomeMisdirected:
+	case OutcomeDeclined:
+		f.servers.RecordResult(f.now, server, false)
+		f.recordRejection(server)
+	case OutcomeMisdirected:
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
 		f.servers.RecordResult(f.now, server, true)
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -141,9 +141,9 @@
 		Incarnation: digest.ID(f.incarnation), Sequence: sequence, Leaving: f.draining, StoreDown: f.storeDown, StoreEra: f.eras.Era(), StoreEraAge: f.eras.Age(f.now), Top: f.actsAsTop(),
 		Lease: f.rollout.Observation(), Replicas: f.replicaOffers(), Outage: f.outage(),
 	}
-	message.AccusedParts, message.ServerLimits = f.parts.Changes(f.now), f.limits.Changes(f.now)
+	message.AccusedParts, message.ServerLimits, message.ServerRooms = f.parts.Changes(f.now), f.limits.Changes(f.now), f.rooms.Changes(f.now)
 	if full {
-		message.AccusedParts, message.ServerLimits = f.parts.Snapshot(f.now), f.limits.Snapshot()
+		message.AccusedParts, message.ServerLimits, message.ServerRooms = f.parts.Snapshot(f.now), f.limits.Snapshot(), f.rooms.Snapshot()
 		message.BucketLevels = f.idsOfTeams(f.limiter.Levels(f.now))
 		message.WeightsAges, message.CrashedServers = f.rollout.VersionAges(f.now), f.crashedServers
 	}
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -27,7 +27,7 @@
 		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || f.holdsBack(server) || !fl.mayRunAt(server) || !f.hasWay(server.ID, hasHop) {
 			continue
 		}
-		if wait, holds := f.limitWait(server); wait > 0 || !holds {
+		if wait, holds := f.limitWait(server); wait > 0 || !holds || !f.hasRoom(server) {
 			continue
 		}
 		candidate := scheduler.Candidate{
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -187,6 +187,7 @@
 	}
 	f.mergeAccusedParts(message.AccusedParts)
 	f.mergeLimits(message.ServerLimits)
+	f.mergeRooms(message.ServerRooms)
 	for _, leaving := range message.LeavingServers {
 		f.markLeaving(leaving, origin)
 	}
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -266,7 +266,10 @@
 	InvalidLimit string
 	// Brittle is whether the server crashes for rejections. InvalidBrittle is the text of a
 	// value that can't be used; empty for none.
+	// NotBrittle reports that it names none in the response to a request that was sent while it was
+	// known to be brittle.
 	Brittle        Brittleness
+	NotBrittle     bool
 	InvalidBrittle string
 }
 
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -206,8 +206,13 @@
 	limits  *limitsharer.Sharer
 	holders map[limitsharer.Start]limitHolders
 
-	// brittle has the servers that crash for rejections.
-	brittle map[limitsharer.Start]Brittleness
+	// rooms has the servers that crash for rejections, and brittleServices what the servers of a
+	// service said of that last.
+	rooms           *limitsharer.Rooms
+	brittleServices map[string]brittleService
+	// startsSeen are the times at which servers were first seen, or seen to have started anew,
+	// while others were known.
+	startsSeen map[string]clock.Millis
 	// paths has the ways to the servers, and suspicions those about which other instances are
 	// asked. tunnels are the connections that are open for other instances.
 	paths       *pathfinder.Pathfinder
@@ -253,8 +258,8 @@
 		eras:           eratracker.New(),
 		parts:          partquarantine.New(maxAccusedParts),
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
-		brittle: map[limitsharer.Start]Brittleness{},
-		paths:   pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
+		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, startsSeen: map[string]clock.Millis{},
+		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		flights: map[string]*flight{},
 	}
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -117,10 +117,10 @@
 }
 
 func (f *Forwarder) handleServersListed(listed ServersListed) {
-	f.haveServers = true
 	for _, entry := range listed.Entries {
 		f.handleServerChanged(ServerChanged{Entry: entry})
 	}
+	f.haveServers = true
 	f.servers.Replace(f.now, listed.Entries, max(f.expiryWindowEnd(), f.eras.EntriesSettledAt()))
 	f.updateSoleVersions()
 	f.forgetRemoved()
@@ -133,6 +133,10 @@
 		_, known := f.servers.Server(id)
 		return known || id == scheduler.StoreID
 	})
+	maps.DeleteFunc(f.startsSeen, func(id string, _ clock.Millis) bool {
+		_, known := f.servers.Server(id)
+		return !known
+	})
 	f.paths.Retain(func(id string) bool {
 		_, known := f.servers.Server(id)
 		return known
@@ -159,6 +163,9 @@
 	if !known || previous.SoftwareVersion != changed.Entry.SoftwareVersion || previous.Service != changed.Entry.Service {
 		f.updateSoleVersions()
 	}
+	if f.haveServers && (!known || previous.StartedAt != changed.Entry.StartedAt) {
+		f.startsSeen[changed.Entry.ID] = f.now
+	}
 	if known && previous.StartedAt != changed.Entry.StartedAt {
 		f.paths.Forget(changed.Entry.ID)
 		delete(f.suspicions, changed.Entry.ID)
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -41,7 +41,7 @@
 func (f *Forwarder) serverExpected(fl *flight) bool {
 	loading := f.loadingEngines()
 	available := f.servers.Available(f.now, fl.service)
-	if f.limitedInTime(fl, available) {
+	if f.limitedInTime(fl, available) || f.roomExpected(fl, available) {
 		return true
 	}
 	for _, server := range available {
--- a/internal/decision/scheduler/scheduler.go
+++ b/internal/decision/scheduler/scheduler.go
@@ -225,6 +225,9 @@
 	return s.ownLoads
 }
 
+// OwnRequests returns the number of requests that this instance has placed on the server.
+func (s *Scheduler) OwnRequests(server string) int { return s.ownLoads[server].Requests }
+
 // PlacedLoads returns the loads that this instance and the given peers have placed, by
 // server.
 func (s *Scheduler) PlacedLoads(now clock.Millis, peers []string) map[string]Load {
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -35,6 +35,7 @@
 		LeavingServers: []digest.LeavingServer{{Server: "e2", StartedAt: 9}},
 		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, CrashedServers: map[string][]string{"f": {"s3"}},
 		AccusedParts: []partquarantine.Evidence{{Part: 1 << 60, Generation: 4, Cleared: 1, Convicted: 4, Server: 15}},
+		ServerRooms:  []limitsharer.RoomNotice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Rejections: 4, Room: 20, Ceiling: 30, Slots: 64}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Rejections: limitsharer.Lifted}},
 		ServerLimits: []limitsharer.Notice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Limit: 1100}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Limit: limitsharer.None}},
 		Replicas:     []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
 	}
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -23,6 +23,9 @@
 // each second generation.
 const maxGeneration = 1 << 24
 
+// maxRoom limits the rooms that are read.
+const maxRoom = 1 << 20
+
 // EncodeDigest returns the digest as a datagram. Its fields are in a fixed order, so that
 // equal digests have equal datagrams.
 func EncodeDigest(d digest.Digest) ([]byte, error) {
@@ -66,6 +69,9 @@
 	for _, part := range d.AccusedParts {
 		message.AccusedParts = append(message.AccusedParts, &edgev1.AccusedPart{Part: part.Part, Generation: part.Generation, Cleared: part.Cleared, Convicted: part.Convicted, Server: part.Server})
 	}
+	for _, room := range d.ServerRooms {
+		message.ServerRooms = append(message.ServerRooms, &edgev1.ServerRoom{Server: room.Server, StartedAt: room.StartedAt, Version: room.Version, Rejections: int32(room.Rejections), Room: uint32(room.Room), Slots: uint32(room.Slots), Ceiling: uint32(room.Ceiling)})
+	}
 	for _, limit := range d.ServerLimits {
 		message.ServerLimits = append(message.ServerLimits, &edgev1.ServerLimit{Server: limit.Server, StartedAt: limit.StartedAt, Version: limit.Version, Limit: int64(limit.Limit)})
 	}
@@ -159,6 +165,12 @@
 	for _, part := range message.GetAccusedParts() {
 		d.AccusedParts = append(d.AccusedParts, partquarantine.Evidence{Part: part.GetPart(), Generation: part.GetGeneration(), Cleared: part.GetCleared(), Convicted: part.GetConvicted(), Server: part.GetServer()})
 	}
+	for _, room := range message.GetServerRooms() {
+		start := limitsharer.Start{Server: room.GetServer(), StartedAt: room.GetStartedAt()}
+		notice := limitsharer.RoomNotice{Start: start, Version: room.GetVersion(), Rejections: max(limitsharer.Lifted, int(room.GetRejections()))}
+		notice.Room, notice.Ceiling, notice.Slots = int(min(room.GetRoom(), maxRoom)), int(min(room.GetCeiling(), maxRoom)), int(min(room.GetSlots(), maxRoom))
+		d.ServerRooms = append(d.ServerRooms, notice)
+	}
 	for _, limit := range message.GetServerLimits() {
 		start := limitsharer.Start{Server: limit.GetServer(), StartedAt: limit.GetStartedAt()}
 		d.ServerLimits = append(d.ServerLimits, limitsharer.Notice{Start: start, Version: limit.GetVersion(), Limit: max(limitsharer.None, limitsharer.Limit(limit.GetLimit()))})
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -94,6 +94,7 @@
 	}
 	head := h.edge.platform.DecodeResponse(response, h.callerRequestID)
 	head.Notice.NamesNoLimit = dispatch.Limited && !head.Misdirected && !head.Notice.HasLimit && head.Notice.InvalidLimit == ""
+	head.Notice.NotBrittle = dispatch.Brittle && !head.Misdirected && !head.Notice.Brittle.Known && head.Notice.InvalidBrittle == ""
 	h.edge.notify(dispatch.Server, dispatch.StartedAt)(head.Notice)
 	result.Status = response.StatusCode
 	result.WeightsVersion = head.WeightsVersion
--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -165,6 +165,7 @@
 		if response := head.add(buffer[:n]); response != nil {
 			decoded := e.platform.DecodeResponse(response, "")
 			decoded.Notice.NamesNoLimit = open.Limited && !decoded.Misdirected && !decoded.Notice.HasLimit && decoded.Notice.InvalidLimit == ""
+			decoded.Notice.NotBrittle = open.Brittle && !decoded.Misdirected && !decoded.Notice.Brittle.Known && decoded.Notice.InvalidBrittle == ""
 			e.notify(open.Server, open.StartedAt)(decoded.Notice)
 		}
 		if n > 0 {
