Find the few instances that reach servers, without asking all of them

What callers saw: in the simulation with 295 instances, 290 of them cut off, 1132, 1062 and 1040 of 3484 first tries were served there (hang, reset, live on; the same with other faults), and with 197 cut off there were 266,000 requests for tunnels in eleven seconds.

Cause: an instance forgot which others had opened tunnels, so that each request began with a random choice; and while it was cut off, each failed check of a path asked three witnesses and three other servers again.

Change: the instances that opened tunnels just now are asked first, except for one choice in eight; one that is cut off names the one that it uses itself in its refusal; an instance that is cut off asks no witnesses, and looks for a hop only while it knows none.

--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -161,6 +161,8 @@
 type RefuseTunnel struct {
 	Tunnel  string
 	Verdict tunnelverdict.Verdict
+	// Referral is an instance that opens tunnels, as far as this one knows; empty for none.
+	Referral string
 }
 
 // ReadCache reads the list of cached parts from a server or from the cache store.
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -89,6 +89,8 @@
 	// Verdict is the outcome of the request for a tunnel, if the attempt was sent through another
 	// instance and no tunnel was opened. Then the outcome is OutcomeNotSent.
 	Verdict tunnelverdict.Verdict
+	// Referral is the instance that the other one named instead; empty for none.
+	Referral string
 	// Detail describes the failure for the log.
 	Detail string
 }
@@ -216,6 +218,8 @@
 	Via       Hop
 	BeganAt   clock.Millis
 	Verdict   tunnelverdict.Verdict
+	// Referral is as in AttemptEnded.
+	Referral string
 }
 
 // TunnelRequested asks for a connection to a server, as it started at StartedAt, for another
--- a/internal/decision/forwarder/partitions_simulation_test.go
+++ b/internal/decision/forwarder/partitions_simulation_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -93,6 +94,26 @@
 	}
 }
 
+// tunnelBytes is the size of a request for a tunnel with its response and the packets of the
+// connection, and controlBytes the traffic for control that an instance may have in a second.
+const (
+	tunnelBytes  = 1200
+	controlBytes = 21_000
+)
+
+// requireFewTunnels verifies that the requests for tunnels, beside those that carried a caller's
+// request, use a part of the control traffic of the instances that are cut off.
+func (c *cluster) requireFewTunnels() {
+	c.t.Helper()
+	seconds := 0.0
+	for _, cut := range c.serverCuts {
+		seconds += float64(cut.until.Since(cut.since)) / 1000
+	}
+	perSecond := float64(c.tunnelCount-c.verdicts[tunnelverdict.Reached]) / seconds
+	c.t.Logf("%.1f tunnels that were not opened, for each second and instance that was cut off", perSecond)
+	require.Less(c.t, perSecond*tunnelBytes, controlBytes/2.0)
+}
+
 // sendSpread sends requests of all kinds to all instances, two a second to each.
 func (c *cluster) sendSpread(duration clock.Millis) {
 	const step = 20 * clock.Millisecond
@@ -134,6 +155,7 @@
 						c.run(6 * clock.Second)
 						c.checkInvariants()
 						c.requireServedInCuts()
+						c.requireFewTunnels()
 						if cutOff, _ := c.triesDuringCuts(); seed%2 == 0 {
 							require.NotZero(t, cutOff.sent)
 						}
--- a/internal/decision/forwarder/partitions_test.go
+++ b/internal/decision/forwarder/partitions_test.go
@@ -79,7 +79,7 @@
 // simulatedTunnel is a tunnel through another instance, at index to.
 type simulatedTunnel struct {
 	to   int
-	done func(tunnelverdict.Verdict)
+	done func(verdict tunnelverdict.Verdict, referral string)
 }
 
 // tunnelTimeout is the time after which an instance does not wait for a tunnel any more.
@@ -87,24 +87,24 @@
 
 // openTunnel asks another instance for a connection to a server and passes the verdict to done, with
 // the tunnel's name and the index of the instance.
-func (c *cluster) openTunnel(i int, hop forwarder.Hop, request forwarder.TunnelRequested, done func(tunnel string, to int, verdict tunnelverdict.Verdict)) {
+func (c *cluster) openTunnel(i int, hop forwarder.Hop, request forwarder.TunnelRequested, done func(tunnel string, to int, verdict tunnelverdict.Verdict, referral string)) {
 	to := c.instanceAt(hop.Address)
 	request.Tunnel, request.From = fmt.Sprint("tunnel-", c.tunnelCount), c.settings[i].PeerAddress
 	c.tunnelCount++
 	answered := false
-	answer := func(verdict tunnelverdict.Verdict) {
+	answer := func(verdict tunnelverdict.Verdict, referral string) {
 		if !answered {
 			answered = true
 			c.verdicts[verdict]++
-			done(request.Tunnel, to, verdict)
+			done(request.Tunnel, to, verdict, referral)
 		}
 	}
 	switch {
 	case to < 0 || c.stopped[to]:
-		c.after(2, func() { answer(tunnelverdict.Unavailable) })
+		c.after(2, func() { answer(tunnelverdict.Unavailable, "") })
 		return
 	case c.cut != nil && c.cut(i, to):
-		c.after(connectTimeout, func() { answer(tunnelverdict.Unavailable) })
+		c.after(connectTimeout, func() { answer(tunnelverdict.Unavailable, "") })
 		return
 	}
 	c.tunnels[request.Tunnel] = simulatedTunnel{to: to, done: answer}
@@ -112,7 +112,7 @@
 		if !answered {
 			c.endTunnel(request.Tunnel)
 		}
-		answer(tunnelverdict.Unavailable)
+		answer(tunnelverdict.Unavailable, "")
 	})
 	c.after(1, func() { c.step(to, request) })
 }
@@ -130,7 +130,7 @@
 	delete(c.tunnels, refusal.Tunnel)
 	c.after(1, func() {
 		if tunnel.done != nil {
-			tunnel.done(refusal.Verdict)
+			tunnel.done(refusal.Verdict, refusal.Referral)
 		}
 	})
 }
@@ -148,7 +148,7 @@
 			c.endTunnel(open.Tunnel)
 		}
 		if waiting {
-			c.after(1, func() { tunnel.done(verdict) })
+			c.after(1, func() { tunnel.done(verdict, "") })
 		}
 	})
 }
@@ -183,8 +183,8 @@
 		return
 	}
 	request := forwarder.TunnelRequested{Server: probe.Server, StartedAt: probe.StartedAt, Probe: true}
-	c.openTunnel(i, probe.Via, request, func(_ string, _ int, verdict tunnelverdict.Verdict) {
-		probed.Verdict = verdict
+	c.openTunnel(i, probe.Via, request, func(_ string, _ int, verdict tunnelverdict.Verdict, referral string) {
+		probed.Verdict, probed.Referral = verdict, referral
 		c.step(i, probed)
 	})
 }
@@ -192,9 +192,9 @@
 // dispatchThrough sends a request through another instance.
 func (c *cluster) dispatchThrough(i int, dispatch forwarder.Dispatch, s *server, r *request) {
 	request := forwarder.TunnelRequested{Server: dispatch.Server, StartedAt: dispatch.StartedAt, Timeout: dispatch.Timeout, Limited: dispatch.Limited}
-	c.openTunnel(i, dispatch.Via, request, func(tunnel string, to int, verdict tunnelverdict.Verdict) {
+	c.openTunnel(i, dispatch.Via, request, func(tunnel string, to int, verdict tunnelverdict.Verdict, referral string) {
 		if verdict != tunnelverdict.Reached {
-			c.step(i, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: forwarder.OutcomeNotSent, Verdict: verdict, Delivered: r.partDelivered, LastEventID: "1"})
+			c.step(i, forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: forwarder.OutcomeNotSent, Verdict: verdict, Referral: referral, Delivered: r.partDelivered, LastEventID: "1"})
 			return
 		}
 		if r.finalActions > 0 || c.stopped[i] {
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -139,7 +139,7 @@
 // probeControl connects to some servers that have not failed, to learn whether this instance is
 // cut off.
 func (f *Forwarder) probeControl(failed string) {
-	if f.now < f.nextControl {
+	if f.now < f.nextControl || f.paths.CutOff() {
 		return
 	}
 	others := slices.DeleteFunc(slices.Clone(f.servers.All()), func(server registry.Server) bool {
@@ -172,6 +172,11 @@
 		pending.gone = pending.gone || gone
 		return
 	}
+	if f.paths.CutOff() && len(f.peers) > 0 {
+		// Requests that go through other instances show whether the server can be reached.
+		f.findHop(server)
+		return
+	}
 	witnesses := f.paths.Witnesses(f.now, id, f.hops(), maxWitnesses, f.random())
 	if len(witnesses) == 0 {
 		if len(f.peers) == 0 || !f.paths.CutOff() {
@@ -187,6 +192,17 @@
 	}
 }
 
+// findHop asks some other instances for a connection to the server, if none is known that opens one.
+func (f *Forwarder) findHop(server registry.Server) {
+	if f.now < f.nextControl || f.paths.GoodHop(f.now, 0) != "" {
+		return
+	}
+	f.nextControl = f.now.Add(controlInterval)
+	for _, name := range f.paths.Witnesses(f.now, server.ID, f.hops(), maxWitnesses, f.random()) {
+		f.emitProbe(server, f.hopNamed(name))
+	}
+}
+
 // handlePathProbed handles the outcome of a connect without a request.
 func (f *Forwarder) handlePathProbed(probed PathProbed) {
 	if probed.Via.Direct() {
@@ -203,7 +219,7 @@
 		}
 		return
 	}
-	f.recordHop(probed.Via, probed.Server, probed.Verdict)
+	f.recordHop(probed.Via, probed.Server, probed.Verdict, probed.Referral)
 	server, ok := f.servers.Server(probed.Server)
 	if !ok || server.StartedAt != probed.StartedAt {
 		return
@@ -271,9 +287,13 @@
 	}
 }
 
-// recordHop records the outcome of a request for a tunnel.
-func (f *Forwarder) recordHop(hop Hop, server string, verdict tunnelverdict.Verdict) {
+// recordHop records the outcome of a request for a tunnel, and the instance that was named instead;
+// empty for none.
+func (f *Forwarder) recordHop(hop Hop, server string, verdict tunnelverdict.Verdict, referral string) {
 	f.paths.RecordHop(f.now, hop.Instance, server, verdict)
+	if _, listed := f.peers[digest.ID(referral)]; listed && referral != "" {
+		f.paths.RecordReferral(f.now, referral)
+	}
 }
 
 // recordWay records what the end of an attempt shows about the way by which it was sent. It
@@ -296,14 +316,14 @@
 		f.recordConnect(server, used.beganAt, true)
 		return false
 	case !unsent:
-		f.recordHop(used.hop, server, tunnelverdict.Reached)
+		f.recordHop(used.hop, server, tunnelverdict.Reached, "")
 		return false
 	case event.Verdict.ObservesServer():
-		f.recordHop(used.hop, server, event.Verdict)
+		f.recordHop(used.hop, server, event.Verdict, event.Referral)
 		f.suspect(server, event.Verdict == tunnelverdict.Refused)
 		return false
 	default:
-		f.recordHop(used.hop, server, event.Verdict)
+		f.recordHop(used.hop, server, event.Verdict, event.Referral)
 		return true
 	}
 }
--- a/internal/decision/forwarder/tunnels.go
+++ b/internal/decision/forwarder/tunnels.go
@@ -42,7 +42,7 @@
 	verdict := f.admitTunnel(request)
 	if verdict != tunnelverdict.None {
 		f.log(eventlog.New(eventlog.TunnelRefused, "").With("server", request.Server).With("from", request.From).With("verdict", verdict))
-		f.emit(RefuseTunnel{Tunnel: request.Tunnel, Verdict: verdict})
+		f.emitRefusal(request.Tunnel, verdict)
 		return
 	}
 	server, _ := f.servers.Server(request.Server)
@@ -57,6 +57,15 @@
 	f.emit(OpenTunnel{Tunnel: request.Tunnel, Server: server.ID, StartedAt: server.StartedAt, Address: server.Address, Timeout: timeout, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server), Probe: request.Probe})
 }
 
+// emitRefusal refuses a tunnel. An instance that is cut off names the one that it uses itself.
+func (f *Forwarder) emitRefusal(id string, verdict tunnelverdict.Verdict) {
+	refusal := RefuseTunnel{Tunnel: id, Verdict: verdict}
+	if verdict == tunnelverdict.CutOff {
+		refusal.Referral = f.paths.GoodHop(f.now, f.random())
+	}
+	f.emit(refusal)
+}
+
 // admitTunnel returns why a tunnel is refused; None if it is not.
 func (f *Forwarder) admitTunnel(request TunnelRequested) tunnelverdict.Verdict {
 	server, known := f.servers.Server(request.Server)
@@ -133,7 +142,7 @@
 			continue
 		}
 		delete(f.tunnels, id)
-		f.emit(RefuseTunnel{Tunnel: id, Verdict: verdict})
+		f.emitRefusal(id, verdict)
 	}
 }
 
--- a/internal/decision/pathfinder/pathfinder.go
+++ b/internal/decision/pathfinder/pathfinder.go
@@ -19,6 +19,7 @@
 package pathfinder
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
@@ -37,6 +38,13 @@
 	// fullHopPause the same for one that has too many tunnels.
 	hopPause     = clock.Second
 	fullHopPause = 200 * clock.Millisecond
+	// goodTime is the time for which an instance that was a hop is asked first, and referralTime the
+	// same for one that another instance has named. At most maxGoodHops are kept.
+	goodTime     = 5 * clock.Second
+	referralTime = clock.Second
+	maxGoodHops  = 8
+	// exploreOdds is the number of choices of which one is made among all hops.
+	exploreOdds = 8
 	// maxHopPauses limits the pauses that are kept, for hops and for pairs of hop and server.
 	maxHopPauses = 4096
 )
@@ -72,11 +80,13 @@
 	// hopPauses and pairPauses are the times until which hops are not asked.
 	hopPauses  map[string]clock.Millis
 	pairPauses map[hopServer]clock.Millis
+	// good are the times until which hops are asked first.
+	good map[string]clock.Millis
 }
 
 // New returns a Pathfinder that takes all paths for open.
 func New() *Pathfinder {
-	return &Pathfinder{paths: map[string]path{}, failed: map[string]bool{}, hopPauses: map[string]clock.Millis{}, pairPauses: map[hopServer]clock.Millis{}}
+	return &Pathfinder{paths: map[string]path{}, failed: map[string]bool{}, hopPauses: map[string]clock.Millis{}, pairPauses: map[hopServer]clock.Millis{}, good: map[string]clock.Millis{}}
 }
 
 // RecordConnect records a connect of this instance itself, which began at beganAt. It reports
@@ -173,6 +183,7 @@
 	case verdict == tunnelverdict.Reached:
 		delete(p.hopPauses, hop)
 		delete(p.pairPauses, hopServer{hop, server})
+		p.keepGood(now, hop, goodTime)
 	case verdict.ConcernsInstance():
 		pause := hopPause
 		if verdict == tunnelverdict.Full {
@@ -182,6 +193,7 @@
 			clear(p.hopPauses)
 		}
 		p.hopPauses[hop] = now.Add(pause)
+		delete(p.good, hop)
 	default:
 		if len(p.pairPauses) >= maxHopPauses {
 			clear(p.pairPauses)
@@ -190,6 +202,30 @@
 	}
 }
 
+// RecordReferral records that another instance has named a hop.
+func (p *Pathfinder) RecordReferral(now clock.Millis, hop string) {
+	if now >= p.hopPauses[hop] && now >= p.good[hop] {
+		p.keepGood(now, hop, referralTime)
+	}
+}
+
+func (p *Pathfinder) keepGood(now clock.Millis, hop string, duration clock.Millis) {
+	maps.DeleteFunc(p.good, func(_ string, until clock.Millis) bool { return now >= until })
+	if _, known := p.good[hop]; known || len(p.good) < maxGoodHops {
+		p.good[hop] = max(p.good[hop], now.Add(duration))
+	}
+}
+
+// GoodHop returns a hop that was used just now, to name it to another instance; empty for none.
+func (p *Pathfinder) GoodHop(now clock.Millis, random uint64) string {
+	names := slices.Sorted(maps.Keys(p.good))
+	names = slices.DeleteFunc(names, func(hop string) bool { return now >= p.good[hop] || now < p.hopPauses[hop] })
+	if len(names) == 0 {
+		return ""
+	}
+	return names[random%uint64(len(names))]
+}
+
 // usable reports whether the hop may be asked for a tunnel to the server.
 func (p *Pathfinder) usable(now clock.Millis, hop, server string) bool {
 	return now >= p.hopPauses[hop] && now >= p.pairPauses[hopServer{hop, server}]
@@ -200,11 +236,18 @@
 	return slices.ContainsFunc(hops, func(hop Hop) bool { return now >= p.hopPauses[hop.Name] })
 }
 
-// ChooseHop chooses the hop for a tunnel to the server. A hop of the same failure domain is drawn
+// ChooseHop chooses the hop for a tunnel to the server: mostly one that was used just now. Else a hop of the same failure domain is drawn
 // from all of the domain, so that the few that are usable get no more than their part; if the
 // drawn one is not usable, one of the usable hops of all domains is chosen, those that are known
 // to be alive first. It reports false if none is usable.
 func (p *Pathfinder) ChooseHop(now clock.Millis, server string, hops []Hop, random uint64) (string, bool) {
+	good := slices.DeleteFunc(slices.Clone(hops), func(hop Hop) bool {
+		return now >= p.good[hop.Name] || !p.usable(now, hop.Name, server)
+	})
+	if len(good) > 0 && random%exploreOdds != 0 {
+		return good[(random/exploreOdds)%uint64(len(good))].Name, true
+	}
+	random /= exploreOdds
 	own := slices.DeleteFunc(slices.Clone(hops), func(hop Hop) bool { return !hop.SameDomain })
 	if len(own) > 0 {
 		if drawn := own[random%uint64(len(own))]; drawn.Alive && p.usable(now, drawn.Name, server) {
--- a/internal/decision/pathfinder/pathfinder_test.go
+++ b/internal/decision/pathfinder/pathfinder_test.go
@@ -1,6 +1,7 @@
 package pathfinder_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -117,6 +118,56 @@
 	}
 }
 
+// TestGoodHopsAreAskedFirst verifies that a hop that was used, or that another instance has named, is
+// preferred for some seconds, unless it refuses.
+func TestGoodHopsAreAskedFirst(t *testing.T) {
+	hops := []pathfinder.Hop{}
+	for i := range 200 {
+		hops = append(hops, pathfinder.Hop{Name: fmt.Sprint("h", i), Alive: true})
+	}
+	tests := map[string]struct {
+		record func(p *pathfinder.Pathfinder)
+		at     clock.Millis
+		good   bool
+	}{
+		"none":           {func(*pathfinder.Pathfinder) {}, 10, false},
+		"used":           {func(p *pathfinder.Pathfinder) { p.RecordHop(0, "h7", "s", tunnelverdict.Reached) }, 4000, true},
+		"used long ago":  {func(p *pathfinder.Pathfinder) { p.RecordHop(0, "h7", "s", tunnelverdict.Reached) }, 5000, false},
+		"named":          {func(p *pathfinder.Pathfinder) { p.RecordReferral(0, "h7") }, 900, true},
+		"named long ago": {func(p *pathfinder.Pathfinder) { p.RecordReferral(0, "h7") }, 1000, false},
+		"named after a refusal": {func(p *pathfinder.Pathfinder) {
+			p.RecordHop(0, "h7", "s", tunnelverdict.CutOff)
+			p.RecordReferral(1, "h7")
+		}, 10, false},
+		"refuses since": {func(p *pathfinder.Pathfinder) {
+			p.RecordReferral(0, "h7")
+			p.RecordHop(1, "h7", "s", tunnelverdict.Full)
+		}, 300, false},
+		"has no path since": {func(p *pathfinder.Pathfinder) {
+			p.RecordReferral(0, "h7")
+			p.RecordHop(1, "h7", "s", tunnelverdict.NoPath)
+		}, 300, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			paths := pathfinder.New()
+			test.record(paths)
+			chosen := 0
+			for random := range uint64(400) {
+				if hop, _ := paths.ChooseHop(test.at, "s", hops, random*7919); hop == "h7" {
+					chosen++
+				}
+			}
+			if test.good {
+				require.Greater(t, chosen, 400*3/4)
+				require.Equal(t, "h7", paths.GoodHop(test.at, 3))
+				return
+			}
+			require.Less(t, chosen, 400/20)
+		})
+	}
+}
+
 // TestWitnessesDiffer verifies that no witness is asked twice.
 func TestWitnessesDiffer(t *testing.T) {
 	hops := []pathfinder.Hop{{Name: "a", Alive: true}, {Name: "b", Alive: true}, {Name: "c", Alive: true}, {Name: "d"}}
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -81,7 +81,7 @@
 	exchange, err := httpclient.Send(ctx, dispatch.Address, request)
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
-		result.ConnectionRefused, result.Verdict = notSent.ConnectionRefused, notSent.Verdict
+		result.ConnectionRefused, result.Verdict, result.Referral = notSent.ConnectionRefused, notSent.Verdict, notSent.Referral
 		return withOutcome(result, forwarder.OutcomeNotSent, err), nil
 	}
 	if err != nil {
--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -50,8 +50,8 @@
 	if tunnel != nil {
 		tunnel.Probe = true
 	}
-	verdict := httpclient.Probe(e.ctx, probe.Address, tunnel)
-	e.machine.submit(forwarder.PathProbed{Server: probe.Server, StartedAt: probe.StartedAt, Via: probe.Via, BeganAt: probe.BeganAt, Verdict: verdict})
+	verdict, referral := httpclient.Probe(e.ctx, probe.Address, tunnel)
+	e.machine.submit(forwarder.PathProbed{Server: probe.Server, StartedAt: probe.StartedAt, Via: probe.Via, BeganAt: probe.BeganAt, Verdict: verdict, Referral: referral})
 }
 
 // serveTunnel opens a connection to a server for another instance, if the state machine admits it,
@@ -67,7 +67,7 @@
 	id := "tunnel-" + strconv.FormatInt(tunnelNumber.Add(1), 10)
 	actions, ok := e.machine.register(id)
 	if !ok {
-		writeVerdict(w, tunnelverdict.Stopping)
+		writeRefusal(w, tunnelverdict.Stopping, "")
 		return
 	}
 	defer e.machine.unregister(id)
@@ -90,14 +90,17 @@
 			}
 		case forwarder.RefuseTunnel:
 			e.meter.Add("tunnelsRefused", 1)
-			writeVerdict(w, action.Verdict)
+			writeRefusal(w, action.Verdict, action.Referral)
 			return
 		}
 	}
 }
 
-func writeVerdict(w http.ResponseWriter, verdict tunnelverdict.Verdict) {
+func writeRefusal(w http.ResponseWriter, verdict tunnelverdict.Verdict, referral string) {
 	w.Header().Set(httpclient.TunnelVerdict, verdict.String())
+	if referral != "" {
+		w.Header().Set(httpclient.TunnelReferral, referral)
+	}
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -94,7 +94,9 @@
 	ConnectionRefused bool
 	// Verdict is the outcome of the request for a tunnel, if the request had to be sent through one.
 	Verdict tunnelverdict.Verdict
-	Err     error
+	// Referral is the instance that was named instead; empty for none.
+	Referral string
+	Err      error
 }
 
 // Error describes the error.
--- a/internal/runtime/httpclient/tunnel.go
+++ b/internal/runtime/httpclient/tunnel.go
@@ -23,6 +23,7 @@
 	TunnelLimited   = "Tunnel-Limited"
 	TunnelProbe     = "Tunnel-Probe"
 	TunnelVerdict   = "Tunnel-Verdict"
+	TunnelReferral  = "Tunnel-Referral"
 )
 
 // tunnelTimeout limits the time until another instance has opened a connection, or has learned
@@ -62,16 +63,16 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	reader, verdict, err := t.request(conn, address)
-	if verdict != tunnelverdict.Reached {
+	reader, err := t.request(conn, address)
+	if err != nil {
 		_ = conn.Close()
-		return nil, &NotSentError{Verdict: verdict, Err: err}
+		return nil, err
 	}
 	return &tunnelConn{Conn: conn, reader: framer.NewReader(reader)}, nil
 }
 
-// request asks for the tunnel on a connection to the other instance.
-func (t *Tunnel) request(conn net.Conn, address string) (*bufio.Reader, tunnelverdict.Verdict, error) {
+// request asks for the tunnel on a connection to the other instance. Its error is a NotSentError.
+func (t *Tunnel) request(conn net.Conn, address string) (*bufio.Reader, error) {
 	header := http.Header{}
 	header.Set(TunnelServer, t.Server)
 	header.Set(TunnelStartedAt, strconv.FormatInt(t.StartedAt, 10))
@@ -79,42 +80,47 @@
 	header.Set(TunnelLimited, strconv.FormatBool(t.Limited))
 	header.Set(TunnelProbe, strconv.FormatBool(t.Probe))
 	request := Request{Method: http.MethodConnect, Target: address, Host: address, Header: header}
+	unavailable := func(err error) error { return &NotSentError{Verdict: tunnelverdict.Unavailable, Err: err} }
 	if err := conn.SetDeadline(time.Now().Add(tunnelTimeout)); err != nil {
-		return nil, tunnelverdict.Unavailable, err
+		return nil, unavailable(err)
 	}
 	if _, err := conn.Write(request.encode()); err != nil {
-		return nil, tunnelverdict.Unavailable, err
+		return nil, unavailable(err)
 	}
 	reader := bufio.NewReaderSize(conn, readBufferBytes)
 	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return nil, tunnelverdict.Unavailable, err
+		return nil, unavailable(err)
 	}
 	verdict := tunnelverdict.Parse(response.Header.Get(TunnelVerdict))
-	if verdict == tunnelverdict.Reached && response.StatusCode != http.StatusOK {
-		verdict = tunnelverdict.Unavailable
+	if verdict != tunnelverdict.Reached || response.StatusCode != http.StatusOK {
+		if verdict == tunnelverdict.Reached {
+			verdict = tunnelverdict.Unavailable
+		}
+		return nil, &NotSentError{Verdict: verdict, Referral: response.Header.Get(TunnelReferral), Err: errors.Errorf("no tunnel through %s: %s", t.Address, verdict)}
 	}
-	if verdict != tunnelverdict.Reached {
-		return nil, verdict, errors.Errorf("no tunnel through %s: %s", t.Address, verdict)
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, unavailable(err)
 	}
-	return reader, verdict, conn.SetDeadline(time.Time{})
+	return reader, nil
 }
 
-// Probe connects to the address, through a tunnel if it is not nil, and closes the connection.
-func Probe(ctx context.Context, address string, tunnel *Tunnel) tunnelverdict.Verdict {
+// Probe connects to the address, through a tunnel if it is not nil, and closes the connection. It
+// also returns the instance that was named instead of the tunnel's; empty for none.
+func Probe(ctx context.Context, address string, tunnel *Tunnel) (verdict tunnelverdict.Verdict, referral string) {
 	conn, err := connect(ctx, address, Request{Tunnel: tunnel})
 	var notSent *NotSentError
 	switch {
 	case err == nil:
 		_ = conn.Close()
-		return tunnelverdict.Reached
+		return tunnelverdict.Reached, ""
 	case !errors.As(err, &notSent):
-		return tunnelverdict.Unavailable
+		return tunnelverdict.Unavailable, ""
 	case tunnel != nil:
-		return notSent.Verdict
+		return notSent.Verdict, notSent.Referral
 	case notSent.ConnectionRefused:
-		return tunnelverdict.Refused
+		return tunnelverdict.Refused, ""
 	default:
-		return tunnelverdict.Unanswered
+		return tunnelverdict.Unanswered, ""
 	}
 }
