Refuse at once where no instance reaches a server, and test cuts with processes

What callers saw: where all instances were cut off, a request waited for four connects that hang, 1.007 s, before it was refused as not run (TestProcessesWithoutPathServeCallers failed with it). Cause: without a usable hop, servers to which no connect had failed yet were tried directly, although the instance knew that it was cut off. They are not, unless there are no other instances at all.

While it is cut off, an instance also connects to servers that have not failed, twice each 300 ms: if it is some servers that have crashed and not its paths, that ends the state. TestCrashesAreNotTakenForPartition guards it; it also passes without this change.

--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -218,6 +218,8 @@
 	paths       *pathfinder.Pathfinder
 	suspicions  map[string]*suspicion
 	nextControl clock.Millis
+	// nextHopSearch is the time from which hops may be searched for again.
+	nextHopSearch clock.Millis
 	// controls are the beginnings of the connects that show whether this instance is cut off.
 	controls map[string]clock.Millis
 	tunnels  map[string]tunnel
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -22,6 +22,8 @@
 	// controlInterval is the shortest time between two connects to other servers after a failure,
 	// which show whether this instance is cut off.
 	controlInterval = 100 * clock.Millisecond
+	// cutOffCheckInterval is the time between two of them while it is cut off.
+	cutOffCheckInterval = 300 * clock.Millisecond
 	// controlProbes is the number of servers to which it connects then: some may have crashed
 	// at the same time.
 	controlProbes = 3
@@ -85,7 +87,7 @@
 // hasWay reports whether requests can be sent to the server, by a connection of this instance or
 // through another one. hasHop reports whether there is another one, as hasHop returns it.
 func (f *Forwarder) hasWay(server string, hasHop bool) bool {
-	return hasHop || !f.paths.Failed(server)
+	return hasHop || !f.paths.Failed(server) && (len(f.peers) == 0 || !f.paths.CutOff())
 }
 
 func (f *Forwarder) hasHop() bool { return f.paths.HasHop(f.now, f.hops()) }
@@ -113,6 +115,7 @@
 		f.log(eventlog.New(number, "").With("server", server))
 	}
 	if f.paths.CutOff() != cutOff {
+		f.nextControl = f.now
 		f.log(eventlog.New(eventlog.CutOffChanged, "").With("cutOff", !cutOff))
 	}
 }
@@ -142,14 +145,16 @@
 	if f.now < f.nextControl || f.paths.CutOff() {
 		return
 	}
+	f.nextControl = f.now.Add(controlInterval)
+	f.probeSome(controlProbes, func(server registry.Server) bool { return server.ID != failed && !f.paths.Failed(server.ID) })
+}
+
+// probeSome connects to some of the servers that fulfill the condition and may get requests.
+func (f *Forwarder) probeSome(count int, condition func(registry.Server) bool) {
 	others := slices.DeleteFunc(slices.Clone(f.servers.All()), func(server registry.Server) bool {
-		return server.ID == failed || server.Down() || server.Paused(f.now) || !server.AcceptsRequests() || f.paths.Failed(server.ID)
+		return server.Down() || server.Paused(f.now) || !server.AcceptsRequests() || !condition(server)
 	})
-	if len(others) == 0 {
-		return
-	}
-	f.nextControl = f.now.Add(controlInterval)
-	for range min(controlProbes, len(others)) {
+	for range min(count, len(others)) {
 		index := int(f.jitter(int64(len(others))))
 		f.controls[others[index].ID] = f.now
 		f.emitProbe(others[index], Hop{})
@@ -194,10 +199,10 @@
 
 // findHop asks some other instances for a connection to the server, if none is known that opens one.
 func (f *Forwarder) findHop(server registry.Server) {
-	if f.now < f.nextControl || f.paths.GoodHop(f.now, 0) != "" {
+	if f.now < f.nextHopSearch || f.paths.GoodHop(f.now, 0) != "" {
 		return
 	}
-	f.nextControl = f.now.Add(controlInterval)
+	f.nextHopSearch = f.now.Add(controlInterval)
 	for _, name := range f.paths.Witnesses(f.now, server.ID, f.hops(), maxWitnesses, f.random()) {
 		f.emitProbe(server, f.hopNamed(name))
 	}
@@ -328,8 +333,14 @@
 	}
 }
 
-// checkBlockedPaths checks the blocked paths that are due.
+// checkBlockedPaths checks the blocked paths that are due. While this instance is cut off, it also
+// tries servers to which no connect has failed: those that have failed may have crashed.
 func (f *Forwarder) checkBlockedPaths() {
+	if f.paths.CutOff() && f.now >= f.nextControl {
+		f.nextControl = f.now.Add(cutOffCheckInterval)
+		f.probeSome(1, func(server registry.Server) bool { return !f.paths.Failed(server.ID) })
+		f.probeSome(1, func(registry.Server) bool { return true })
+	}
 	for _, id := range f.paths.DueChecks(f.now) {
 		server, ok := f.servers.Server(id)
 		switch {
