Bound the connects of an instance that is cut off

While it was cut off, an instance checked each path that had failed once a second, besides two connects each 300 ms: with thousands of servers that is forty connects a second.

--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -135,7 +135,9 @@
 	// that were asked for, and verdicts those of their outcomes.
 	tunnels     map[string]simulatedTunnel
 	tunnelCount int
-	verdicts    map[tunnelverdict.Verdict]int
+	// directProbes counts the connects without a request of instances that are cut off.
+	directProbes int
+	verdicts     map[tunnelverdict.Verdict]int
 
 	// objects is the store from which the instances read; nil for a cluster that gets
 	// the store's objects as events.
--- a/internal/decision/forwarder/partitions_simulation_test.go
+++ b/internal/decision/forwarder/partitions_simulation_test.go
@@ -112,6 +112,8 @@
 	perSecond := float64(c.tunnelCount-c.verdicts[tunnelverdict.Reached]) / seconds
 	c.t.Logf("%.1f tunnels that were not opened, for each second and instance that was cut off", perSecond)
 	require.Less(c.t, perSecond*tunnelBytes, controlBytes/2.0)
+	c.t.Logf("%.1f connects without a request", float64(c.directProbes)/seconds)
+	require.Less(c.t, float64(c.directProbes)/seconds*tunnelBytes, controlBytes/2.0)
 }
 
 // sendSpread sends requests of all kinds to all instances, two a second to each.
--- a/internal/decision/forwarder/partitions_test.go
+++ b/internal/decision/forwarder/partitions_test.go
@@ -186,6 +186,9 @@
 func (c *cluster) probePath(i int, probe forwarder.ProbePath) {
 	probed := forwarder.PathProbed{Server: probe.Server, StartedAt: probe.StartedAt, Via: probe.Via, BeganAt: probe.BeganAt}
 	if probe.Via.Direct() {
+		if _, isCut := c.cutFrom(i, probe.Server); isCut {
+			c.directProbes++
+		}
 		delay, verdict := c.connect(i, probe.Server)
 		probed.Verdict = verdict
 		c.after(delay, func() { c.step(i, probed) })
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -333,13 +333,16 @@
 	}
 }
 
-// checkBlockedPaths checks the blocked paths that are due. While this instance is cut off, it also
-// tries servers to which no connect has failed: those that have failed may have crashed.
+// checkBlockedPaths checks the blocked paths that are due. While this instance is cut off, it
+// connects to any servers instead, also to one that has not failed: the others may have crashed.
 func (f *Forwarder) checkBlockedPaths() {
-	if f.paths.CutOff() && f.now >= f.nextControl {
-		f.nextControl = f.now.Add(cutOffCheckInterval)
-		f.probeSome(1, func(server registry.Server) bool { return !f.paths.Failed(server.ID) })
-		f.probeSome(1, func(registry.Server) bool { return true })
+	if f.paths.CutOff() {
+		if f.now >= f.nextControl {
+			f.nextControl = f.now.Add(cutOffCheckInterval)
+			f.probeSome(1, func(server registry.Server) bool { return !f.paths.Failed(server.ID) })
+			f.probeSome(1, func(registry.Server) bool { return true })
+		}
+		return
 	}
 	for _, id := range f.paths.DueChecks(f.now) {
 		server, ok := f.servers.Server(id)
--- a/internal/decision/pathfinder/pathfinder.go
+++ b/internal/decision/pathfinder/pathfinder.go
@@ -32,8 +32,6 @@
 	minFailures = 2
 	// checkInterval is the time between two checks of a blocked path.
 	checkInterval = clock.Second
-	// maxChecks limits the paths that are checked at a time while the instance is cut off.
-	maxChecks = 2
 	// hopPause is the time for which an instance that can't be a hop is not asked, and
 	// fullHopPause the same for one that has too many tunnels.
 	hopPause     = clock.Second
@@ -164,11 +162,6 @@
 		}
 	}
 	slices.Sort(due)
-	if p.CutOff() && len(due) > maxChecks {
-		start := int(now) % len(due)
-		due = append(due[start:], due[:start]...)[:maxChecks]
-		slices.Sort(due)
-	}
 	for _, server := range due {
 		known := p.paths[server]
 		known.nextCheck = now.Add(checkInterval)
