Search for other instances only while a path is blocked

Each choice of a server listed and sorted all instances to learn whether one can be a hop, also while all paths are open. It doesn't then. Blocked paths have a set of their own, so that their checks do not walk through all servers.

--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -21,7 +21,7 @@
 // candidatesAmong returns those of the servers that can take the request now.
 func (f *Forwarder) candidatesAmong(fl *flight, servers []registry.Server) []scheduler.Candidate {
 	service := f.desired.Services[fl.service]
-	loading, hasHop := f.loadingEngines(), f.hasHop()
+	loading, hasHop := f.loadingEngines(), f.paths.AllOpen() || f.hasHop()
 	var candidates []scheduler.Candidate
 	for _, server := range servers {
 		if server.Down() || fl.triedServers[server.ID] || loading[server.ID] || f.holdsBack(server) || !fl.mayRunAt(server) || !f.hasWay(server.ID, hasHop) {
--- a/internal/decision/pathfinder/pathfinder.go
+++ b/internal/decision/pathfinder/pathfinder.go
@@ -71,6 +71,8 @@
 // Pathfinder has the paths of one instance. It is not safe for concurrent use.
 type Pathfinder struct {
 	paths map[string]path
+	// blocked has the servers whose paths are blocked.
+	blocked map[string]bool
 	// lastReached is the beginning of the latest connect to any server that succeeded, and failed
 	// has the servers to which later connects failed.
 	lastReached clock.Millis
@@ -84,30 +86,35 @@
 
 // New returns a Pathfinder that takes all paths for open.
 func New() *Pathfinder {
-	return &Pathfinder{paths: map[string]path{}, failed: map[string]bool{}, hopPauses: map[string]clock.Millis{}, pairPauses: map[hopServer]clock.Millis{}, good: map[string]clock.Millis{}}
+	return &Pathfinder{paths: map[string]path{}, blocked: map[string]bool{}, failed: map[string]bool{}, hopPauses: map[string]clock.Millis{}, pairPauses: map[hopServer]clock.Millis{}, good: map[string]clock.Millis{}}
 }
 
 // RecordConnect records a connect of this instance itself, which began at beganAt. It reports
 // whether the path is newly blocked or open again.
 func (p *Pathfinder) RecordConnect(now clock.Millis, server string, beganAt clock.Millis, reached bool) bool {
 	known := p.paths[server]
-	before := known.blocked()
-	if !reached {
+	if reached {
+		known.reachedAt = max(known.reachedAt, beganAt)
+	} else {
 		known.failedAt = max(known.failedAt, beganAt)
 		known.nextCheck = now.Add(checkInterval)
-		p.paths[server] = known
-		if beganAt > p.lastReached {
-			p.failed[server] = true
-		}
-		return known.blocked() != before
 	}
-	known.reachedAt = max(known.reachedAt, beganAt)
 	p.paths[server] = known
-	if beganAt > p.lastReached {
+	changed := p.blocked[server] != known.blocked()
+	if known.blocked() {
+		p.blocked[server] = true
+	} else {
+		delete(p.blocked, server)
+	}
+	switch {
+	case beganAt <= p.lastReached:
+	case reached:
 		p.lastReached = beganAt
 		p.dropEarlierFailures(now)
+	default:
+		p.failed[server] = true
 	}
-	return known.blocked() != before
+	return changed
 }
 
 // dropEarlierFailures drops the failures from before the latest success. The other paths that
@@ -132,10 +139,13 @@
 func (p *Pathfinder) ReachedSince(at clock.Millis) bool { return p.lastReached >= at }
 
 // Blocked reports whether this instance's own connections do not get to the server.
-func (p *Pathfinder) Blocked(server string) bool { return p.CutOff() || p.paths[server].blocked() }
+func (p *Pathfinder) Blocked(server string) bool { return p.CutOff() || p.blocked[server] }
+
+// AllOpen reports whether no path is blocked.
+func (p *Pathfinder) AllOpen() bool { return len(p.blocked) == 0 && !p.CutOff() }
 
 // Failed reports whether this instance's latest connect to the server has failed.
-func (p *Pathfinder) Failed(server string) bool { return p.paths[server].blocked() }
+func (p *Pathfinder) Failed(server string) bool { return p.blocked[server] }
 
 // Retain forgets the servers for which keep reports false.
 func (p *Pathfinder) Retain(keep func(server string) bool) {
@@ -149,6 +159,7 @@
 // Forget forgets a server, for example one that has started anew.
 func (p *Pathfinder) Forget(server string) {
 	delete(p.paths, server)
+	delete(p.blocked, server)
 	delete(p.failed, server)
 }
 
@@ -156,8 +167,8 @@
 // each is due after an interval.
 func (p *Pathfinder) DueChecks(now clock.Millis) []string {
 	var due []string
-	for server, known := range p.paths {
-		if known.blocked() && now >= known.nextCheck {
+	for server := range p.blocked {
+		if now >= p.paths[server].nextCheck {
 			due = append(due, server)
 		}
 	}
