--- a/internal/decision/forwarder/brittle_simulation_test.go
+++ b/internal/decision/forwarder/brittle_simulation_test.go
@@ -142,7 +142,12 @@
 						c := newClusterIn(t, seed, scale.instances, scale.domains)
 						c.streamDuration = duration
 						c.limitRoom("engines", slots, 6, listedSlots)
+						state := newDesiredState(2)
+						team := state.Teams["press"]
+						team.Rate, team.Burst = 100*team.Rate, 100*team.Burst
+						state.Teams["press"] = team
 						for i := range c.instances {
+							c.step(i, forwarder.StateRead{State: state, ConfirmedAt: c.now})
 							c.listServers(i)
 						}
 						engines := max(6, scale.instances/2)
