Do not take a server for brittle again after it has lifted that

A server whose answers no longer say that it is brittle was taken for brittle again, because others of its service had said so within five seconds, and lifted again with each answer; meanwhile it got only its part of the requests: 6 instead of 20 in TestServerThatIsNoLongerBrittle, which failed before. What the service has said counts only for servers of which nothing is known. Found by reading.

--- a/internal/decision/forwarder/brittle.go
+++ b/internal/decision/forwarder/brittle.go
@@ -38,6 +38,7 @@
 			f.expediteRelay()
 		}
 	case notice.NotBrittle && f.rooms.Lift(f.now, start):
+		delete(f.brittleServices, server.Service)
 		f.logBrittle(start, "response")
 		f.expediteRelay()
 	}
@@ -79,7 +80,7 @@
 	start := startOf(server)
 	if _, brittle := f.rooms.Brittle(start); !brittle {
 		said, ok := f.brittleServices[server.Service]
-		if !ok || f.now.Since(said.saidAt) > brittleServiceMemory {
+		if !ok || f.rooms.Known(start) || f.now.Since(said.saidAt) > brittleServiceMemory {
 			return 0, false
 		}
 		seenAt, seen := f.startsSeen[server.ID]
--- a/internal/decision/limitsharer/rooms.go
+++ b/internal/decision/limitsharer/rooms.go
@@ -174,6 +174,12 @@
 	return found.notice.Rejections, known && found.notice.Rejections != Lifted
 }
 
+// Known reports whether it is known whether the server is brittle.
+func (r *Rooms) Known(start Start) bool {
+	_, known := r.entries[start]
+	return known
+}
+
 // Room returns the number of requests that all instances together may have at a brittle server.
 func (r *Rooms) Room(now clock.Millis, start Start) int { return r.entries[start].room(now) }
 
