--- a/internal/decision/forwarder/brittle_simulation_test.go
+++ b/internal/decision/forwarder/brittle_simulation_test.go
@@ -16,7 +16,7 @@
 // fewBrittleSeeds are the numbers of seeds without the flag.
 var fewBrittleSeeds = map[string]int{"7 instances": 4, "67 instances": 1}
 
-// room is the capacity of a simulated server, and what becomes of it for rejections.
+// room is the capacity of a simulated server, with its rejections and crashes.
 type room struct {
 	// slots is the number of requests that it runs at once, and queue that of those it lets wait.
 	slots, queue int
