--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -56,16 +56,15 @@
 // whether they do.
 type suspicion struct {
 	// gone reports whether the connection was refused.
-	gone      bool
-	startedAt int64
-	deadline  clock.Millis
+	gone     bool
+	deadline clock.Millis
 	// missing are the witnesses that have not answered.
 	missing map[string]bool
 	// reached, refused and timedOut count those that have observed the server.
 	reached, refused, timedOut int
 }
 
-// hops returns the instances that may open connections for this one, sorted by name.
+// hops returns the instances that may open connections for this one, in a fixed order.
 func (f *Forwarder) hops() []pathfinder.Hop {
 	hops := make([]pathfinder.Hop, 0, len(f.peers))
 	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
@@ -189,7 +188,7 @@
 		}
 		return
 	}
-	pending := &suspicion{gone: gone, startedAt: server.StartedAt, deadline: f.now.Add(suspicionTimeout), missing: map[string]bool{}}
+	pending := &suspicion{gone: gone, deadline: f.now.Add(suspicionTimeout), missing: map[string]bool{}}
 	f.suspicions[id] = pending
 	for _, name := range witnesses {
 		pending.missing[name] = true
