Let streams go on after all instances have lost power

An instance that had just started also took the only listed software version for the origin of an unnamed stream, though servers of an older one may have left a moment before (ORDER).

The version at which a stream begins now follows from the identifier of its request, by an assignment in the store that is written before it is used (package versionassigner). Streams that began by an earlier assignment are listed there as exceptions, or their time is stated. A take-up whose origin no instance knows reads the object; where it can't show the version, the request is refused as before. Conflicting origins are refused without that read.

TestUnknownStreamIsRefused now runs with an assignment that can't be read: with a settled one, the stream's version is known. TestResumedStreams allows for the call to the store (15 ms) before a refusal; its bounds are else unchanged. storedInstances leaves out the objects of assignments, which are of the same kind.

--- a/internal/decision/desired/route.go
+++ b/internal/decision/desired/route.go
@@ -65,6 +65,21 @@
 	return service != "" && service == r.Service(0)
 }
 
+// SoleService returns the service of a route that leads to one only.
+func (r Route) SoleService() (string, bool) {
+	sole := ""
+	for _, weighted := range r.Split {
+		if weighted.Weight <= 0 && len(r.Split) > 1 {
+			continue
+		}
+		if sole != "" && sole != weighted.Service {
+			return "", false
+		}
+		sole = weighted.Service
+	}
+	return sole, sole != ""
+}
+
 // Service returns the service for the hash, which must be evenly distributed over the
 // requests.
 func (r Route) Service(hash uint64) string {
--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -15,6 +15,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -105,6 +106,24 @@
 	// Replicas are the states of the sender's copies of the store's objects.
 	Replicas []Replica
 	Outage   Outage
+	// AssignedRevision is the lowest revision up to which the instances that the digest covers
+	// have the assignments of streams; 0 if one of them can't list its exceptions.
+	// AssignedExceptions are the hashes of the streams left that did not begin by the
+	// assignments, and AssignedLeft is the time for which there may be streams of the
+	// instances' earlier starts.
+	AssignedRevision   int64
+	AssignedLeft       clock.Millis
+	AssignedExceptions map[originkeeper.Origin][]uint64
+	// Assignments are those that are new.
+	Assignments []Assignment
+}
+
+// Assignment is the assignment of a service's streams, as it is stored at the revision.
+type Assignment struct {
+	Service  string
+	Era      int64
+	Revision int64
+	Value    []byte
 }
 
 // CacheDelta is a change of a server's cache.
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -65,6 +65,7 @@
 	ServerBrittle        Number = 2221
 	ServerBrittleInvalid Number = 2222
 	WeightsNamed         Number = 2301
+	AssignmentWritten    Number = 2320
 	StoreEraChanged      Number = 2401
 	StoreEraInvalid      Number = 2402
 	OrderGiven           Number = 2302
@@ -141,6 +142,7 @@
 	ServerBrittle:        "serverBrittle",
 	ServerBrittleInvalid: "serverBrittleInvalid",
 	WeightsNamed:         "weightsNamed",
+	AssignmentWritten:    "assignmentWritten",
 	StoreEraChanged:      "storeEraChanged",
 	StoreEraInvalid:      "storeEraInvalid",
 	OrderGiven:           "orderGiven",
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -155,6 +155,7 @@
 }
 
 func (f *Forwarder) removeFlight(fl *flight) {
+	f.trackEnded(fl)
 	f.dropAlternative(fl)
 	f.scheduler.End(fl.attemptKey(fl.attempt))
 	f.endQuery(fl)
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -31,6 +31,7 @@
 // assignServer selects a server and sends the request there, makes it wait, or refuses
 // it. In a large cluster it asks the keepers of some engines first.
 func (f *Forwarder) assignServer(fl *flight) {
+	f.assignVersion(fl)
 	request, candidates := f.schedulerRequest(fl), f.candidatesOrLeaving(fl)
 	f.scheduler.ExcludeSources(f.excludedSources())
 	if !f.queryKeepers(fl, request, candidates) {
@@ -241,6 +242,7 @@
 	entry := eventlog.New(eventlog.RequestAnswered, fl.id()).With("server", fl.server).With("status", status)
 	f.log(entry.With("attempts", fl.attempts).With("after", f.now.Since(fl.arrivedAt)))
 	f.emit(ObserveDuration{Histogram: histogramResponsePrefix + Histogram(fl.route.Kind.String()), Duration: f.now.Since(fl.arrivedAt)})
+	fl.completed = true
 	f.removeFlight(fl)
 	f.emit(ForwardResponse{Request: fl.id(), Attempt: attempt})
 }
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -78,6 +78,8 @@
 	sequence := f.sent.Add(sums)
 	message := f.newDigest(sequence, full)
 	message.Scope, message.Members, message.MemberIDs = digest.Subtree, sums.Members, f.subtreeIDs(belowNames)
+	assigned := f.subtreeAssigned()
+	message.AssignedRevision, message.AssignedLeft, message.AssignedExceptions = assigned.revision, assigned.left, assigned.exceptions
 	f.fillSums(&message, sums.Admitted, sums.Loads, withLoads)
 	f.fillNotices(&message, relayer.Below)
 	if len(subtree) > 0 {
@@ -139,7 +141,7 @@
 	message := digest.Digest{
 		Name: f.settings.Name, Domain: f.settings.Domain, Address: f.settings.PeerAddress,
 		Incarnation: digest.ID(f.incarnation), Sequence: sequence, Leaving: f.draining, StoreDown: f.storeDown, StoreEra: f.eras.Era(), StoreEraAge: f.eras.Age(f.now), Top: f.actsAsTop(),
-		Lease: f.rollout.Observation(), Replicas: f.replicaOffers(), Outage: f.outage(),
+		Lease: f.rollout.Observation(), Replicas: f.replicaOffers(), Outage: f.outage(), Assignments: f.newAssignments(),
 	}
 	message.AccusedParts, message.ServerLimits, message.ServerRooms = f.parts.Changes(f.now), f.limits.Changes(f.now), f.rooms.Changes(f.now)
 	if full {
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -44,6 +44,7 @@
 	n := neighbor{
 		address: message.Address, domain: message.Domain, incarnation: message.Incarnation, sequence: message.Sequence, role: received, lastSeen: f.now,
 		leaving: message.Leaving, storeDown: message.StoreDown, members: message.Members, memberIDs: message.MemberIDs,
+		assigned: assignedStreams{revision: message.AssignedRevision, left: message.AssignedLeft, exceptions: message.AssignedExceptions},
 	}
 	if received != upstream {
 		f.neighbors[message.Name] = n
@@ -55,6 +56,7 @@
 	f.recordAlive(append(slices.Clone(message.MemberIDs), digest.ID(message.Name)))
 	f.mergeNotices(message, originOf(received))
 	f.mergeReplicas(message)
+	f.mergeAssignments(message)
 	if !wasReachable {
 		// What seldom changes is new to an instance that has just started.
 		f.broadcastFull = true
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -65,6 +65,8 @@
 	// streamStarted reports whether the current attempt has delivered an event.
 	streamStarted      bool
 	callerDisconnected bool
+	// completed reports whether the caller gets a whole response.
+	completed bool
 	// partKeys are the keys of the prompt's parts that other requests may share, and
 	// partGenerations their generations when the request was last sent.
 	partKeys        []uint64
@@ -80,6 +82,16 @@
 	crashCheck string
 }
 
+// resumable reports whether a caller may resume the stream.
+func (fl *flight) resumable() bool {
+	return fl.route.Kind == desired.Stream && fl.route.Resumable
+}
+
+// resumes reports whether the request resumes a stream.
+func (fl *flight) resumes() bool {
+	return fl.request.ResumedRequest != "" || fl.request.LastEventID != ""
+}
+
 func (fl *flight) id() string { return fl.request.ID }
 
 // returnToLeftServers allows attempts at the servers that were left, for want of others.
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -9,7 +9,8 @@
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
 // backlogkeeper (how long engines still take for the prompts that they were sent),
-// limitsharer (limits that servers name), originkeeper (where streams began) and pathfinder
+// limitsharer (limits that servers name), originkeeper (where streams began), versionassigner (where they begin, for a restart of
+// all instances), streamtracker (which streams may be resumed) and pathfinder
 // (through which instance a server is reached).
 //
 // The age of the desired state is the time since the store last confirmed it. With
@@ -48,6 +49,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/retrybudget"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/streamtracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tokenbucket"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -224,6 +226,23 @@
 	controls map[string]clock.Millis
 	tunnels  map[string]tunnel
 
+	// assignments are the assignments of streams by service. streamRoutes identifies the routes
+	// of resumable streams, streamServices their services, and streamLifetime is the longest time
+	// for which a caller resumes a stream.
+	assignments         map[string]assignmentView
+	nextAssignments     clock.Millis
+	nextFirstAssignment clock.Millis
+	streamRoutes        string
+	streamServices      map[string]bool
+	streamLifetime      clock.Millis
+	endedStreams        *streamtracker.Tracker
+	// assignmentReads counts the requests that waited for an assignment, and readingAssignments
+	// has the count at which the read in flight was sent, by service.
+	assignmentReads    uint64
+	readingAssignments map[string]uint64
+	// memberRemovedAt is the time at which an instance was last removed from the list.
+	memberRemovedAt clock.Millis
+
 	flights map[string]*flight
 }
 
@@ -255,6 +274,7 @@
 		orders:         map[string]receivedOrders{},
 		keeper:         backlogkeeper.New(), queries: map[uint64]*flight{}, silentKeepers: map[string]clock.Millis{},
 		origins: originkeeper.New(), lookups: map[uint64]*flight{}, soleVersions: map[string]soleVersion{},
+		assignments: map[string]assignmentView{}, readingAssignments: map[string]uint64{}, endedStreams: streamtracker.New(),
 		interruptions:  map[string][]interruption{},
 		crashedServers: map[string][]string{},
 		eras:           eratracker.New(),
@@ -337,6 +357,12 @@
 		f.handleDigest(event.Digest)
 	case KeeperMessageReceived:
 		f.handleKeeperMessage(event.Message)
+	case AssignmentsListed:
+		f.handleAssignmentsListed(event)
+	case AssignmentRead:
+		f.handleAssignmentRead(event)
+	case AssignmentWritten:
+		f.handleAssignmentWritten(event)
 	case OriginMessageReceived:
 		f.handleOriginMessage(event.Message)
 	case ReplicaUpdated:
@@ -375,6 +401,7 @@
 		f.checkBlockedPaths()
 	}
 	f.advanceRollout()
+	f.advanceAssignments()
 	f.moveStreams()
 	f.readDueCaches()
 	f.advanceReplicas()
--- a/internal/decision/forwarder/neighbors.go
+++ b/internal/decision/forwarder/neighbors.go
@@ -54,6 +54,7 @@
 	// instance's own sums cover as well. memberIDs are those of its domain.
 	members   int
 	memberIDs []uint32
+	assigned  assignedStreams
 }
 
 // reachable reports whether a digest arrived within the peer timeout.
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -25,6 +25,12 @@
 	// asked are the addresses of the keepers, replied those that do not know the origin.
 	asked   map[string]bool
 	replied map[string]bool
+	// read is the number of the read of the assignment that the request waits for, of the
+	// service; 0 for none.
+	read uint64
+	// waited reports whether it has waited for the time from which an assignment shows it.
+	waited  bool
+	service string
 }
 
 // streamOriginOf returns the origin of the streams that begin at the server.
@@ -101,8 +107,7 @@
 // assignResumed assigns a server to a new request. One that resumes a stream first needs
 // the stream's origin.
 func (f *Forwarder) assignResumed(fl *flight) {
-	resumes := fl.request.ResumedRequest != "" || fl.request.LastEventID != ""
-	if !resumes || fl.route.Kind != desired.Stream {
+	if !fl.resumes() || fl.route.Kind != desired.Stream {
 		f.assignServer(fl)
 		return
 	}
@@ -116,6 +121,10 @@
 	}
 	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}}
 	f.lookups[fl.lookup.id] = fl
+	if f.origins.Conflicting(f.now, fl.streamID()) {
+		f.refuseUnknownOrigin(fl)
+		return
+	}
 	f.askOriginKeepers(fl)
 }
 
@@ -123,11 +132,15 @@
 // them have been asked often enough.
 func (f *Forwarder) askOriginKeepers(fl *flight) {
 	lookup := fl.lookup
+	if lookup.read != 0 {
+		f.refuseUnknownOrigin(fl)
+		return
+	}
 	for _, address := range f.addressesOf(f.possibleOriginKeepers(fl.streamID())) {
 		lookup.asked[address] = true
 	}
 	if lookup.queries == maxOriginQueries || (f.havePeers && len(lookup.replied) == len(lookup.asked)) {
-		f.refuseUnknownOrigin(fl)
+		f.resolveUnknownOrigin(fl)
 		return
 	}
 	fl.checkAt = f.now.Add(originQueryTimeout << lookup.queries)
@@ -139,6 +152,13 @@
 	}
 }
 
+// resolveUnknownOrigin looks for an origin that no keeper knows in the assignment.
+func (f *Forwarder) resolveUnknownOrigin(fl *flight) {
+	if !f.readAssignment(fl) {
+		f.refuseUnknownOrigin(fl)
+	}
+}
+
 // refuseUnknownOrigin refuses a request that resumes a stream whose origin nobody knows: at
 // another software version, the caller would get a stream that does not fit together.
 func (f *Forwarder) refuseUnknownOrigin(fl *flight) {
@@ -172,6 +192,7 @@
 	case originmessage.Query:
 		reply := originmessage.Message{Kind: originmessage.Reply, ID: message.ID, Stream: message.Stream}
 		reply.Origin, reply.Known = f.origins.Find(f.now, message.Stream)
+		reply.Conflicting = f.origins.Conflicting(f.now, message.Stream)
 		f.sendOriginMessage(reply, message.Address)
 	case originmessage.Reply:
 		f.handleOriginReply(message)
@@ -180,7 +201,7 @@
 
 func (f *Forwarder) handleOriginReply(reply originmessage.Message) {
 	fl, ok := f.lookups[reply.ID]
-	if !ok || reply.Stream != fl.streamID() {
+	if !ok || (fl.lookup.read != 0 && !reply.Known) || reply.Stream != fl.streamID() {
 		return
 	}
 	if reply.Known {
@@ -189,9 +210,13 @@
 		f.resumeStream(fl, reply.Origin, reply.Address)
 		return
 	}
+	if reply.Conflicting {
+		f.refuseUnknownOrigin(fl)
+		return
+	}
 	fl.lookup.replied[reply.Address] = true
 	if f.havePeers && len(fl.lookup.replied) == len(fl.lookup.asked) {
-		f.refuseUnknownOrigin(fl)
+		f.resolveUnknownOrigin(fl)
 	}
 }
 
--- a/internal/decision/forwarder/peers.go
+++ b/internal/decision/forwarder/peers.go
@@ -49,6 +49,11 @@
 		id := digest.ID(name)
 		peers[id] = peer{Member: member, name: name, lastAlive: f.peers[id].lastAlive}
 	}
+	for id := range f.peers {
+		if _, listed := peers[id]; !listed {
+			f.memberRemovedAt = f.now
+		}
+	}
 	f.peers = peers
 	f.keepers = nil
 	f.arrangement = organizer.Arrange(f.settings.Name, members)
--- a/internal/decision/forwarder/soleversions.go
+++ b/internal/decision/forwarder/soleversions.go
@@ -14,7 +14,8 @@
 	version string
 	// mixed is set if they have several.
 	mixed bool
-	// since is the time of the latest change; 0 if this instance has seen none.
+	// since is the time of the latest change that this instance has seen, or of its first list;
+	// 0 if no server can have been listed before.
 	since clock.Millis
 }
 
@@ -30,7 +31,8 @@
 		if known && before.mixed == sole.mixed && (sole.mixed || before.version == sole.version) {
 			continue
 		}
-		if known {
+		// Servers of another version may have left just before this instance started.
+		if known || !f.settings.FirstStart {
 			sole.since = f.now
 		}
 		f.soleVersions[service] = sole
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -57,6 +57,7 @@
 		return
 	}
 	f.desired = read.State
+	f.updateStreamRoutes()
 	f.log(eventlog.New(eventlog.ConfigInForce, "").With("revision", f.desired.Version).With("routes", len(f.desired.Routes)).With("keys", len(f.desired.Keys)))
 	f.limiter.Retain(func(team string) bool { _, ok := f.desired.Teams[team]; return ok })
 	for _, name := range slices.Sorted(maps.Keys(f.desired.Teams)) {
--- a/internal/decision/originkeeper/originkeeper.go
+++ b/internal/decision/originkeeper/originkeeper.go
@@ -92,6 +92,12 @@
 	return known.origin, true
 }
 
+// Conflicting reports whether different origins of the stream were put.
+func (k *Keeper) Conflicting(now clock.Millis, stream string) bool {
+	known, found := k.entries[stream]
+	return found && known.conflicting && now < known.expiresAt
+}
+
 // Len returns the number of streams whose origin is kept.
 func (k *Keeper) Len() int { return len(k.entries) }
 
--- a/internal/decision/originmessage/originmessage.go
+++ b/internal/decision/originmessage/originmessage.go
@@ -33,6 +33,8 @@
 	// PassOn asks the receiver to tell the other keepers that the stream began.
 	PassOn bool
 	// Known reports whether the sender of a reply knows the origin.
-	Known  bool
-	Origin originkeeper.Origin
+	Known bool
+	// Conflicting reports whether it knows two different ones.
+	Conflicting bool
+	Origin      originkeeper.Origin
 }
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -32,6 +32,7 @@
 	message := &edgev1.Digest{
 		Format: format, Name: d.Name, Domain: d.Domain, Address: d.Address, Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Scope: edgev1.Scope(d.Scope), Leaving: d.Leaving, StoreDown: d.StoreDown, StoreEra: d.StoreEra, StoreEraAgeMs: int64(d.StoreEraAge), Top: d.Top, Probe: d.Probe,
+		AssignedRevision: d.AssignedRevision, AssignedLeftMs: int64(d.AssignedLeft),
 		EchoIncarnation: d.Echo.Incarnation, EchoSequence: d.Echo.Sequence,
 		WithLoads: d.WithLoads, Members: uint32(d.Members), MemberIds: d.MemberIDs,
 		UnreachableServers: d.UnreachableServers, RecoveredServers: d.RecoveredServers,
@@ -80,6 +81,7 @@
 			Kind: uint32(replica.Kind), Era: replica.Era, Revision: replica.Revision, Through: replica.Through, AgeMs: int64(replica.Age), Source: replica.Source,
 		})
 	}
+	encodeAssignments(d, message)
 	if d.Outage.Known {
 		message.Outage = &edgev1.Outage{StartedMs: int64(d.Outage.SinceStart), EndedMs: int64(d.Outage.SinceEnd), Ended: d.Outage.Ended}
 	}
@@ -138,6 +140,8 @@
 		UnreachableServers: message.GetUnreachableServers(), RecoveredServers: message.GetRecoveredServers(),
 		Lease: rollout.Observation{Era: message.GetLease().GetEra(), Revision: message.GetLease().GetRevision(), Holder: message.GetLease().GetHolder(), Writes: message.GetLease().GetWrites()},
 
+		AssignedRevision: max(0, message.GetAssignedRevision()), AssignedLeft: max(0, clock.Millis(message.GetAssignedLeftMs())),
+
 		Admitted: map[uint32]int64{}, BucketLevels: map[uint32]int64{}, Loads: map[uint32][3]int64{}, SentParts: map[uint32][][2]uint64{},
 		WeightsAges: map[string]map[int64]clock.Millis{}, CrashedServers: map[string][]string{},
 	}
@@ -180,6 +184,7 @@
 			Kind: int(replica.GetKind()), Era: replica.GetEra(), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
 		})
 	}
+	decodeAssignments(&d, &message)
 	if outage := message.GetOutage(); outage != nil {
 		d.Outage = digest.Outage{Known: true, SinceStart: clock.Millis(outage.GetStartedMs()), SinceEnd: clock.Millis(outage.GetEndedMs()), Ended: outage.GetEnded()}
 	}
--- a/internal/runtime/datagram/originmessage.go
+++ b/internal/runtime/datagram/originmessage.go
@@ -20,7 +20,7 @@
 func EncodeOriginMessage(m originmessage.Message) ([]byte, error) {
 	message := &edgev1.OriginMessage{
 		Kind: uint32(m.Kind), Address: m.Address, Id: m.ID, Stream: m.Stream,
-		Known: m.Known, PassOn: m.PassOn, Service: m.Origin.Service, SoftwareVersion: m.Origin.SoftwareVersion,
+		Known: m.Known, Conflicting: m.Conflicting, PassOn: m.PassOn, Service: m.Origin.Service, SoftwareVersion: m.Origin.SoftwareVersion,
 	}
 	datagram, err := proto.MarshalOptions{}.MarshalAppend([]byte{originMarker}, message)
 	if err != nil {
@@ -49,7 +49,7 @@
 		return originmessage.Message{}, errors.New("datagram.DecodeOriginMessage: the service is missing")
 	}
 	return originmessage.Message{
-		Kind: kind, Address: message.GetAddress(), ID: message.GetId(), Stream: message.GetStream(), Known: message.GetKnown(), PassOn: message.GetPassOn(),
+		Kind: kind, Address: message.GetAddress(), ID: message.GetId(), Stream: message.GetStream(), Known: message.GetKnown(), Conflicting: message.GetConflicting(), PassOn: message.GetPassOn(),
 		Origin: originkeeper.Origin{Service: message.GetService(), SoftwareVersion: message.GetSoftwareVersion()},
 	}, nil
 }
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -57,6 +57,15 @@
 		e.start(func() {
 			e.machine.submit(e.platform.ReadCache(e.ctx, action.Read, e.notify(action.Read.Server, action.Read.StartedAt)))
 		})
+	case forwarder.ReadAssignment:
+		e.start(func() {
+			e.machine.submit(forwarder.AssignmentRead{Service: action.Service, Response: e.platform.ReadAssignment(e.ctx, action.Service)})
+		})
+	case forwarder.WriteAssignment:
+		e.start(func() {
+			response := e.platform.WriteAssignment(e.ctx, action)
+			e.machine.submit(forwarder.AssignmentWritten{Service: action.Service, Record: action.Record, Response: response})
+		})
 	case forwarder.CallStore:
 		e.start(func() { e.callStore(action.Step) })
 	case forwarder.CallEngine:
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -86,6 +86,9 @@
 	Peers(ctx context.Context) (map[string]forwarder.Member, error)
 	// RemovePeer removes a peer that no longer responds.
 	RemovePeer(ctx context.Context, name string) error
+	// ReadAssignment reads the assignment of a service's streams, and WriteAssignment writes it.
+	ReadAssignment(ctx context.Context, service string) objectstore.Response
+	WriteAssignment(ctx context.Context, write forwarder.WriteAssignment) objectstore.Response
 	FetchReport(ctx context.Context, request rollout.RequestReport, notify Notify) rollout.Report
 	// SendOrder sends the order if allowed, called immediately before, returns true.
 	SendOrder(ctx context.Context, order rollout.Order, allowed func() bool, notify Notify) rollout.OrderOutcome
