Bound the numbers and texts of messages from outside

Token counts whose sum overflows were charged as the team's default.

Cause: the decoders passed on any number and text. Times in milliseconds overflowed time.Duration, sums overflowed int64, and protobuf does not encode invalid UTF-8.

--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -1,6 +1,9 @@
 package forwarder
 
 import (
+	"strconv"
+	"unicode/utf8"
+
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
@@ -45,10 +48,15 @@
 
 // streamID returns the identifier of the request that brought the stream's first event.
 func (fl *flight) streamID() string {
+	id := fl.id()
 	if fl.request.ResumedRequest != "" {
-		return fl.request.ResumedRequest
+		id = fl.request.ResumedRequest
+	}
+	if utf8.ValidString(id) {
+		return id
 	}
-	return fl.id()
+	// Messages between instances contain only valid text.
+	return strconv.QuoteToASCII(id)
 }
 
 // recordOrigin records that the caller receives an event of the current attempt. The
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -26,6 +26,13 @@
 // maxRoom limits the rooms that are read.
 const maxRoom = 1 << 20
 
+// maxCount limits the counts of tokens and requests, and maxAge the times: sums of them stay far
+// from the limits of int64.
+const (
+	maxCount = 1 << 50
+	maxAge   = 24 * clock.Hour
+)
+
 // EncodeDigest returns the digest as a datagram. Its fields are in a fixed order, so that
 // equal digests have equal datagrams.
 func EncodeDigest(d digest.Digest) ([]byte, error) {
@@ -132,7 +139,7 @@
 	d := digest.Digest{
 		Name: message.GetName(), Domain: message.GetDomain(), Address: message.GetAddress(),
 		Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(), Scope: digest.Scope(message.GetScope()),
-		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), StoreEra: message.GetStoreEra(), StoreEraAge: clock.Millis(message.GetStoreEraAgeMs()), Top: message.GetTop(), Probe: message.GetProbe(),
+		Leaving: message.GetLeaving(), StoreDown: message.GetStoreDown(), StoreEra: message.GetStoreEra(), StoreEraAge: age(message.GetStoreEraAgeMs()), Top: message.GetTop(), Probe: message.GetProbe(),
 		Echo:      digest.Echo{Incarnation: message.GetEchoIncarnation(), Sequence: message.GetEchoSequence()},
 		WithLoads: message.GetWithLoads(), Members: int(message.GetMembers()), MemberIDs: message.GetMemberIds(),
 		UnreachableServers: message.GetUnreachableServers(), RecoveredServers: message.GetRecoveredServers(),
@@ -142,13 +149,13 @@
 		WeightsAges: map[string]map[int64]clock.Millis{}, CrashedServers: map[string][]string{},
 	}
 	for i, team := range message.GetTeams() {
-		d.Admitted[team] = message.GetAdmitted()[i]
+		d.Admitted[team] = bounded(message.GetAdmitted()[i])
 	}
 	for i, team := range message.GetLevelTeams() {
-		d.BucketLevels[team] = message.GetLevels()[i]
+		d.BucketLevels[team] = bounded(message.GetLevels()[i])
 	}
 	for i, server := range message.GetLoadServers() {
-		d.Loads[server] = [3]int64{message.GetLoadRequests()[i], message.GetLoadPrefillTokens()[i], message.GetLoadMemoryTokens()[i]}
+		d.Loads[server] = [3]int64{bounded(message.GetLoadRequests()[i]), bounded(message.GetLoadPrefillTokens()[i]), bounded(message.GetLoadMemoryTokens()[i])}
 	}
 	for _, sent := range message.GetSentParts() {
 		d.SentParts[sent.GetServer()] = joinPairs(sent.GetKeys(), sent.GetTokens())
@@ -177,11 +184,11 @@
 	}
 	for _, replica := range message.GetReplicas() {
 		d.Replicas = append(d.Replicas, digest.Replica{
-			Kind: int(replica.GetKind()), Era: replica.GetEra(), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: clock.Millis(replica.GetAgeMs()), Source: replica.GetSource(),
+			Kind: int(replica.GetKind()), Era: replica.GetEra(), Revision: replica.GetRevision(), Through: replica.GetThrough(), Age: age(replica.GetAgeMs()), Source: replica.GetSource(),
 		})
 	}
 	if outage := message.GetOutage(); outage != nil {
-		d.Outage = digest.Outage{Known: true, SinceStart: clock.Millis(outage.GetStartedMs()), SinceEnd: clock.Millis(outage.GetEndedMs()), Ended: outage.GetEnded()}
+		d.Outage = digest.Outage{Known: true, SinceStart: age(outage.GetStartedMs()), SinceEnd: age(outage.GetEndedMs()), Ended: outage.GetEnded()}
 	}
 	return d, nil
 }
@@ -204,7 +211,7 @@
 		if d.WeightsAges[published.GetModel()] == nil {
 			d.WeightsAges[published.GetModel()] = map[int64]clock.Millis{}
 		}
-		d.WeightsAges[published.GetModel()][published.GetVersion()] = clock.Millis(published.GetAgeMs())
+		d.WeightsAges[published.GetModel()][published.GetVersion()] = age(published.GetAgeMs())
 	}
 }
 
@@ -246,11 +253,17 @@
 	return first, second
 }
 
-// joinPairs joins values of the same index; those without a partner are left out.
+// joinPairs joins keys and counts of the same index; those without a partner are left out.
 func joinPairs(first, second []uint64) [][2]uint64 {
 	var pairs [][2]uint64
 	for i := range min(len(first), len(second)) {
-		pairs = append(pairs, [2]uint64{first[i], second[i]})
+		pairs = append(pairs, [2]uint64{first[i], min(second[i], maxCount)})
 	}
 	return pairs
 }
+
+// bounded returns a count within [-maxCount, maxCount].
+func bounded(count int64) int64 { return min(max(-maxCount, count), maxCount) }
+
+// age returns a time within [0, maxAge].
+func age(millis int64) clock.Millis { return min(max(0, clock.Millis(millis)), maxAge) }
--- a/internal/runtime/datagram/keepermessage.go
+++ b/internal/runtime/datagram/keepermessage.go
@@ -6,7 +6,6 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
-	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // marker is the first byte of a message to or from a keeper. No digest begins with it.
@@ -58,9 +57,9 @@
 		if len(encoded.GetKeys()) != len(encoded.GetTokens()) || len(encoded.GetKeys()) > maxParts {
 			return keepermessage.Message{}, errors.Errorf("datagram.DecodeKeeperMessage: an entry has %d keys and %d token counts", len(encoded.GetKeys()), len(encoded.GetTokens()))
 		}
-		entry := keepermessage.Entry{Server: encoded.GetServer(), Time: clock.Millis(encoded.GetMillis()), CachedTokens: encoded.GetCachedTokens()}
+		entry := keepermessage.Entry{Server: encoded.GetServer(), Time: age(encoded.GetMillis()), CachedTokens: max(0, bounded(encoded.GetCachedTokens()))}
 		for i, key := range encoded.GetKeys() {
-			entry.Parts = append(entry.Parts, [2]uint64{key, encoded.GetTokens()[i]})
+			entry.Parts = append(entry.Parts, [2]uint64{key, min(encoded.GetTokens()[i], maxCount)})
 		}
 		decoded.Entries = append(decoded.Entries, entry)
 	}
--- a/internal/runtime/edge/replicas.go
+++ b/internal/runtime/edge/replicas.go
@@ -31,6 +31,8 @@
 	fetchTimeout = 1200 * time.Millisecond
 	// maxReplicaBytes limits the response to a fetch.
 	maxReplicaBytes = 16 << 20
+	// maxReplicaAge limits the age of a copy; an older one is not used.
+	maxReplicaAge = 365 * 24 * clock.Hour
 )
 
 // errEarlierEra means that the copy of a kind is of a later era of the store than an answer.
@@ -223,7 +225,8 @@
 // applySnapshot applies the objects of one kind. Their copy was current before the request
 // was sent, by the age that the other instance stated after it had received the request.
 func (e *Edge) applySnapshot(requestedAt clock.Millis, snapshot *edgev1.Snapshot) {
-	if snapshot.GetAgeMs() < 0 || snapshot.GetThrough() < snapshot.GetRevision() {
+	// An age that overflows the subtraction below would make the copy look recent.
+	if snapshot.GetAgeMs() < 0 || snapshot.GetAgeMs() > int64(maxReplicaAge) || snapshot.GetEra() < 0 || snapshot.GetRevision() < 0 || snapshot.GetThrough() < snapshot.GetRevision() {
 		return
 	}
 	listing := watcher.Listing{Era: snapshot.GetEra(), Revision: snapshot.GetRevision()}
