Check permissions right before their use, also after a pause of the process

A process that was paused (SIGSTOP, no processor time) between a decision and its send acted on what had been permitted before: it sent a request whose key had been withdrawn, or whose state had become stale; it granted half of a team's burst although its own share was a tenth; it sent 24 calls within 600 ms to servers with limits instead of 5, as all other holders seemed gone; and of two instances, it removed the entry of the other. A retry and a request that waits did not check the key again.

Dispatches and tunnels now have a time from which they must not be sent: 1 s after the decision, or earlier the deadline or the end of the state's validity. It is checked between the connect and the first byte, by CLOCK_BOOTTIME, as is the deadline of an order. An instance that opens a tunnel checks it before the connect and before the first byte. An attempt that has expired is decided anew. Each send checks the key, unless the caller has a part of the stream. After 700 ms without a step, peers count as unreachable before the next event, and for limits as after a start.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -43,6 +43,8 @@
 	InstanceDraining     Number = 3002
 	InstanceStopped      Number = 3003
 	InstanceListening    Number = 3004
+	InstanceResumed      Number = 3007
+	PanicRecovered       Number = 3008
 	PlatformFailed       Number = 3101
 	PlatformRecovered    Number = 3102
 	PeerMessageInvalid   Number = 3103
@@ -118,6 +120,8 @@
 	InstanceStarted:      "instanceStarted",
 	InstanceDraining:     "instanceDraining",
 	InstanceStopped:      "instanceStopped",
+	InstanceResumed:      "instanceResumed",
+	PanicRecovered:       "panicRecovered",
 	InstanceListening:    "instanceListening",
 	PlatformFailed:       "platformFailed",
 	PlatformRecovered:    "platformRecovered",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -48,6 +48,9 @@
 	Priority int
 	// Timeout is the time that the server has for the response.
 	Timeout clock.Millis
+	// SendBefore is the time from which the request must not be sent any more: what permitted
+	// it may have expired. The sender then reports OutcomeExpired.
+	SendBefore clock.Millis
 	// LastEventID is the identifier of the event after which a stream resumes; empty
 	// for a new stream.
 	LastEventID string
@@ -149,6 +152,9 @@
 	Address   string
 	// Timeout is the longest time for which the tunnel is open.
 	Timeout clock.Millis
+	// SendBefore is the time from which the connect and the first bytes of the other instance must
+	// not be sent any more: what permitted them may have expired.
+	SendBefore clock.Millis
 	// Limited reports whether the server is known to have a limit of requests.
 	Limited bool
 	// Brittle reports whether it is known to crash for rejections.
--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -26,7 +26,7 @@
 	if fl.alternative != nil || !fl.attemptActive || fl.callerDisconnected || !f.canRetry(fl) || fl.remaining(f.now) < minRemaining {
 		return scheduler.Choice{}, false
 	}
-	if fl.confirms || f.mayCrashServers(fl) {
+	if fl.confirms || f.mayCrashServers(fl) || f.keyRefusal(fl) != "" {
 		return scheduler.Choice{}, false
 	}
 	f.scheduler.ExcludeSources(f.excludedSources())
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -47,6 +47,10 @@
 // chooseServer selects one of the candidates and sends the request there, makes it wait,
 // or refuses it.
 func (f *Forwarder) chooseServer(fl *flight, request scheduler.Request, candidates []scheduler.Candidate) {
+	if reason := f.keyRefusal(fl); reason != "" {
+		f.refuse(fl, reason, f.jitteredRetryAfter())
+		return
+	}
 	f.scheduler.ExcludeSources(f.excludedSources())
 	choice, ok := f.scheduler.Choose(f.now, request, candidates)
 	if !ok {
@@ -114,7 +118,7 @@
 		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
-		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
+		Priority: fl.priority(), Timeout: fl.remaining(f.now), SendBefore: f.sendBefore(fl), LastEventID: fl.lastEventID,
 		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts
@@ -251,6 +255,9 @@
 	if fl.confirms || f.mayCrashServers(fl) {
 		return ReasonCrashesServers
 	}
+	if reason := f.keyRefusal(fl); reason != "" {
+		return reason
+	}
 	if fl.remaining(f.now) < minRemaining {
 		return ReasonDeadlineTooClose
 	}
@@ -277,7 +284,7 @@
 	}
 	f.log(entry.With("parts", fl.formatParts()))
 	switch event.Outcome {
-	case OutcomeNotSent:
+	case OutcomeNotSent, OutcomeExpired:
 	case OutcomeDeclined:
 		f.servers.RecordResult(f.now, server, false)
 		f.recordRejection(server)
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -119,16 +119,18 @@
 	OutcomeSuperseded
 	// OutcomeUndeliverable means that the caller does not take the response.
 	OutcomeUndeliverable
+	// OutcomeExpired means that the request was not sent before Dispatch.SendBefore.
+	OutcomeExpired
 )
 
 // String returns the outcome's name as it is logged.
 func (o Outcome) String() string {
-	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt", "superseded", "undeliverable"}[o]
+	return [...]string{"unknown", "answered", "unsent", "declined", "misaddressed", "cut", "spoilt", "superseded", "undeliverable", "expired"}[o]
 }
 
 // NotRun reports whether the request has certainly not run in the attempt.
 func (o Outcome) NotRun() bool {
-	return o == OutcomeNotSent || o == OutcomeDeclined || o == OutcomeMisdirected
+	return o == OutcomeNotSent || o == OutcomeExpired || o == OutcomeDeclined || o == OutcomeMisdirected
 }
 
 // StateRead is a desired state read from the store, which was current at ConfirmedAt.
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -94,7 +94,11 @@
 	randomState uint64
 	now         clock.Millis
 	startedAt   clock.Millis
-	actions     []Action
+	// lastStepAt is the time of the last step, and resumedAt that of the first one after a pause
+	// of this process; 0 for none.
+	lastStepAt clock.Millis
+	resumedAt  clock.Millis
+	actions    []Action
 
 	desired desired.State
 	// desiredConfirmedAt is the time at which the desired state was last known to be
@@ -276,6 +280,7 @@
 		f.replicas = replicator.New(now, digest.ID(f.settings.Name), replicator.NewTiming(f.settings.Bounds.ConfigApply, f.settings.Bounds.KeyWithdrawal))
 		f.log(eventlog.New(eventlog.InstanceStarted, "").With("instance", f.settings.Name).With("domain", f.settings.Domain).With("incarnation", f.incarnation))
 	}
+	f.detectPause()
 	f.handle(event)
 	f.runDueWork()
 	return f.actions
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -313,6 +313,10 @@
 		fl.unsent++
 	}
 	switch {
+	case event.Outcome == OutcomeExpired:
+		// This instance was paused, which says nothing about the way.
+		fl.unsent++
+		return true
 	case used.hop.Direct() && unsent:
 		f.recordUnreachable(server, event.ConnectionRefused, used.beganAt)
 		return true
--- a/internal/decision/forwarder/peers.go
+++ b/internal/decision/forwarder/peers.go
@@ -77,7 +77,7 @@
 // without a reachable instance, if it is the first of all. It returns none if fewer
 // instances are reachable than unresponsive.
 func (f *Forwarder) UnresponsivePeers() []string {
-	if f.now.Since(f.startedAt) <= peerRemovalTimeout || !f.isFirstAlive(f.arrangement.Domain(f.settings.Domain)) {
+	if f.now.Since(f.awakeSince()) <= peerRemovalTimeout || !f.isFirstAlive(f.arrangement.Domain(f.settings.Domain)) {
 		return nil
 	}
 	aliveDomains := map[string]bool{f.settings.Domain: true}
--- a/internal/decision/forwarder/readiness.go
+++ b/internal/decision/forwarder/readiness.go
@@ -19,7 +19,12 @@
 // keysStale reports whether the desired state is so old that a key may have been
 // withdrawn longer ago than the bound allows.
 func (f *Forwarder) keysStale() bool {
-	return f.settings.Bounds.StrictKeys && f.desired.RequiresKeys() && f.now.Since(f.desiredConfirmedAt) > f.settings.Bounds.KeyWithdrawal*maxKeyAgeTenths/10
+	return f.settings.Bounds.StrictKeys && f.desired.RequiresKeys() && f.now.Since(f.desiredConfirmedAt) > f.maxKeyAge()
+}
+
+// maxKeyAge returns the age of the desired state up to which its keys are used.
+func (f *Forwarder) maxKeyAge() clock.Millis {
+	return f.settings.Bounds.KeyWithdrawal * maxKeyAgeTenths / 10
 }
 
 // desiredFresh reports whether the desired state is recent enough that it can't have
--- a/internal/decision/forwarder/serverlimits.go
+++ b/internal/decision/forwarder/serverlimits.go
@@ -95,7 +95,7 @@
 // computeHolders computes the holders of a limit. Listed instances that are known to be
 // unreachable are left out.
 func (f *Forwarder) computeHolders(server registry.Server) limitHolders {
-	justStarted := f.now.Since(f.startedAt) < bucketWarmup
+	justStarted := f.now.Since(f.awakeSince()) < bucketWarmup
 	score := func(name string) uint64 { return balancer.Rendezvous(uint64(server.StartedAt), name+"\x00"+server.ID) }
 	own, better, listed := score(f.settings.Name), 0, 1
 	for _, p := range f.peers {
--- a/internal/decision/forwarder/tunnels.go
+++ b/internal/decision/forwarder/tunnels.go
@@ -54,7 +54,7 @@
 		timeout = min(timeout, request.Timeout+tunnelGrace)
 	}
 	f.tunnels[request.Tunnel] = tunnel{server: request.Server, beganAt: f.now}
-	f.emit(OpenTunnel{Tunnel: request.Tunnel, Server: server.ID, StartedAt: server.StartedAt, Address: server.Address, Timeout: timeout, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server), Probe: request.Probe})
+	f.emit(OpenTunnel{Tunnel: request.Tunnel, Server: server.ID, StartedAt: server.StartedAt, Address: server.Address, Timeout: timeout, SendBefore: f.now.Add(sendWindow + tunnelSendMargin), Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server), Probe: request.Probe})
 }
 
 // emitRefusal refuses a tunnel. An instance that is cut off names the one that it uses itself.
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -5,7 +5,6 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
-	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
 )
 
@@ -101,8 +100,7 @@
 	case rollout.Order:
 		// The process may have been suspended since the order was decided, so the
 		// deadline is checked again immediately before sending.
-		allowed := func() bool { return bootclock.Now() < step.Deadline }
-		reply := e.platform.SendOrder(e.ctx, step, allowed, e.notify(step.Server, step.StartedAt))
+		reply := e.platform.SendOrder(e.ctx, step, before(step.Deadline), e.notify(step.Server, step.StartedAt))
 		e.machine.submit(forwarder.OrderReplied{Server: step.Server, Reply: reply})
 	}
 }
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -78,7 +79,11 @@
 	if request.Tunnel = tunnelOf(dispatch.Via, dispatch.Server, dispatch.StartedAt); request.Tunnel != nil {
 		request.Tunnel.Timeout, request.Tunnel.Limited = dispatch.Timeout, dispatch.Limited
 	}
+	request.Allowed = before(dispatch.SendBefore)
 	exchange, err := httpclient.Send(ctx, dispatch.Address, request)
+	if errors.Is(err, httpclient.ErrExpired) {
+		return withOutcome(result, forwarder.OutcomeExpired, err), nil
+	}
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
 		result.ConnectionRefused, result.Verdict, result.Referral = notSent.ConnectionRefused, notSent.Verdict, notSent.Referral
@@ -120,6 +125,12 @@
 	}
 }
 
+// before returns a function that reports whether a time has not come yet, by the clock that also
+// counts while the host is suspended.
+func before(limit clock.Millis) func() bool {
+	return func() bool { return bootclock.Now() < limit }
+}
+
 // isUsable reports whether the response belongs to the request and was executed by the
 // server.
 func isUsable(head ResponseHead, response *http.Response) bool {
--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -110,6 +110,10 @@
 func (e *Edge) runTunnel(w http.ResponseWriter, open forwarder.OpenTunnel) bool {
 	ctx, cancel := context.WithTimeout(e.ctx, open.Timeout.Duration())
 	defer cancel()
+	if !before(open.SendBefore)() {
+		writeRefusal(w, tunnelverdict.HeldBack, "")
+		return true
+	}
 	server, err := httpclient.Connect(ctx, open.Address)
 	connected := forwarder.TunnelConnected{Tunnel: open.Tunnel, Verdict: tunnelverdict.Reached}
 	if err != nil {
@@ -137,7 +141,7 @@
 	go func() {
 		// The other instance ends the request by closing its connection.
 		buffer := make([]byte, tunnelBufferBytes)
-		_, _ = io.CopyBuffer(writerOnly{server}, readerOnly{buffered.Reader}, buffer)
+		_, _ = io.CopyBuffer(&requestWriter{target: server, allowed: before(open.SendBefore)}, readerOnly{buffered.Reader}, buffer)
 		_ = server.Close()
 		_ = peer.Close()
 	}()
@@ -218,8 +222,22 @@
 	}
 }
 
-// writerOnly and readerOnly hide the methods that would copy without the buffer.
-type (
-	writerOnly struct{ io.Writer }
-	readerOnly struct{ io.Reader }
-)
+// readerOnly hides the method that would copy without the buffer.
+type readerOnly struct{ io.Reader }
+
+// requestWriter writes what the other instance sends, if the beginning is still allowed: this
+// process may have been paused since the tunnel was admitted.
+type requestWriter struct {
+	target  io.Writer
+	allowed func() bool
+	began   bool
+}
+
+// Write writes to the server.
+func (w *requestWriter) Write(data []byte) (int, error) {
+	if !w.began && !w.allowed() {
+		return 0, httpclient.ErrExpired
+	}
+	w.began = true
+	return w.target.Write(data)
+}
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -86,8 +86,14 @@
 	AckTimeout clock.Millis
 	// Tunnel is the instance through which the request is sent; nil for none.
 	Tunnel *Tunnel
+	// Allowed reports whether the request may still be sent; nil if it always may. It is called
+	// immediately before the first byte: the process may have been paused since the decision.
+	Allowed func() bool
 }
 
+// ErrExpired is the cause of a NotSentError for a request that was not allowed any more.
+var ErrExpired = errors.New("the permission to send the request has expired")
+
 // NotSentError means that no byte of the request was sent.
 type NotSentError struct {
 	// ConnectionRefused reports whether the connection was refused: nothing listens at the address.
@@ -167,7 +173,12 @@
 		exchange.Close()
 		return nil, &NotSentError{Err: ctx.Err()}
 	}
-	if _, err := conn.Write(request.encode()); err != nil {
+	encoded := request.encode()
+	if request.Allowed != nil && !request.Allowed() {
+		exchange.Close()
+		return nil, &NotSentError{Err: ErrExpired}
+	}
+	if _, err := conn.Write(encoded); err != nil {
 		exchange.Close()
 		return nil, errors.Wrap(err, "send the request")
 	}
--- a/internal/runtime/httpclient/httpclient_test.go
+++ b/internal/runtime/httpclient/httpclient_test.go
@@ -136,3 +136,21 @@
 		require.Fail(t, "the connection was not closed")
 	}
 }
+
+// TestExpiredRequestIsNotSent guards against a request whose permission ends while the connection
+// is opened: no byte of it is sent.
+func TestExpiredRequestIsNotSent(t *testing.T) {
+	received := make(chan int, 1)
+	address, _ := listen(t, func(conn net.Conn) {
+		n, _ := conn.Read(make([]byte, 100))
+		received <- n
+	})
+	expired := request
+	expired.Allowed = func() bool { return false }
+	_, err := httpclient.Send(t.Context(), address, expired)
+	var notSent *httpclient.NotSentError
+	require.ErrorAs(t, err, &notSent)
+	require.ErrorIs(t, err, httpclient.ErrExpired)
+	require.False(t, notSent.ConnectionRefused)
+	require.Zero(t, <-received)
+}
