Recover from the panic of one request or datagram

A panic in the work on one caller's request, a server's response, a datagram or the bytes of a tunnel ended the process, and with it all requests in flight; a datagram that all instances receive would have ended all of them. No such input is known.

The work on it is now given up: the caller's connection is closed, the event panicRecovered (3008) is logged with the stack, and the counter panics rises. Goroutines that watch the store, timers and calls to engines are not covered: without them the instance would serve with outdated knowledge, so the process ends.

--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -14,8 +14,10 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -127,6 +129,8 @@
 	kinds    []WatchedKind
 	objects  *objectcache.Cache
 	endWatch context.CancelFunc
+	// applying is held while a copy and what the state machine knows of it change.
+	applying sync.Mutex
 
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -225,6 +229,21 @@
 
 func (e *Edge) start(task func()) { e.goroutines.Go(task) }
 
+// maxStackBytes limits the stack in the log entry of a panic.
+const maxStackBytes = 2 << 10
+
+// recoverPanic gives up the work on one request or message that has panicked, and logs it. The
+// process and its other requests go on. It must be deferred.
+func (e *Edge) recoverPanic(task string) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	e.meter.Add("panics", 1)
+	stack := debug.Stack()
+	e.log(eventlog.New(eventlog.PanicRecovered, "").With("task", task).With("error", fmt.Sprint(cause)).With("stack", string(stack[:min(len(stack), maxStackBytes)])))
+}
+
 func (e *Edge) log(entry eventlog.Entry) {
 	e.meter.CountEvent(entry)
 	e.logger.Write(entry)
--- a/internal/runtime/edge/peers.go
+++ b/internal/runtime/edge/peers.go
@@ -48,7 +48,10 @@
 				e.logPeersFailed("list", err)
 			} else {
 				entry = members[e.settings.Name]
-				e.machine.submit(forwarder.PeersListed{Members: members})
+				// The list may be older than a copy that has been read meanwhile.
+				if _, copied := e.machine.ownEntry(); !copied {
+					e.machine.submit(forwarder.PeersListed{Members: members})
+				}
 			}
 		}
 		if self := e.self(); entry != self {
@@ -107,12 +110,19 @@
 			// unreachable); the socket remains usable.
 			continue
 		}
-		if event, err := decodeDatagram(buffer[:length]); err != nil {
-			e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
-		} else {
-			e.machine.submit(event)
-		}
+		e.handleDatagram(buffer[:length])
+	}
+}
+
+// handleDatagram handles one datagram, which must not end the process, whatever it contains.
+func (e *Edge) handleDatagram(received []byte) {
+	defer e.recoverPanic("datagram")
+	event, err := decodeDatagram(received)
+	if err != nil {
+		e.log(eventlog.New(eventlog.PeerMessageInvalid, "").With("error", err))
+		return
 	}
+	e.machine.submit(event)
 }
 
 // decodeDatagram decodes a digest or a message of a keeper of engines or of origins.
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -26,6 +26,7 @@
 // Handle passes one request to the state machine and performs the request's actions
 // until it ends.
 func (e *Edge) Handle(inbound *httpserver.InboundRequest, response *httpserver.ResponseWriter) {
+	defer e.recoverPanic("request")
 	request := e.platform.DecodeRequest(inbound)
 	callerRequestID := request.ID
 	if callerRequestID == "" {
@@ -38,6 +39,13 @@
 		refuse(response, forwarder.Refuse{Status: http.StatusServiceUnavailable, Reason: forwarder.ReasonTooManyInFlight, RetryAfter: clock.Second})
 		return
 	}
+	ended := false
+	defer func() {
+		if !ended {
+			// The handler has panicked, and the state machine still knows the request.
+			e.machine.submit(forwarder.CallerDisconnected{Request: request.ID})
+		}
+	}()
 	defer e.machine.unregister(request.ID)
 	handled := make(chan struct{})
 	defer close(handled)
@@ -52,10 +60,14 @@
 	defer handler.release()
 	defer handler.logIncomplete(time.Now())
 	e.machine.handleAlternatives(request.ID, func(dispatch forwarder.Dispatch) {
-		e.start(func() { handler.runAlternative(dispatch) })
+		e.start(func() {
+			defer e.recoverPanic("alternative")
+			handler.runAlternative(dispatch)
+		})
 	})
 	e.machine.submit(forwarder.RequestArrived{Request: request})
 	handler.run(actions)
+	ended = true
 }
 
 // requestHandler handles one request until its response has ended.
--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -139,6 +139,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = peer.Close(); _ = server.Close() })
 	defer stop()
 	go func() {
+		defer e.recoverPanic("tunnel")
 		// The other instance ends the request by closing its connection.
 		buffer := make([]byte, tunnelBufferBytes)
 		_, _ = io.CopyBuffer(&requestWriter{target: server, allowed: before(open.SendBefore)}, readerOnly{buffered.Reader}, buffer)
