Keep older copies and late messages of earlier starts out

After a restart of a peer, a datagram that it had sent before and that arrived late counted as another restart: the tokens of both starts were subtracted from the bucket again and again, and teams were refused. The identifiers of queries began at 0 in each start, so that a late reply to an earlier start answered a query of this one.

An older list, of the store or of another instance, could reach the state machine after a newer one, as the copy and the state machine were updated apart: a server that had left was used again, until the next list.

A stream whose server restarted under its identifier with other software before the first event was continued at servers of the software that was listed before.

Earlier incarnations of a neighbor are now remembered and their datagrams dropped. The identifiers of queries begin at the random seed. A copy and the state machine are updated under one lock, and only by what is newer than the copy. A stream of which it is not known which start of its server began it goes on at no other server. A server that restarts before its new entry is listed, and whose stream begins before that, is not recognized: responses name no software version.

--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -95,7 +95,7 @@
 	fl.triedServers[choice.Server] = true
 	fl.possibleRuns++
 	hop := f.wayTo(choice.Server)
-	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now}
+	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now, startedAt: server.StartedAt}
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.takeLimit(server)
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -36,6 +36,10 @@
 	if seen && known.incarnation == message.Incarnation && message.Sequence <= known.sequence {
 		return
 	}
+	if slices.Contains(known.earlier, message.Incarnation) {
+		// The datagram is late: the sender has started anew since.
+		return
+	}
 	received, ok := f.roleOf(message)
 	if !ok {
 		return
@@ -43,7 +47,10 @@
 	wasReachable := seen && known.role == received && known.reachable(f.now)
 	n := neighbor{
 		address: message.Address, domain: message.Domain, incarnation: message.Incarnation, sequence: message.Sequence, role: received, lastSeen: f.now,
-		leaving: message.Leaving, storeDown: message.StoreDown, members: message.Members, memberIDs: message.MemberIDs,
+		leaving: message.Leaving, storeDown: message.StoreDown, members: message.Members, memberIDs: message.MemberIDs, earlier: known.earlier,
+	}
+	if seen && known.incarnation != message.Incarnation {
+		n.earlier = append(slices.Clone(known.earlier[max(0, len(known.earlier)-maxEarlier+1):]), known.incarnation)
 	}
 	if received != upstream {
 		f.neighbors[message.Name] = n
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -234,9 +234,11 @@
 // New returns the state of an instance that has just started.
 func New(settings instancesettings.Settings, incarnation string, seed uint64) *Forwarder {
 	return &Forwarder{
-		settings:      settings,
-		incarnation:   incarnation,
-		randomState:   seed | 1,
+		settings:    settings,
+		incarnation: incarnation,
+		randomState: seed | 1,
+		// A late reply to an earlier start must not answer a query of this one.
+		queryID:       seed,
 		servers:       registry.New(),
 		scheduler:     scheduler.New(),
 		limiter:       tokenbucket.New(),
--- a/internal/decision/forwarder/neighbors.go
+++ b/internal/decision/forwarder/neighbors.go
@@ -26,6 +26,8 @@
 	maxTops  = 40
 	// neighborTimeout is the time after which a silent neighbor is forgotten.
 	neighborTimeout = 15 * clock.Second
+	// maxEarlier limits the earlier incarnations of a neighbor that are kept.
+	maxEarlier = 4
 )
 
 // role is the position of a neighbor relative to this instance.
@@ -46,10 +48,12 @@
 	domain      string
 	incarnation uint32
 	sequence    uint64
-	role        role
-	lastSeen    clock.Millis
-	leaving     bool
-	storeDown   bool
+	// earlier are the incarnations before, whose datagrams are late.
+	earlier   []uint32
+	role      role
+	lastSeen  clock.Millis
+	leaving   bool
+	storeDown bool
 	// members is the number of instances that its sums cover, without those that this
 	// instance's own sums cover as well. memberIDs are those of its domain.
 	members   int
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -66,6 +66,11 @@
 		return
 	}
 	fl.partDelivered = true
+	if used, ok := fl.ways[fl.attempt]; ok && !fl.hasOrigin && f.restartedSince(fl.server, used.startedAt) {
+		// Either start of the server may have sent the event, and their software may differ.
+		fl.origin, fl.hasOrigin = originkeeper.Origin{Service: fl.service, SoftwareVersion: doubtfulVersion}, true
+		return
+	}
 	if !fl.hasOrigin {
 		fl.origin, fl.hasOrigin = fl.attemptOrigin, true
 	}
@@ -81,6 +86,16 @@
 	f.sendBegan(originmessage.Message{Stream: fl.streamID(), Origin: fl.origin, PassOn: passOn}, keepers)
 }
 
+// doubtfulVersion is the software version of streams that go on at no other server. No server
+// lists it.
+const doubtfulVersion = "\x00doubtful"
+
+// restartedSince reports whether a server is listed with another start.
+func (f *Forwarder) restartedSince(id string, startedAt int64) bool {
+	server, ok := f.servers.Server(id)
+	return ok && server.StartedAt != startedAt
+}
+
 // sendBegan tells some keepers where a stream began.
 func (f *Forwarder) sendBegan(message originmessage.Message, keepers []string) {
 	message.Kind = originmessage.Began
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -50,6 +50,8 @@
 type way struct {
 	hop     Hop
 	beganAt clock.Millis
+	// startedAt is the start of the server as it was listed.
+	startedAt int64
 }
 
 // suspicion is a server that this instance could not reach, while other instances are asked
--- a/internal/decision/forwarder/permissions_test.go
+++ b/internal/decision/forwarder/permissions_test.go
@@ -35,11 +35,13 @@
 	return state.WithKey(secret.New(key), "press")
 }
 
-func newPausable(peers int) *pausable {
+func newPausable(peers int) *pausable { return newSeededPausable(peers, 1) }
+
+func newSeededPausable(peers int, seed uint64) *pausable {
 	settings := instancesettings.Defaults()
 	settings.Name, settings.Domain, settings.PeerAddress, settings.FirstStart = "edge-0", "a", "10.0.0.1:7600", true
 	settings.Bounds.RetryExtra = 10
-	p := &pausable{machine: forwarder.New(settings, "incarnation", 1), now: clock.Second, peers: peers}
+	p := &pausable{machine: forwarder.New(settings, "incarnation", seed), now: clock.Second, peers: peers}
 	members := map[string]forwarder.Member{"edge-0": {Address: "10.0.0.1:7600", Domain: "a"}}
 	for i := range peers {
 		members[fmt.Sprint("edge-", i+1)] = forwarder.Member{Address: fmt.Sprintf("10.0.0.%d:7600", i+2), Domain: "a"}
--- a/internal/runtime/edge/replicas.go
+++ b/internal/runtime/edge/replicas.go
@@ -16,7 +16,6 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/edgev1"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
-	"github.com/hyssopdoor/hyssopdoor/internal/runtime/objectcache"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/watcher"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -59,58 +58,64 @@
 	}
 }
 
-// cachingStore records in the cache what is read from the store.
-type cachingStore struct {
+// copier reads a kind from the store for a watcher, keeps the copy and passes on what is new in it.
+type copier struct {
 	watcher.Store
-	cache *objectcache.Cache
+	watcher.Sink
+	edge *Edge
+	kind WatchedKind
+	// read is what was read last. Only the watcher's goroutine uses it.
+	read watcher.Listing
 }
 
 // List returns the objects of a kind.
-func (s cachingStore) List(ctx context.Context, kind string) (watcher.Listing, error) {
-	listing, err := s.Store.List(ctx, kind)
-	if err == nil && !s.cache.Replace(kind, listing) {
-		err = s.checkEra(kind, listing)
-	}
-	return listing, err
+func (c *copier) List(ctx context.Context, kind string) (watcher.Listing, error) {
+	listing, err := c.Store.List(ctx, kind)
+	return c.keep(listing, err)
 }
 
 // Watch returns the changes of a kind.
-func (s cachingStore) Watch(ctx context.Context, kind string, since int64, wait clock.Millis) (watcher.Listing, error) {
-	changes, err := s.Store.Watch(ctx, kind, since, wait)
-	if err == nil && !s.cache.Apply(kind, changes) {
-		err = s.checkEra(kind, changes)
-	}
-	return changes, err
+func (c *copier) Watch(ctx context.Context, kind string, since int64, wait clock.Millis) (watcher.Listing, error) {
+	changes, err := c.Store.Watch(ctx, kind, since, wait)
+	return c.keep(changes, err)
 }
 
-// checkEra returns an error if the copy is of a later era than what was read.
-func (s cachingStore) checkEra(kind string, read watcher.Listing) error {
-	if held, _ := s.cache.Position(kind); held.Era > read.Era {
-		return errEarlierEra
+// keep returns an error if the copy is of a later era than what was read.
+func (c *copier) keep(read watcher.Listing, err error) (watcher.Listing, error) {
+	c.read = read
+	if held, _ := c.edge.objects.Position(c.kind.Kind); err == nil && held.Era > read.Era {
+		return read, errEarlierEra
 	}
-	return nil
-}
-
-// storeSink receives what a watch of the store reads. It also reports that the store has
-// responded, and the state of the copy.
-type storeSink struct {
-	watcher.Sink
-	edge *Edge
-	kind WatchedKind
+	return read, err
 }
 
 // Listed handles a full list.
-func (s storeSink) Listed(lastConfirmed clock.Millis, items []watcher.Item) {
-	s.edge.machine.submit(forwarder.StoreResponded{})
-	s.Sink.Listed(lastConfirmed, items)
-	s.edge.submitCopy(s.kind, replicator.Copy{ConfirmedAt: lastConfirmed})
+func (c *copier) Listed(lastConfirmed clock.Millis, _ []watcher.Item) {
+	c.edge.machine.submit(forwarder.StoreResponded{})
+	c.edge.apply(c.kind, c.read, true, replicator.Copy{ConfirmedAt: lastConfirmed})
 }
 
 // Changed handles changes.
-func (s storeSink) Changed(lastConfirmed clock.Millis, items []watcher.Item) {
-	s.edge.machine.submit(forwarder.StoreResponded{})
-	s.Sink.Changed(lastConfirmed, items)
-	s.edge.submitCopy(s.kind, replicator.Copy{ConfirmedAt: lastConfirmed})
+func (c *copier) Changed(lastConfirmed clock.Millis, _ []watcher.Item) {
+	c.edge.machine.submit(forwarder.StoreResponded{})
+	c.edge.apply(c.kind, c.read, false, replicator.Copy{ConfirmedAt: lastConfirmed})
+}
+
+// apply applies a full list, or changes, unless the copy is newer. The copy and what the state
+// machine knows change together: an older list that another source has read must not reach the
+// state machine after a newer one, or servers that have left would be used again.
+func (e *Edge) apply(kind WatchedKind, read watcher.Listing, full bool, copied replicator.Copy) {
+	e.applying.Lock()
+	defer e.applying.Unlock()
+	switch {
+	case full && e.objects.Replace(kind.Kind, read):
+		kind.Sink.Listed(copied.ConfirmedAt, read.Items)
+	case !full && e.objects.Apply(kind.Kind, read):
+		kind.Sink.Changed(copied.ConfirmedAt, read.Items)
+	default:
+		return
+	}
+	e.submitCopy(kind, copied)
 }
 
 // submitCopy reports the state of the copy of a kind.
@@ -130,14 +135,14 @@
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
 	e.endWatch = cancel
-	store := cachingStore{Store: e.platform, cache: e.objects}
 	for _, kind := range e.kinds {
 		held, through := e.objects.Position(kind.Kind)
 		since := storeposition.Position{Era: held.Era, Revision: through}
 		if held.Era < watch.Era {
 			since = storeposition.Position{}
 		}
-		kindWatcher := watcher.New(store, kind.Kind, kind.PollConfig, storeSink{Sink: kind.Sink, edge: e, kind: kind})
+		reader := &copier{Store: e.platform, Sink: kind.Sink, edge: e, kind: kind}
+		kindWatcher := watcher.New(reader, kind.Kind, kind.PollConfig, reader)
 		e.start(func() { kindWatcher.RunSince(ctx, since) })
 	}
 }
@@ -235,17 +240,8 @@
 	}
 	confirmedAt := requestedAt.Add(-clock.Millis(snapshot.GetAgeMs()))
 	for _, kind := range e.kinds {
-		if uint32(kind.ID) != snapshot.GetKind() {
-			continue
-		}
-		switch {
-		case snapshot.GetFull() && e.objects.Replace(kind.Kind, listing):
-			kind.Sink.Listed(confirmedAt, listing.Items)
-		case !snapshot.GetFull() && e.objects.Apply(kind.Kind, listing):
-			kind.Sink.Changed(confirmedAt, listing.Items)
-		default:
-			continue
+		if uint32(kind.ID) == snapshot.GetKind() {
+			e.apply(kind, listing, snapshot.GetFull(), replicator.Copy{ConfirmedAt: confirmedAt, Source: snapshot.GetSource()})
 		}
-		e.submitCopy(kind, replicator.Copy{ConfirmedAt: confirmedAt, Source: snapshot.GetSource()})
 	}
 }
