Let the clock of hyssopdoor count while the host is suspended

An instance of hyssopdoor whose host was suspended took a lease for held that had expired meanwhile: its clock was the monotonic one, which stops then. No test: a suspension of the host can't be played here.

--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -2,7 +2,7 @@
 
 import (
 	"strconv"
-	"unicode/utf8"
+	"strings"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
@@ -52,7 +52,7 @@
 	if fl.request.ResumedRequest != "" {
 		id = fl.request.ResumedRequest
 	}
-	if utf8.ValidString(id) {
+	if strings.ToValidUTF8(id, "") == id {
 		return id
 	}
 	// Messages between instances contain only valid text.
--- a/internal/standalone/runtime/runner/runner.go
+++ b/internal/standalone/runtime/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/action"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/router"
@@ -51,7 +52,7 @@
 	deps      Dependencies
 	ctx       context.Context
 	cancel    context.CancelFunc
-	startedAt time.Time
+	startedAt clock.Millis
 
 	mu               sync.Mutex
 	machine          *router.Router
@@ -71,7 +72,7 @@
 		deps:             deps,
 		ctx:              ctx,
 		cancel:           cancel,
-		startedAt:        time.Now(),
+		startedAt:        bootclock.Now(),
 		machine:          machine,
 		actionQueues:     map[string]chan action.Action{},
 		attemptCancels:   map[string]context.CancelFunc{},
@@ -158,9 +159,10 @@
 	read(r.now(), r.machine)
 }
 
-// now returns the machine's current time, from the process's monotonic clock.
+// now returns the machine's current time. It also counts while the host is suspended: a lease that
+// expires meanwhile must not seem to be held afterwards.
 func (r *Runner) now() clock.Millis {
-	return clockStart.Add(clock.FromDuration(time.Since(r.startedAt)))
+	return clockStart.Add(bootclock.Now().Since(r.startedAt))
 }
 
 func (r *Runner) execute(output action.Action) {
