--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -48,6 +48,10 @@
 // chooseServer selects one of the candidates and sends the request there, makes it wait,
 // or refuses it.
 func (f *Forwarder) chooseServer(fl *flight, request scheduler.Request, candidates []scheduler.Candidate) {
+	if reason := f.keyRefusal(fl); reason != "" {
+		f.refuse(fl, reason, f.jitteredRetryAfter())
+		return
+	}
 	f.scheduler.ExcludeSources(f.excludedSources())
 	choice, ok := f.scheduler.Choose(f.now, request, candidates)
 	if !ok {
@@ -92,7 +96,7 @@
 	fl.triedServers[choice.Server] = true
 	fl.possibleRuns++
 	hop := f.wayTo(choice.Server)
-	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now}
+	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now, startedAt: server.StartedAt}
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.takeLimit(server)
@@ -115,7 +119,7 @@
 		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
-		Priority: fl.priority(), Timeout: fl.remaining(f.now), LastEventID: fl.lastEventID,
+		Priority: fl.priority(), Timeout: fl.remaining(f.now), SendBefore: f.sendBefore(fl), LastEventID: fl.lastEventID,
 		Stream: fl.route.Kind == desired.Stream, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts
@@ -253,6 +257,9 @@
 	if fl.confirms || f.mayCrashServers(fl) {
 		return ReasonCrashesServers
 	}
+	if reason := f.keyRefusal(fl); reason != "" {
+		return reason
+	}
 	if fl.remaining(f.now) < minRemaining {
 		return ReasonDeadlineTooClose
 	}
@@ -279,7 +286,7 @@
 	}
 	f.log(entry.With("parts", fl.formatParts()))
 	switch event.Outcome {
-	case OutcomeNotSent:
+	case OutcomeNotSent, OutcomeExpired:
 	case OutcomeDeclined:
 		f.servers.RecordResult(f.now, server, false)
 		f.recordRejection(server)
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -50,6 +50,8 @@
 type way struct {
 	hop     Hop
 	beganAt clock.Millis
+	// startedAt is the start of the server as it was listed.
+	startedAt int64
 }
 
 // suspicion is a server that this instance could not reach, while other instances are asked
@@ -313,6 +315,10 @@
 		fl.unsent++
 	}
 	switch {
+	case event.Outcome == OutcomeExpired:
+		// This instance was paused, which says nothing about the way.
+		fl.unsent++
+		return true
 	case used.hop.Direct() && unsent:
 		f.recordUnreachable(server, event.ConnectionRefused, used.beganAt)
 		return true
