Add admission control of requests with prompts

During a burst every request was sent to a server at once, also to a full one, and full servers rejected urgent requests. The new package admitter decides whether a request is sent, waits in the instance or is refused; forwarder wires it.

The simulation of a burst in admitter doesn't pass yet: its model herds on the cheapest server.

--- /dev/null
+++ b/internal/decision/admitter/admitter.go
@@ -0,0 +1,175 @@
+// Package admitter decides whether a request is sent to a server now, waits in the instance
+// or is refused at once.
+//
+// Load pattern: for some seconds, requests with long prompts arrive at a multiple of the rate
+// that the servers can take, beside short and more urgent ones. Servers that are sent more than
+// they have slots for queue it up to a few times their slots and reject the rest, the urgent
+// requests included, while the less urgent ones that they hold prevent any other order.
+//
+// A server gets only what it can start soon, so that the order is decided where the requests
+// wait. A less urgent request leaves some slots and memory to more urgent ones. Loads of other
+// instances are known some hundred milliseconds late. Therefore the most urgent requests may
+// queue at a server for about that time, and a slot that many instances see is offered to a few
+// of them at once. Nothing is held back at servers whose slots are not known.
+//
+// # Usage
+//
+//	admission := admitter.New()
+//	if !admission.Admits(now, request, server) && admission.Useful(now, request) {
+//		admission.Enqueue(now, request)
+//	}
+//	admission.Round(now, func(request admitter.Request, turn bool) bool { return send(request) })
+package admitter
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+const (
+	// loadAge is the usual age of the loads that other instances have placed.
+	loadAge = 200 * clock.Millisecond
+	// defaultDuration is the duration of an attempt before the first one has ended: about that
+	// of a short prompt.
+	defaultDuration = 500.0
+	// durationWeight is the weight of the newest duration in the moving average.
+	durationWeight = 0.05
+	// urgentMemory is the time for which capacity is kept free after the last request of a
+	// priority arrived.
+	urgentMemory = 10 * clock.Second
+)
+
+// Request is a request that needs a slot of a server.
+type Request struct {
+	ID      string
+	Service string
+	// Priority is its urgency; 0 is the most urgent.
+	Priority int
+	// Target is the target time to the response, and TargetAt the time at which that ends.
+	Target   clock.Millis
+	TargetAt clock.Millis
+	// GiveUpAt is the latest start at which it can still be served before its deadline.
+	GiveUpAt clock.Millis
+	// Constrained reports whether only some servers of the service may take it.
+	Constrained bool
+}
+
+// Admitter decides for the requests of one instance. It is not safe for concurrent use.
+type Admitter struct {
+	services map[string]*service
+	// requests are the waiting requests by identifier.
+	requests  map[string]Request
+	instances int
+	rank      int
+	nextRound clock.Millis
+	lastRound clock.Millis
+}
+
+// service is the state of one service.
+type service struct {
+	// waiting are the waiting requests in the order in which they are sent.
+	waiting []Request
+	// capacity is that of its servers when a request last found none.
+	capacity Capacity
+	// waitedAt is the latest time at which a request waited.
+	waitedAt clock.Millis
+	// sent is the rate at which this instance sends requests.
+	sent    meter
+	classes map[int]*class
+	// streak is the number of requests sent since the latest turn of a less urgent one.
+	streak int
+	// freed are the slots that requests of this instance have freed, by server.
+	freed map[string]freedSlots
+}
+
+// class is the state of the requests of one priority.
+type class struct {
+	arrivals meter
+	// arrivedAt is the time of the latest arrival; 0 for none.
+	arrivedAt  clock.Millis
+	durationMs float64
+	turnAt     clock.Millis
+}
+
+type freedSlots struct {
+	count int
+	at    clock.Millis
+}
+
+// New returns an Admitter for a single instance, without waiting requests.
+func New() *Admitter {
+	return &Admitter{services: map[string]*service{}, requests: map[string]Request{}, instances: 1}
+}
+
+// SetInstances sets the number of instances and this one's rank among them, from 0.
+func (a *Admitter) SetInstances(instances, rank int) {
+	a.instances, a.rank = max(1, instances), rank
+}
+
+// SetPriorities sets the priorities of the routes that lead to the service.
+func (a *Admitter) SetPriorities(now clock.Millis, name string, priorities []int) {
+	for _, priority := range priorities {
+		// At the start, the first requests of each priority may be about to arrive.
+		if c := a.service(name).class(priority); c.arrivedAt == 0 {
+			c.arrivedAt = now
+		}
+	}
+}
+
+// Arrived records the arrival of a request.
+func (a *Admitter) Arrived(now clock.Millis, name string, priority int) {
+	c := a.service(name).class(priority)
+	c.arrivals, c.arrivedAt = c.arrivals.with(now), now
+}
+
+// Sent records that a request was sent to a server. It no longer waits.
+func (a *Admitter) Sent(now clock.Millis, request Request, server string) {
+	a.Remove(request.ID)
+	s := a.service(request.Service)
+	s.sent = s.sent.with(now)
+	if slots := s.freed[server]; slots.count > 0 {
+		s.freed[server] = freedSlots{count: slots.count - 1, at: slots.at}
+	}
+	if n := len(s.waiting); n > 0 && request.Priority < s.waiting[n-1].Priority {
+		s.streak++
+	}
+}
+
+// Ended records the end of a request at a server, with its duration there.
+func (a *Admitter) Ended(now clock.Millis, name string, priority int, server string, duration clock.Millis) {
+	s := a.service(name)
+	c := s.class(priority)
+	c.durationMs += durationWeight * (float64(duration) - c.durationMs)
+	if len(s.waiting) == 0 {
+		clear(s.freed)
+		return
+	}
+	freed := s.freed[server]
+	if now.Since(freed.at) > loadAge {
+		freed.count = 0
+	}
+	s.freed[server] = freedSlots{count: freed.count + 1, at: now}
+	a.nextRound = min(a.nextRound, max(now, a.lastRound.Add(minRoundInterval)))
+}
+
+// Duration returns the usual duration of a request of the priority at a server.
+func (a *Admitter) Duration(name string, priority int) clock.Millis {
+	return clock.Millis(a.service(name).class(priority).durationMs)
+}
+
+func (a *Admitter) service(name string) *service {
+	s, ok := a.services[name]
+	if !ok {
+		s = &service{classes: map[int]*class{}, freed: map[string]freedSlots{}}
+		a.services[name] = s
+	}
+	return s
+}
+
+func (s *service) class(priority int) *class {
+	c, ok := s.classes[priority]
+	if !ok {
+		c = &class{durationMs: defaultDuration}
+		s.classes[priority] = c
+	}
+	return c
+}
--- /dev/null
+++ b/internal/decision/admitter/simulation_test.go
@@ -0,0 +1,296 @@
+package admitter_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/admitter"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// The model: engines read prompts one after another and run up to 16 requests at once. They queue
+// up to three times their slots by priority and reject the rest.
+const (
+	step       = 5 * clock.Millisecond
+	slots      = 16
+	maxQueued  = 3 * slots
+	digestTime = 200 * clock.Millisecond
+	service    = "engines"
+)
+
+// kind is a kind of request, with the times that an engine takes to read its prompt and to respond.
+type kind struct {
+	priority         int
+	prefill, decode  clock.Millis
+	target, deadline clock.Millis
+}
+
+// The kinds of the recorded load: 828 tokens in and 49 out, and 2,890 uncached tokens in and 9 out.
+var (
+	urgent = kind{priority: 0, prefill: 20, decode: 300, target: 400, deadline: 15_000}
+	long   = kind{priority: 2, prefill: 72, decode: 60, target: 1200, deadline: 5_000}
+)
+
+type job struct {
+	kind
+	id                      string
+	instance, engine        int
+	arrivedAt, sentAt       clock.Millis
+	prefillLeft, decodeLeft clock.Millis
+	attempts                int
+}
+
+type engine struct{ running, queue []*job }
+
+// tally are the results of one kind of request.
+type tally struct{ arrived, inTime, served, refused, rejected, sent int }
+
+type simulation struct {
+	admission bool
+	now       clock.Millis
+	random    *rand.Rand
+	engines   []*engine
+	instances []*admitter.Admitter
+	// loads are the requests and the prefill time of each instance at each engine, and history
+	// those at the latest steps.
+	loads   [][]load
+	history [][][]load
+	// seen reports whether an instance knows the loads of another one.
+	seen    func(instance, other int) bool
+	jobs    map[string]*job
+	results map[int]*tally
+}
+
+type load struct {
+	requests int
+	prefill  clock.Millis
+}
+
+func newSimulation(seed uint64, instances, engines int, admission bool) *simulation {
+	s := &simulation{
+		admission: admission, now: 100_000, random: rand.New(rand.NewPCG(seed, 1)), seen: func(int, int) bool { return true },
+		jobs: map[string]*job{}, results: map[int]*tally{urgent.priority: {}, long.priority: {}},
+	}
+	for range engines {
+		s.engines = append(s.engines, &engine{})
+	}
+	for i := range instances {
+		a := admitter.New()
+		a.SetInstances(instances, i)
+		a.SetPriorities(s.now, service, []int{urgent.priority, long.priority})
+		s.instances = append(s.instances, a)
+		s.loads = append(s.loads, make([]load, engines))
+	}
+	return s
+}
+
+// run lets requests arrive for some time, each kind at a rate per engine and second.
+func (s *simulation) run(duration clock.Millis, rates map[kind]float64) {
+	for end := s.now.Add(duration); s.now < end; s.now += step {
+		for _, k := range []kind{urgent, long} {
+			for expected := rates[k] * float64(len(s.engines)) * float64(step) / 1000; expected > 0; expected-- {
+				if s.random.Float64() < expected {
+					s.arrive(k)
+				}
+			}
+		}
+		for i := range s.engines {
+			s.advance(i)
+		}
+		for i, a := range s.instances {
+			a.Round(s.now, func(request admitter.Request, turn bool) bool { return s.send(i, s.jobs[request.ID], turn) })
+			for id, j := range s.jobs {
+				if j.instance == i && a.Waits(id) && s.now >= s.request(j).GiveUpAt {
+					s.refuse(j)
+				}
+			}
+		}
+		s.record()
+	}
+}
+
+func (s *simulation) record() {
+	copied := make([][]load, len(s.loads))
+	for i := range s.loads {
+		copied[i] = slices.Clone(s.loads[i])
+	}
+	s.history = append(s.history, copied)
+}
+
+func (s *simulation) request(j *job) admitter.Request {
+	deadline := j.arrivedAt.Add(j.deadline)
+	return admitter.Request{
+		ID: j.id, Service: service, Priority: j.priority, Target: j.target, TargetAt: j.arrivedAt.Add(j.target),
+		GiveUpAt: deadline.Add(-s.instances[j.instance].Duration(service, j.priority)), Constrained: j.attempts > 0,
+	}
+}
+
+func (s *simulation) arrive(k kind) {
+	j := &job{kind: k, id: fmt.Sprint(len(s.results), s.now, "-", len(s.jobs), "-", s.random.Uint64()), instance: s.random.IntN(len(s.instances)), arrivedAt: s.now}
+	s.jobs[j.id] = j
+	s.results[k.priority].arrived++
+	a := s.instances[j.instance]
+	a.Arrived(s.now, service, j.priority)
+	s.place(j)
+}
+
+// place sends the request, or lets it wait or refuses it.
+func (s *simulation) place(j *job) {
+	a := s.instances[j.instance]
+	if s.admission && a.MustQueue(s.request(j)) || !s.send(j.instance, j, false) {
+		if a.Useful(s.now, s.request(j)) {
+			a.Enqueue(s.now, s.request(j))
+			return
+		}
+		s.refuse(j)
+	}
+}
+
+func (s *simulation) refuse(j *job) {
+	s.instances[j.instance].Remove(j.id)
+	s.results[j.priority].refused++
+	delete(s.jobs, j.id)
+}
+
+// view returns the load of an engine as an instance knows it.
+func (s *simulation) view(instance, engine int) load {
+	sum := s.loads[instance][engine]
+	if age := int(digestTime / step); len(s.history) >= age {
+		for other, loads := range s.history[len(s.history)-age] {
+			if other != instance && s.seen(instance, other) {
+				sum.requests, sum.prefill = sum.requests+loads[engine].requests, sum.prefill+loads[engine].prefill
+			}
+		}
+	}
+	return sum
+}
+
+// send sends the request to the engine with the lowest cost, as the scheduler estimates it. It
+// reports false if none admits it.
+func (s *simulation) send(instance int, j *job, turn bool) bool {
+	a := s.instances[instance]
+	admits := a.Admits
+	if turn {
+		admits = a.AdmitsTurn
+	}
+	best, bestCost, capacity := -1, 0.0, admitter.Capacity{}
+	for i := range s.engines {
+		seen := s.view(instance, i)
+		server := admitter.Server{ID: fmt.Sprint("e", i), Slots: slots, Requests: seen.requests, QueueMs: float64(seen.prefill)}
+		capacity = capacity.Plus(server)
+		cost := float64(seen.prefill) + float64(seen.requests)
+		if seen.requests >= slots {
+			cost += 300
+		}
+		if (best < 0 || cost < bestCost) && (!s.admission || admits(s.now, s.request(j), server)) {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		a.SetCapacity(service, capacity)
+		return false
+	}
+	a.Sent(s.now, s.request(j), fmt.Sprint("e", best))
+	s.results[j.priority].sent++
+	e := s.engines[best]
+	if len(e.running)+len(e.queue) >= slots+maxQueued {
+		s.results[j.priority].rejected++
+		j.attempts++
+		if j.attempts == 4 {
+			s.refuse(j)
+			return true
+		}
+		s.place(j)
+		return true
+	}
+	j.engine, j.sentAt, j.prefillLeft, j.decodeLeft = best, s.now, j.prefill, j.decode
+	e.queue = append(e.queue, j)
+	slices.SortStableFunc(e.queue, func(a, b *job) int { return cmp.Compare(a.priority, b.priority) })
+	s.loads[instance][best].requests++
+	s.loads[instance][best].prefill += j.prefill
+	return true
+}
+
+// advance runs an engine for one step.
+func (s *simulation) advance(index int) {
+	e := s.engines[index]
+	for len(e.running) < slots && len(e.queue) > 0 {
+		e.running, e.queue = append(e.running, e.queue[0]), e.queue[1:]
+	}
+	var reading *job
+	for _, j := range e.running {
+		if j.prefillLeft > 0 && (reading == nil || j.priority < reading.priority) {
+			reading = j
+		}
+	}
+	for _, j := range e.running {
+		if j.prefillLeft <= 0 {
+			j.decodeLeft -= step
+		}
+	}
+	if reading != nil {
+		if reading.prefillLeft -= step; reading.prefillLeft <= 0 {
+			s.loads[reading.instance][index].prefill -= reading.prefill
+			if s.now.Since(reading.arrivedAt) <= reading.target {
+				s.results[reading.priority].inTime++
+			}
+		}
+	}
+	e.running = slices.DeleteFunc(e.running, func(j *job) bool {
+		if j.decodeLeft > 0 {
+			return false
+		}
+		s.loads[j.instance][index].requests--
+		if s.now.Since(j.arrivedAt) <= j.deadline {
+			s.results[j.priority].served++
+		}
+		s.instances[j.instance].Ended(s.now, service, j.priority, fmt.Sprint("e", index), s.now.Since(j.sentAt))
+		delete(s.jobs, j.id)
+		return true
+	})
+}
+
+func (t *tally) fraction() float64 { return float64(t.inTime) / float64(t.arrived) }
+
+// usual is a load below capacity, and burst the same with 2.6 times the long prompts.
+var (
+	usual = map[kind]float64{urgent: 14, long: 6}
+	burst = map[kind]float64{urgent: 14, long: 6 * 2.6}
+)
+
+// TestUrgentRequestsInBurst guards against urgent requests that are late, or are rejected by full
+// servers, while these hold long and less urgent ones.
+func TestUrgentRequestsInBurst(t *testing.T) {
+	variants := map[string]func(s *simulation){
+		"all loads known": func(*simulation) {},
+		"half of the instances cut off": func(s *simulation) {
+			s.seen = func(instance, other int) bool { return instance%2 == other%2 }
+		},
+	}
+	for name, change := range variants {
+		for _, size := range []struct{ instances, engines int }{{8, 12}, {80, 100}} {
+			t.Run(fmt.Sprint(name, ", ", size.instances, " instances"), func(t *testing.T) {
+				measured := map[bool]map[int]*tally{}
+				for _, admission := range []bool{false, true} {
+					s := newSimulation(1, size.instances, size.engines, admission)
+					change(s)
+					s.run(3*clock.Second, usual)
+					s.results = map[int]*tally{urgent.priority: {}, long.priority: {}}
+					s.run(7*clock.Second, burst)
+					s.run(5*clock.Second, usual)
+					measured[admission] = s.results
+					t.Logf("admission %v: urgent %+v, long %+v", admission, *s.results[0], *s.results[2])
+				}
+				with, without := measured[true], measured[false]
+				require.GreaterOrEqual(t, with[0].fraction(), 0.95)
+				require.Greater(t, with[0].fraction(), without[0].fraction())
+				require.GreaterOrEqual(t, with[2].fraction(), without[2].fraction())
+			})
+		}
+	}
+}
--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -20,6 +20,8 @@
 	OriginUnknown        Number = 1107
 	OriginFound          Number = 1108
 	OriginsDropped       Number = 1109
+	CapacityAwaited      Number = 1110
+	CapacityRefused      Number = 1111
 	TokensTaken          Number = 1201
 	TokensRefused        Number = 1202
 	TokensReturned       Number = 1203
@@ -96,6 +98,8 @@
 	OriginUnknown:        "originUnknown",
 	OriginFound:          "originFound",
 	OriginsDropped:       "originsDropped",
+	CapacityAwaited:      "capacityAwaited",
+	CapacityRefused:      "capacityRefused",
 	TokensTaken:          "tokensTaken",
 	TokensRefused:        "tokensRefused",
 	TokensReturned:       "tokensReturned",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -187,10 +187,12 @@
 type Histogram string
 
 // The histograms: the time from a request's arrival to its first event, to a refusal,
+// to its sending after a wait for capacity,
 // and to the end of a server's response, by route kind.
 const (
 	HistogramFirstEvent     Histogram = "firstEvent"
 	HistogramRefusal        Histogram = "refusal"
+	HistogramCapacityWait   Histogram = "capacityWait"
 	histogramResponsePrefix Histogram = "answer."
 )
 
@@ -231,6 +233,7 @@
 	ReasonOverRate         Reason = "overRate"
 	ReasonTooManyInFlight  Reason = "tooManyInFlight"
 	ReasonNoServer         Reason = "noServer"
+	ReasonNoCapacity       Reason = "noCapacity"
 	ReasonDeadlineTooClose Reason = "cannotEndInTime"
 	ReasonCrashesServers   Reason = "crashesServers"
 	ReasonServerFailed     Reason = "serverFailed"
--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -30,7 +30,7 @@
 		return scheduler.Choice{}, false
 	}
 	f.scheduler.ExcludeSources(f.excludedSources())
-	choice, ok := f.scheduler.Choose(f.now, f.schedulerRequest(fl), f.candidates(fl))
+	choice, ok, _ := f.chooseAdmitted(fl, f.schedulerRequest(fl), f.candidates(fl), false)
 	if !ok || fl.queueTooLong(choice, f.now) {
 		return scheduler.Choice{}, false
 	}
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -97,6 +97,9 @@
 		}
 	}
 	f.flights[fl.id()] = fl
+	if fl.hasPrompt() {
+		f.admitter.Arrived(f.now, service, fl.priority())
+	}
 	f.assignResumed(fl)
 }
 
@@ -159,6 +162,7 @@
 	f.scheduler.End(fl.attemptKey(fl.attempt))
 	f.endQuery(fl)
 	f.endLookup(fl)
+	f.admitter.Remove(fl.id())
 	delete(f.flights, fl.id())
 }
 
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -31,6 +31,10 @@
 // assignServer selects a server and sends the request there, makes it wait, or refuses
 // it. In a large cluster it asks the keepers of some engines first.
 func (f *Forwarder) assignServer(fl *flight) {
+	if fl.needsAdmission() && f.admitter.MustQueue(f.admissionRequest(fl)) {
+		f.awaitCapacity(fl)
+		return
+	}
 	request, candidates := f.schedulerRequest(fl), f.candidatesOrLeaving(fl)
 	f.scheduler.ExcludeSources(f.excludedSources())
 	if !f.queryKeepers(fl, request, candidates) {
@@ -48,7 +52,11 @@
 // or refuses it.
 func (f *Forwarder) chooseServer(fl *flight, request scheduler.Request, candidates []scheduler.Candidate) {
 	f.scheduler.ExcludeSources(f.excludedSources())
-	choice, ok := f.scheduler.Choose(f.now, request, candidates)
+	choice, ok, full := f.chooseAdmitted(fl, request, candidates, false)
+	if full {
+		f.awaitCapacity(fl)
+		return
+	}
 	if !ok {
 		f.waitForServer(fl)
 		return
@@ -95,6 +103,7 @@
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.takeLimit(server)
+	f.recordSent(fl, choice.Server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
@@ -171,6 +180,9 @@
 }
 
 func (f *Forwarder) handleAttemptEnded(event AttemptEnded) {
+	if fl, ok := f.currentAttempt(event.Request, event.Attempt); ok {
+		f.recordEnded(fl, event)
+	}
 	f.recordWayOf(event)
 	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
 		f.handleAlternativeEnded(fl, event)
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -9,7 +9,7 @@
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
 // backlogkeeper (how long engines still take for the prompts that they were sent),
-// limitsharer (limits that servers name), originkeeper (where streams began) and pathfinder
+// limitsharer (limits that servers name), admitter (which requests are sent, wait or are refused), originkeeper (where streams began) and pathfinder
 // (through which instance a server is reached).
 //
 // The age of the desired state is the time since the store last confirmed it. With
@@ -28,6 +28,7 @@
 package forwarder
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/admitter"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
@@ -224,6 +225,9 @@
 	controls map[string]clock.Millis
 	tunnels  map[string]tunnel
 
+	// admitter decides which requests with prompts are sent, wait or are refused.
+	admitter *admitter.Admitter
+
 	flights map[string]*flight
 }
 
@@ -262,7 +266,8 @@
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
 		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
-		flights: map[string]*flight{},
+		admitter: admitter.New(),
+		flights:  map[string]*flight{},
 	}
 }
 
@@ -290,6 +295,9 @@
 	for _, fl := range f.flights {
 		wake = min(wake, fl.checkAt)
 	}
+	if round, waiting := f.admitter.NextRound(); waiting {
+		wake = min(wake, round)
+	}
 	return max(wake, f.now.Add(clock.Millisecond))
 }
 
@@ -369,6 +377,7 @@
 	f.endSuspicions()
 	f.refuseFailedTunnels()
 	f.checkFlights()
+	f.sendWaiting()
 	if f.now >= f.nextServerScan {
 		f.nextServerScan = f.now.Add(serverScanInterval)
 		f.checkDownServers()
--- a/internal/decision/forwarder/keepers.go
+++ b/internal/decision/forwarder/keepers.go
@@ -177,15 +177,19 @@
 	for _, name := range asked.keepers {
 		f.silentKeepers[name] = f.now.Add(silentKeeperPause)
 	}
-	candidates := slices.DeleteFunc(f.candidatesOrLeaving(fl), func(candidate scheduler.Candidate) bool {
-		return !slices.Contains(asked.servers, candidate.Server)
-	})
+	candidates := f.candidatesOrLeaving(fl)
 	for i, candidate := range candidates {
 		if known, ok := asked.known[candidate.Server]; ok {
 			candidates[i].Known = &known
 		}
 	}
-	f.chooseServer(fl, f.schedulerRequest(fl), candidates)
+	shortlisted := slices.DeleteFunc(slices.Clone(candidates), func(candidate scheduler.Candidate) bool {
+		return !slices.Contains(asked.servers, candidate.Server)
+	})
+	if _, _, full := f.chooseAdmitted(fl, f.schedulerRequest(fl), shortlisted, false); full {
+		shortlisted = candidates
+	}
+	f.chooseServer(fl, f.schedulerRequest(fl), shortlisted)
 }
 
 // maxSilentKeepers limits the keepers that are remembered as silent.
--- a/internal/decision/forwarder/status.go
+++ b/internal/decision/forwarder/status.go
@@ -17,6 +17,8 @@
 	// it may order engines to load weights.
 	WatchesStore bool `json:"watchesStore"`
 	HoldsLease   bool `json:"holdsLease"`
+	// WaitingForCapacity is the number of requests that wait for capacity of the servers.
+	WaitingForCapacity int `json:"waitingForCapacity"`
 	// KnownOrigins is the number of streams of which the instance knows where they began.
 	KnownOrigins int `json:"knownOrigins"`
 	// StoreEra is the era of the store, which rises when the store comes back from an older
@@ -35,7 +37,7 @@
 		Listed: f.instanceCount(), Reachable: f.reachableCount(),
 		Top: f.actsAsTop(), Upstream: f.upstream, Below: len(f.neighborsIn(below)),
 		WatchesStore: f.replicas != nil && f.replicas.Watching(), HoldsLease: f.rollout.HoldsLease(f.now),
-		KnownOrigins: f.origins.Len(),
-		StoreEra:     f.eras.Era(), StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
+		WaitingForCapacity: f.admitter.Waiting(), KnownOrigins: f.origins.Len(),
+		StoreEra: f.eras.Era(), StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
 	}
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -58,6 +58,7 @@
 	}
 	f.desired = read.State
 	f.log(eventlog.New(eventlog.ConfigInForce, "").With("revision", f.desired.Version).With("routes", len(f.desired.Routes)).With("keys", len(f.desired.Keys)))
+	f.setPriorities()
 	f.limiter.Retain(func(team string) bool { _, ok := f.desired.Teams[team]; return ok })
 	for _, name := range slices.Sorted(maps.Keys(f.desired.Teams)) {
 		if team := f.desired.Teams[name]; team.Rate > 0 {
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -75,6 +75,10 @@
 			f.refuse(fl, ReasonTimeout, 0)
 			continue
 		}
+		if f.admitter.Waits(fl.id()) {
+			f.refuseLate(fl)
+			continue
+		}
 		if fl.crashCheck != "" {
 			f.endCrashCheck(fl)
 			continue
--- a/internal/decision/scheduler/choice.go
+++ b/internal/decision/scheduler/choice.go
@@ -69,13 +69,27 @@
 // Choose returns the cheapest candidate at which the request starts in time. It
 // reports false if there is none.
 func (s *Scheduler) Choose(now clock.Millis, request Request, candidates []Candidate) (Choice, bool) {
+	choice, ok, _ := s.ChooseAdmitted(now, request, candidates, func(Choice) bool { return true })
+	return choice, ok
+}
+
+// ChooseAdmitted returns the cheapest of those candidates for which admits returns true. If there
+// is none, admits was called for all, and found reports whether there was one.
+func (s *Scheduler) ChooseAdmitted(now clock.Millis, request Request, candidates []Candidate, admits func(Choice) bool) (best Choice, ok, found bool) {
 	choices := s.choices(now, request, candidates)
-	if len(choices) == 0 {
-		return Choice{}, false
+	for _, choice := range choices {
+		cheaper := !ok || cmp.Or(cmp.Compare(choice.CostMs, best.CostMs), cmp.Compare(choice.Server, best.Server)) < 0
+		if cheaper && admits(choice) {
+			best, ok = choice, true
+		}
 	}
-	return slices.MinFunc(choices, func(a, b Choice) int {
-		return cmp.Or(cmp.Compare(a.CostMs, b.CostMs), cmp.Compare(a.Server, b.Server))
-	}), true
+	return best, ok, len(choices) > 0
+}
+
+// NeededTokens returns the memory, in tokens, that the server needs for its present requests and
+// for this one.
+func (c Choice) NeededTokens() int64 {
+	return c.Load.MemoryTokens + c.UncachedTokens + c.request.OutputTokens
 }
 
 // costStep is the difference between costs, in milliseconds, below which Shortlist treats
@@ -177,7 +191,7 @@
 	if candidate.Known != nil {
 		choice.QueueMs = candidate.Known.BacklogMs
 	}
-	if excess := choice.Load.MemoryTokens + choice.UncachedTokens + request.OutputTokens - candidate.MemoryTokens; candidate.MemoryTokens > 0 && excess > 0 {
+	if excess := choice.NeededTokens() - candidate.MemoryTokens; candidate.MemoryTokens > 0 && excess > 0 {
 		choice.QueueMs += saturationCost + float64(excess)/defaultPrefillRate
 	}
 	if candidate.Slots > 0 && choice.Load.Requests >= candidate.Slots {
