--- a/internal/decision/admitter/admitter.go
+++ b/internal/decision/admitter/admitter.go
@@ -77,8 +77,8 @@
 	classes map[int]*class
 	// streak is the number of requests sent since the latest turn of a less urgent one.
 	streak int
-	// freed are the slots that requests of this instance have freed, by server.
-	freed map[string]freedSlots
+	// servers has what this instance has recently done at each server.
+	servers map[string]recent
 }
 
 // class is the state of the requests of one priority.
@@ -90,9 +90,16 @@
 	turnAt     clock.Millis
 }
 
-type freedSlots struct {
-	count int
-	at    clock.Millis
+// recent is what an instance has done at a server that others may not know yet.
+type recent struct {
+	// freed are the slots that its requests have freed and that it may use at once.
+	freed   int
+	freedAt clock.Millis
+	// sent are the requests that it has sent in the period.
+	sent   int
+	period clock.Millis
+	// rejectedAt is the time at which the server last rejected a request; 0 for never.
+	rejectedAt clock.Millis
 }
 
 // New returns an Admitter for a single instance, without waiting requests.
@@ -126,8 +133,11 @@
 	a.Remove(request.ID)
 	s := a.service(request.Service)
 	s.sent = s.sent.with(now)
-	if slots := s.freed[server]; slots.count > 0 {
-		s.freed[server] = freedSlots{count: slots.count - 1, at: slots.at}
+	if s.contended(now) {
+		known := s.servers[server].at(now)
+		known.sent++
+		known.freed = max(0, known.freed-1)
+		s.servers[server] = known
 	}
 	if n := len(s.waiting); n > 0 && request.Priority < s.waiting[n-1].Priority {
 		s.streak++
@@ -139,18 +149,37 @@
 	s := a.service(name)
 	c := s.class(priority)
 	c.durationMs += durationWeight * (float64(duration) - c.durationMs)
-	if len(s.waiting) == 0 {
-		clear(s.freed)
+	if !s.contended(now) {
+		clear(s.servers)
 		return
 	}
-	freed := s.freed[server]
-	if now.Since(freed.at) > loadAge {
-		freed.count = 0
-	}
-	s.freed[server] = freedSlots{count: freed.count + 1, at: now}
+	known := s.servers[server].at(now)
+	known.freed, known.freedAt = known.freed+1, now
+	s.servers[server] = known
 	a.nextRound = min(a.nextRound, max(now, a.lastRound.Add(minRoundInterval)))
 }
 
+// Rejected records that a server has rejected a request, which shows that it is full although
+// that was not known.
+func (a *Admitter) Rejected(now clock.Millis, name, server string) {
+	s := a.service(name)
+	known := s.servers[server].at(now)
+	known.rejectedAt, known.freed = now, 0
+	s.servers[server] = known
+	s.waitedAt = now
+}
+
+// at returns what is still recent at now.
+func (r recent) at(now clock.Millis) recent {
+	if period := now / loadAge; r.period != period {
+		r.period, r.sent = period, 0
+	}
+	if now.Since(r.freedAt) > loadAge {
+		r.freed = 0
+	}
+	return r
+}
+
 // Duration returns the usual duration of a request of the priority at a server.
 func (a *Admitter) Duration(name string, priority int) clock.Millis {
 	return clock.Millis(a.service(name).class(priority).durationMs)
@@ -159,7 +188,7 @@
 func (a *Admitter) service(name string) *service {
 	s, ok := a.services[name]
 	if !ok {
-		s = &service{classes: map[int]*class{}, freed: map[string]freedSlots{}}
+		s = &service{classes: map[int]*class{}, servers: map[string]recent{}}
 		a.services[name] = s
 	}
 	return s
--- a/internal/decision/admitter/room.go
+++ b/internal/decision/admitter/room.go
@@ -19,7 +19,7 @@
 	targetDivisor = 2
 	// offersPerSlot is the number of instances to which a free slot is offered at once. Some of
 	// them have nothing that waits; the others may send too much by that number less one.
-	offersPerSlot = 2
+	offersPerSlot = 1
 	// contendedTime is the time after which slots are free for all again when nothing waits.
 	contendedTime = clock.Second
 )
@@ -54,6 +54,10 @@
 		return true
 	}
 	s := a.service(request.Service)
+	known := s.servers[server.ID].at(now)
+	if known.rejectedAt > 0 && now.Since(known.rejectedAt) < loadAge {
+		return false
+	}
 	free := s.limit(server.Slots, request.Priority, levels) - server.Requests
 	if free <= 0 {
 		return false
@@ -64,7 +68,7 @@
 	if levels > 0 && server.QueueMs > float64(max(loadAge, request.Target/targetDivisor)) {
 		return false
 	}
-	return a.offered(now, s, server.ID, free)
+	return known.freed > 0 || !s.contended(now) || known.sent < a.part(now, server.ID, (free+known.sent)*offersPerSlot)
 }
 
 // limit returns the number of requests that a server may have for another one of the priority
@@ -89,21 +93,20 @@
 	return min(levels, maxReservedLevels)
 }
 
-// offered reports whether this instance may use one of the free slots of a server. While
-// requests wait, each slot is offered to a few instances, others in each period, apart from
-// those that a request of this instance has freed.
-func (a *Admitter) offered(now clock.Millis, s *service, server string, free int) bool {
-	if offers := free * offersPerSlot; offers < a.instances && s.contended(now) {
-		if freed := s.freed[server]; freed.count > 0 && now.Since(freed.at) <= loadAge {
-			return true
-		}
-		period := uint64(now / loadAge)
-		offset := balancer.Rendezvous(period, server) % uint64(a.instances)
-		return (uint64(a.rank)+offset)%uint64(a.instances) < uint64(offers)
+// part returns the part of the offers of a server's slots that this instance may use in the
+// present period. Offers that can't be divided go to other instances in each period.
+func (a *Admitter) part(now clock.Millis, server string, offers int) int {
+	instances := uint64(a.instances)
+	offset := balancer.Rendezvous(uint64(now/loadAge), server) % instances
+	part := offers / a.instances
+	if (uint64(a.rank)+offset)%instances < uint64(offers%a.instances) {
+		part++
 	}
-	return true
+	return part
 }
 
+// contended reports whether requests wait, or have waited or been rejected a moment ago. Then
+// the slots that become free are divided among the instances.
 func (s *service) contended(now clock.Millis) bool {
 	return len(s.waiting) > 0 || (s.waitedAt > 0 && now.Since(s.waitedAt) < contendedTime)
 }
--- a/internal/decision/admitter/simulation_test.go
+++ b/internal/decision/admitter/simulation_test.go
@@ -21,6 +21,8 @@
 	maxQueued  = 3 * slots
 	digestTime = 200 * clock.Millisecond
 	service    = "engines"
+	// nonOwnerCost is that of the scheduler.
+	nonOwnerCost = 20
 )
 
 // kind is a kind of request, with the times that an engine takes to read its prompt and to respond.
@@ -43,6 +45,8 @@
 	arrivedAt, sentAt       clock.Millis
 	prefillLeft, decodeLeft clock.Millis
 	attempts                int
+	// owner is the engine that has the shared parts of its prompt.
+	owner int
 }
 
 type engine struct{ running, queue []*job }
@@ -59,21 +63,28 @@
 	// loads are the requests and the prefill time of each instance at each engine, and history
 	// those at the latest steps.
 	loads   [][]load
-	history [][][]load
-	// seen reports whether an instance knows the loads of another one.
-	seen    func(instance, other int) bool
+	history []snapshot
+	// groups is the number of groups of instances that don't know the loads of each other.
+	groups  int
 	jobs    map[string]*job
 	results map[int]*tally
 }
 
+// snapshot has the loads of each instance and the sums of each group.
+type snapshot struct{ own, sums [][]load }
+
 type load struct {
 	requests int
 	prefill  clock.Millis
 }
 
+func (l load) plus(other load, factor int) load {
+	return load{requests: l.requests + factor*other.requests, prefill: l.prefill + clock.Millis(factor)*other.prefill}
+}
+
 func newSimulation(seed uint64, instances, engines int, admission bool) *simulation {
 	s := &simulation{
-		admission: admission, now: 100_000, random: rand.New(rand.NewPCG(seed, 1)), seen: func(int, int) bool { return true },
+		admission: admission, now: 100_000, random: rand.New(rand.NewPCG(seed, 1)), groups: 1,
 		jobs: map[string]*job{}, results: map[int]*tally{urgent.priority: {}, long.priority: {}},
 	}
 	for range engines {
@@ -104,10 +115,10 @@
 		}
 		for i, a := range s.instances {
 			a.Round(s.now, func(request admitter.Request, turn bool) bool { return s.send(i, s.jobs[request.ID], turn) })
-			for id, j := range s.jobs {
-				if j.instance == i && a.Waits(id) && s.now >= s.request(j).GiveUpAt {
-					s.refuse(j)
-				}
+		}
+		for id, j := range s.jobs {
+			if s.instances[j.instance].Waits(id) && s.now >= s.request(j).GiveUpAt {
+				s.refuse(j)
 			}
 		}
 		s.record()
@@ -115,11 +126,20 @@
 }
 
 func (s *simulation) record() {
-	copied := make([][]load, len(s.loads))
-	for i := range s.loads {
-		copied[i] = slices.Clone(s.loads[i])
+	taken := snapshot{}
+	for range s.groups {
+		taken.sums = append(taken.sums, make([]load, len(s.engines)))
+	}
+	for i, loads := range s.loads {
+		taken.own = append(taken.own, slices.Clone(loads))
+		for e, own := range loads {
+			taken.sums[i%s.groups][e] = taken.sums[i%s.groups][e].plus(own, 1)
+		}
+	}
+	s.history = append(s.history, taken)
+	if age := int(digestTime / step); len(s.history) > age {
+		s.history = s.history[1:]
 	}
-	s.history = append(s.history, copied)
 }
 
 func (s *simulation) request(j *job) admitter.Request {
@@ -131,7 +151,7 @@
 }
 
 func (s *simulation) arrive(k kind) {
-	j := &job{kind: k, id: fmt.Sprint(len(s.results), s.now, "-", len(s.jobs), "-", s.random.Uint64()), instance: s.random.IntN(len(s.instances)), arrivedAt: s.now}
+	j := &job{kind: k, id: fmt.Sprint(len(s.results), s.now, "-", len(s.jobs), "-", s.random.Uint64()), instance: s.random.IntN(len(s.instances)), arrivedAt: s.now, owner: s.random.IntN(len(s.engines))}
 	s.jobs[j.id] = j
 	s.results[k.priority].arrived++
 	a := s.instances[j.instance]
@@ -157,17 +177,15 @@
 	delete(s.jobs, j.id)
 }
 
-// view returns the load of an engine as an instance knows it.
+// view returns the load of an engine as an instance knows it: its own load at once, that of
+// others late.
 func (s *simulation) view(instance, engine int) load {
-	sum := s.loads[instance][engine]
-	if age := int(digestTime / step); len(s.history) >= age {
-		for other, loads := range s.history[len(s.history)-age] {
-			if other != instance && s.seen(instance, other) {
-				sum.requests, sum.prefill = sum.requests+loads[engine].requests, sum.prefill+loads[engine].prefill
-			}
-		}
+	own := s.loads[instance][engine]
+	if len(s.history) < int(digestTime/step) {
+		return own
 	}
-	return sum
+	old := s.history[0]
+	return own.plus(old.sums[instance%s.groups][engine], 1).plus(old.own[instance][engine], -1)
 }
 
 // send sends the request to the engine with the lowest cost, as the scheduler estimates it. It
@@ -187,6 +205,9 @@
 		if seen.requests >= slots {
 			cost += 300
 		}
+		if i != j.owner {
+			cost += nonOwnerCost
+		}
 		if (best < 0 || cost < bestCost) && (!s.admission || admits(s.now, s.request(j), server)) {
 			best, bestCost = i, cost
 		}
@@ -200,6 +221,7 @@
 	e := s.engines[best]
 	if len(e.running)+len(e.queue) >= slots+maxQueued {
 		s.results[j.priority].rejected++
+		a.Rejected(s.now, service, fmt.Sprint("e", best))
 		j.attempts++
 		if j.attempts == 4 {
 			s.refuse(j)
@@ -267,10 +289,8 @@
 // servers, while these hold long and less urgent ones.
 func TestUrgentRequestsInBurst(t *testing.T) {
 	variants := map[string]func(s *simulation){
-		"all loads known": func(*simulation) {},
-		"half of the instances cut off": func(s *simulation) {
-			s.seen = func(instance, other int) bool { return instance%2 == other%2 }
-		},
+		"all loads known":               func(*simulation) {},
+		"half of the instances cut off": func(s *simulation) { s.groups = 2 },
 	}
 	for name, change := range variants {
 		for _, size := range []struct{ instances, engines int }{{8, 12}, {80, 100}} {
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -293,6 +293,9 @@
 	case OutcomeDeclined:
 		f.servers.RecordResult(f.now, server, false)
 		f.recordRejection(server)
+		if fl.needsAdmission() {
+			f.admitter.Rejected(f.now, fl.service, server)
+		}
 	case OutcomeMisdirected:
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
