Estimate load that is not known from rejections

An instance that is cut off from half of the others knows half of the load, so that servers rejected urgent requests, and the retry budget ended them. Each rejection now raises the load that is assumed to be hidden.

--- a/internal/decision/admitter/admitter.go
+++ b/internal/decision/admitter/admitter.go
@@ -22,6 +22,8 @@
 package admitter
 
 import (
+	"math"
+
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -36,6 +38,12 @@
 	// urgentMemory is the time for which capacity is kept free after the last request of a
 	// priority arrived.
 	urgentMemory = 10 * clock.Second
+	// A rejection raises the load that is assumed to be hidden by hiddenWeight of what was missed,
+	// up to maxHidden of the slots. It is forgotten within hiddenTime. An instance that is cut off
+	// from half of the others misses half of the load for as long as that lasts.
+	hiddenWeight = 0.1
+	hiddenTime   = 1 * clock.Second
+	maxHidden    = 0.75
 )
 
 // Request is a request that needs a slot of a server.
@@ -72,6 +80,10 @@
 	capacity Capacity
 	// waitedAt is the latest time at which a request waited.
 	waitedAt clock.Millis
+	// hidden is the load that rejections have shown and that was not known, as a part of the
+	// slots, at hiddenSince.
+	hidden      float64
+	hiddenSince clock.Millis
 	// sent is the rate at which this instance sends requests.
 	sent    meter
 	classes map[int]*class
@@ -160,13 +172,23 @@
 }
 
 // Rejected records that a server has rejected a request, which shows that it is full although
-// that was not known.
-func (a *Admitter) Rejected(now clock.Millis, name, server string) {
+// that was not known. The loads of other servers are then assumed to be higher too.
+func (a *Admitter) Rejected(now clock.Millis, name string, server Server) {
 	s := a.service(name)
-	known := s.servers[server].at(now)
+	known := s.servers[server.ID].at(now)
 	known.rejectedAt, known.freed = now, 0
-	s.servers[server] = known
+	s.servers[server.ID] = known
 	s.waitedAt = now
+	if server.Slots == 0 {
+		return
+	}
+	hidden, missed := s.hiddenAt(now), min(maxHidden, 1-float64(server.Requests)/float64(server.Slots))
+	s.hidden, s.hiddenSince = hidden+max(0, missed-hidden)*hiddenWeight, now
+}
+
+// hiddenAt returns the load of servers that this instance does not know, as a part of their slots.
+func (s *service) hiddenAt(now clock.Millis) float64 {
+	return s.hidden * math.Exp(-float64(now.Since(s.hiddenSince))/float64(hiddenTime))
 }
 
 // at returns what is still recent at now.
--- a/internal/decision/admitter/admitter_test.go
+++ b/internal/decision/admitter/admitter_test.go
@@ -105,9 +105,11 @@
 func TestRejectingServerIsLeft(t *testing.T) {
 	a := newAdmitter(8)
 	server := admitter.Server{ID: "e", Slots: 16, Requests: 1}
-	a.Rejected(now, service, "e")
+	a.Rejected(now, service, server)
 	require.False(t, a.Admits(now.Add(100), newRequest("r", 0), server))
-	require.True(t, a.Admits(now.Add(2*clock.Second), newRequest("r", 0), server))
+	require.False(t, a.Admits(now.Add(300), newRequest("r", 2), admitter.Server{ID: "other", Slots: 16, Requests: 12}), "load that is not known is assumed elsewhere")
+	require.True(t, a.Admits(now.Add(300), newRequest("r", 0), server))
+	require.True(t, a.Admits(now.Add(9*clock.Second), newRequest("r", 2), admitter.Server{ID: "other", Slots: 16, Requests: 12}))
 }
 
 // TestOrderOfWaiting guards against new arrivals that overtake those that wait, and against an
@@ -162,7 +164,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			a := newAdmitter(1)
-			a.SetCapacity(service, test.capacity)
+			a.SetCapacity(newRequest("z", 0), test.capacity)
 			for i := range test.waiting {
 				a.Enqueue(now, newRequest(fmt.Sprint(i), 0))
 			}
--- a/internal/decision/admitter/queue.go
+++ b/internal/decision/admitter/queue.go
@@ -20,6 +20,9 @@
 	maxConstrainedTries = 4
 	// maxTries limits all requests tried in a round, to bound its duration.
 	maxTries = 32
+	// hopelessDivisor divides the expected wait of a request that waits already: the expectation
+	// varies with each burst of arrivals.
+	hopelessDivisor = 2
 	// turnAfter is the number of requests sent before the turn of a less urgent one.
 	turnAfter = 7
 )
@@ -88,8 +91,13 @@
 	return false
 }
 
-// SetCapacity records the capacity of the servers of a service, as a request found it.
-func (a *Admitter) SetCapacity(name string, capacity Capacity) { a.service(name).capacity = capacity }
+// SetCapacity records the capacity of the servers of a service, as a request found it. One that
+// only some servers may take has not seen all of it.
+func (a *Admitter) SetCapacity(request Request, capacity Capacity) {
+	if s := a.service(request.Service); !request.Constrained || capacity.Slots > s.capacity.Slots {
+		s.capacity = capacity
+	}
+}
 
 // CapacityOf returns the capacity of the servers of a service as it was last recorded.
 func (a *Admitter) CapacityOf(name string) Capacity { return a.service(name).capacity }
@@ -104,21 +112,49 @@
 			sameClass++
 		}
 	}
-	share := float64(s.capacity.Slots) * float64(clock.Second) / max(1, s.class(request.Priority).durationMs) / float64(a.instances)
+	return a.wait(now, s, request.Priority, index, sameClass)
+}
+
+// wait returns the expected wait of a request of the priority with a number of others ahead. Of
+// these and itself, sameClass are of its priority.
+func (a *Admitter) wait(now clock.Millis, s *service, priority, ahead, sameClass int) clock.Millis {
+	share := float64(s.capacity.Slots) * float64(clock.Second) / max(1, s.class(priority).durationMs) / float64(a.instances)
 	rate := max(s.sent.rate(now), share, 0.1)
 	left := rate
-	for priority, c := range s.classes {
-		if priority < request.Priority {
+	for other, c := range s.classes {
+		if other < priority {
 			left -= c.arrivals.rate(now)
 		}
 	}
 	seconds := float64(sameClass) * (turnAfter + 1) / rate
 	if left > 0 {
-		seconds = min(seconds, float64(index+1)/left)
+		seconds = min(seconds, float64(ahead+1)/left)
 	}
 	return clock.Millis(seconds * float64(clock.Second))
 }
 
+// Hopeless returns the waiting requests that can't be served before their deadline any more,
+// although they were expected to be: more urgent ones have arrived, or servers are slower. It
+// returns none between two rounds.
+func (a *Admitter) Hopeless(now clock.Millis) []Request {
+	if len(a.requests) == 0 || now < a.nextRound {
+		return nil
+	}
+	var hopeless []Request
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		s, ahead, sameClass := a.services[name], 0, map[int]int{}
+		for _, request := range s.waiting {
+			if now.Add(a.wait(now, s, request.Priority, ahead, sameClass[request.Priority]+1)/hopelessDivisor) > request.GiveUpAt {
+				hopeless = append(hopeless, request)
+				continue
+			}
+			ahead++
+			sameClass[request.Priority]++
+		}
+	}
+	return hopeless
+}
+
 // Useful reports whether the request is expected to be sent while it can still be served before
 // its deadline. While less than half of the slots are taken and nothing waits, it always is.
 func (a *Admitter) Useful(now clock.Millis, request Request) bool {
--- a/internal/decision/admitter/room.go
+++ b/internal/decision/admitter/room.go
@@ -50,7 +50,7 @@
 }
 
 func (a *Admitter) admits(now clock.Millis, request Request, server Server, levels int) bool {
-	if server.Slots == 0 || server.Requests == 0 {
+	if server.Slots == 0 {
 		return true
 	}
 	s := a.service(request.Service)
@@ -58,7 +58,10 @@
 	if known.rejectedAt > 0 && now.Since(known.rejectedAt) < loadAge {
 		return false
 	}
-	free := s.limit(server.Slots, request.Priority, levels) - server.Requests
+	if server.Requests == 0 {
+		return true
+	}
+	free := s.limit(server.Slots, request.Priority, levels) - server.Requests - int(s.hiddenAt(now)*float64(server.Slots))
 	if free <= 0 {
 		return false
 	}
--- a/internal/decision/admitter/simulation_test.go
+++ b/internal/decision/admitter/simulation_test.go
@@ -52,7 +52,11 @@
 type engine struct{ running, queue []*job }
 
 // tally are the results of one kind of request.
-type tally struct{ arrived, inTime, served, refused, rejected, sent int }
+type tally struct {
+	arrived, inTime, served, refused, rejected, sent int
+	// held is the time for which refused requests were held.
+	held clock.Millis
+}
 
 type simulation struct {
 	admission bool
@@ -114,6 +118,9 @@
 			s.advance(i)
 		}
 		for i, a := range s.instances {
+			for _, request := range a.Hopeless(s.now) {
+				s.refuse(s.jobs[request.ID])
+			}
 			a.Round(s.now, func(request admitter.Request, turn bool) bool { return s.send(i, s.jobs[request.ID], turn) })
 		}
 		for id, j := range s.jobs {
@@ -173,7 +180,9 @@
 
 func (s *simulation) refuse(j *job) {
 	s.instances[j.instance].Remove(j.id)
-	s.results[j.priority].refused++
+	result := s.results[j.priority]
+	result.refused++
+	result.held += s.now.Since(j.arrivedAt)
 	delete(s.jobs, j.id)
 }
 
@@ -213,7 +222,7 @@
 		}
 	}
 	if best < 0 {
-		a.SetCapacity(service, capacity)
+		a.SetCapacity(s.request(j), capacity)
 		return false
 	}
 	a.Sent(s.now, s.request(j), fmt.Sprint("e", best))
@@ -221,7 +230,7 @@
 	e := s.engines[best]
 	if len(e.running)+len(e.queue) >= slots+maxQueued {
 		s.results[j.priority].rejected++
-		a.Rejected(s.now, service, fmt.Sprint("e", best))
+		a.Rejected(s.now, service, admitter.Server{ID: fmt.Sprint("e", best), Slots: slots, Requests: s.view(instance, best).requests})
 		j.attempts++
 		if j.attempts == 4 {
 			s.refuse(j)
@@ -294,6 +303,9 @@
 	require.GreaterOrEqual(t, with[urgent.priority].inTimeFraction(), atLeast)
 	require.Greater(t, with[urgent.priority].inTimeFraction(), without[urgent.priority].inTimeFraction())
 	require.LessOrEqual(t, with[urgent.priority].rejected, without[urgent.priority].rejected/4)
+	if long := with[long.priority]; long.refused > 0 {
+		t.Logf("refused long prompts were held for %s on average", long.held/clock.Millis(long.refused))
+	}
 	require.GreaterOrEqual(t, float64(with[long.priority].served), 0.93*float64(without[long.priority].served))
 }
 
--- a/internal/decision/forwarder/admission.go
+++ b/internal/decision/forwarder/admission.go
@@ -56,8 +56,8 @@
 		return admits(f.now, wanted, server)
 	})
 	full = full && !ok
-	if full && !wanted.Constrained {
-		f.admitter.SetCapacity(fl.service, capacity)
+	if full {
+		f.admitter.SetCapacity(wanted, capacity)
 	}
 	return choice, ok, full
 }
@@ -81,13 +81,16 @@
 // return when it is, spread over half as much time again.
 func (f *Forwarder) refuseForCapacity(fl *flight, wait clock.Millis) {
 	f.log(eventlog.New(eventlog.CapacityRefused, fl.id()).With("priority", fl.priority()).With("waiting", f.admitter.Waiting()).With("expected", wait).With("left", fl.remaining(f.now)))
-	wait = min(wait, maxCapacityRetryAfter)
+	wait = min(max(wait, minCapacityRetryAfter), maxCapacityRetryAfter)
 	f.refuse(fl, ReasonNoCapacity, wait+clock.Millis(f.jitter(int64(wait/2+defaultRetryAfter/2))))
 }
 
-// maxCapacityRetryAfter limits the retry delay of requests refused for lack of capacity: bursts
-// last for some seconds.
-const maxCapacityRetryAfter = 5 * clock.Second
+// The retry delay of requests refused for lack of capacity is limited: servers free some slots
+// within the shorter time, and bursts last for some seconds.
+const (
+	minCapacityRetryAfter = 100 * clock.Millisecond
+	maxCapacityRetryAfter = 5 * clock.Second
+)
 
 // refuseLate refuses a request that has waited for capacity until it can't be served any more.
 func (f *Forwarder) refuseLate(fl *flight) {
@@ -97,13 +100,16 @@
 // sendWaiting sends requests that wait for capacity, as far as there is some.
 func (f *Forwarder) sendWaiting() {
 	f.admitter.SetInstances(f.arrangement.Size(), f.arrangement.Rank(f.settings.Name))
+	for _, request := range f.admitter.Hopeless(f.now) {
+		f.refuseLate(f.flights[request.ID])
+	}
 	f.admitter.Round(f.now, func(request admitter.Request, turn bool) bool {
 		fl := f.flights[request.ID]
 		f.scheduler.ExcludeSources(f.excludedSources())
 		choice, ok, full := f.chooseAdmitted(fl, f.schedulerRequest(fl), f.candidatesOrLeaving(fl), turn)
 		switch {
 		case ok:
-			f.dispatch(fl, choice)
+			f.dispatchInTime(fl, choice)
 		case !full:
 			f.admitter.Remove(request.ID)
 			f.waitForServer(fl)
@@ -129,3 +135,13 @@
 		f.admitter.Ended(f.now, fl.service, fl.priority(), fl.server, f.now.Since(used.beganAt))
 	}
 }
+
+// recordFull tells the admitter that a server has declined the request, for lack of capacity
+// unless it pauses.
+func (f *Forwarder) recordFull(fl *flight, id string) {
+	server, ok := f.servers.Server(id)
+	if !ok || !fl.needsAdmission() || server.Slots == 0 || f.holdsBack(server) {
+		return
+	}
+	f.admitter.Rejected(f.now, fl.service, admitter.Server{ID: id, Slots: server.Slots, Requests: f.scheduler.ServerLoad(f.now, id).Requests})
+}
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -61,6 +61,12 @@
 		f.waitForServer(fl)
 		return
 	}
+	f.dispatchInTime(fl, choice)
+}
+
+// dispatchInTime sends the request to the selected server, unless it would wait there until its
+// deadline.
+func (f *Forwarder) dispatchInTime(fl *flight, choice scheduler.Choice) {
 	if fl.queueTooLong(choice, f.now) {
 		f.refuse(fl, ReasonDeadlineTooClose, clock.Millis(choice.QueueMs)/2+f.jitteredRetryAfter())
 		return
@@ -293,9 +299,7 @@
 	case OutcomeDeclined:
 		f.servers.RecordResult(f.now, server, false)
 		f.recordRejection(server)
-		if fl.needsAdmission() {
-			f.admitter.Rejected(f.now, fl.service, server)
-		}
+		f.recordFull(fl, server)
 	case OutcomeMisdirected:
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
