--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -32,6 +32,10 @@
 // it. In a large cluster it asks the keepers of some engines first.
 func (f *Forwarder) assignServer(fl *flight) {
 	f.assignVersion(fl)
+	if fl.needsAdmission() && f.admitter.MustQueue(f.admissionRequest(fl)) {
+		f.awaitCapacity(fl)
+		return
+	}
 	request, candidates := f.schedulerRequest(fl), f.candidatesOrLeaving(fl)
 	f.scheduler.ExcludeSources(f.excludedSources())
 	if !f.queryKeepers(fl, request, candidates) {
@@ -53,11 +57,21 @@
 		return
 	}
 	f.scheduler.ExcludeSources(f.excludedSources())
-	choice, ok := f.scheduler.Choose(f.now, request, candidates)
+	choice, ok, full := f.chooseAdmitted(fl, request, candidates, false)
+	if full {
+		f.awaitCapacity(fl)
+		return
+	}
 	if !ok {
 		f.waitForServer(fl)
 		return
 	}
+	f.dispatchInTime(fl, choice)
+}
+
+// dispatchInTime sends the request to the selected server, unless it would wait there until its
+// deadline.
+func (f *Forwarder) dispatchInTime(fl *flight, choice scheduler.Choice) {
 	if fl.queueTooLong(choice, f.now) {
 		f.refuse(fl, ReasonDeadlineTooClose, clock.Millis(choice.QueueMs)/2+f.jitteredRetryAfter())
 		return
@@ -100,6 +114,7 @@
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.takeLimit(server)
+	f.recordSent(fl, choice.Server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
 	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
@@ -176,6 +191,9 @@
 }
 
 func (f *Forwarder) handleAttemptEnded(event AttemptEnded) {
+	if fl, ok := f.currentAttempt(event.Request, event.Attempt); ok {
+		f.recordEnded(fl, event)
+	}
 	f.recordWayOf(event)
 	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
 		f.handleAlternativeEnded(fl, event)
@@ -290,6 +308,7 @@
 	case OutcomeDeclined:
 		f.servers.RecordResult(f.now, server, false)
 		f.recordRejection(server)
+		f.recordFull(fl, server)
 	case OutcomeMisdirected:
 		f.servers.RecordResult(f.now, server, false)
 	case OutcomeInterrupted:
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -9,8 +9,9 @@
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
 // backlogkeeper (how long engines still take for the prompts that they were sent),
-// limitsharer (limits that servers name), originkeeper (where streams began), versionassigner (where they begin, for a restart of
-// all instances), streamtracker (which streams may be resumed) and pathfinder
+// limitsharer (limits that servers name), admitter (which requests are sent, wait or are refused),
+// originkeeper (where streams began), versionassigner (where they begin, for a restart of all
+// instances), streamtracker (which streams may be resumed) and pathfinder
 // (through which instance a server is reached).
 //
 // The age of the desired state is the time since the store last confirmed it. With
@@ -29,6 +30,7 @@
 package forwarder
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/admitter"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
@@ -246,6 +248,8 @@
 	readingAssignments map[string]uint64
 	// memberRemovedAt is the time at which an instance was last removed from the list.
 	memberRemovedAt clock.Millis
+	// admitter decides which requests with prompts are sent, wait or are refused.
+	admitter *admitter.Admitter
 
 	flights map[string]*flight
 }
@@ -288,7 +292,8 @@
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
 		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
-		flights: map[string]*flight{},
+		admitter: admitter.New(),
+		flights:  map[string]*flight{},
 	}
 }
 
@@ -317,6 +322,9 @@
 	for _, fl := range f.flights {
 		wake = min(wake, fl.checkAt)
 	}
+	if round, waiting := f.admitter.NextRound(); waiting {
+		wake = min(wake, round)
+	}
 	return max(wake, f.now.Add(clock.Millisecond))
 }
 
@@ -402,6 +410,7 @@
 	f.endSuspicions()
 	f.refuseFailedTunnels()
 	f.checkFlights()
+	f.sendWaiting()
 	if f.now >= f.nextServerScan {
 		f.nextServerScan = f.now.Add(serverScanInterval)
 		f.checkDownServers()
