Spread the limit of a server over more holders

TestLimitedServersAreUsed failed at 295 instances: six holders of a limit of 3 requests a second have 0.5 a second each, and an instance of that test receives 0.58. A holder saves up at most one request and lets a request wait for at most a second, so much of its part was left unused.

There is now a holder for each 0.5 requests a second, and three more, instead of one for each request. The most requests in four seconds stay within one and a half times the limit and five; TestHoldersKeepLimit has two more limits.

TestLatestLimitHolds names the number of holders to tell which limit holds; its numbers follow the new rule and are checked as exactly as before.

--- a/internal/decision/limitsharer/limitsharer.go
+++ b/internal/decision/limitsharer/limitsharer.go
@@ -5,10 +5,10 @@
 // of which receives more than that. An even share for each of them would be nothing, or in
 // sum too much as soon as some save theirs up.
 //
-// So only a few instances send to a limited server: its holders, some more than it takes
-// requests in a second. They follow from rendezvous hashes of the listed instances, so that
-// all instances compute alike who they are. Each holder has a token bucket with an equal part
-// of the limit, which is empty at first and saves up hardly more than one request.
+// So only a few instances send to a limited server: its holders, about twice as many as it
+// takes requests in a second. They follow from rendezvous hashes of the listed instances, so
+// that all instances compute alike who they are. Each holder has a token bucket with an equal
+// part of the limit, which is empty at first and saves up hardly more than one request.
 //
 // What a server named last holds for all instances. Each change by a response gets a higher
 // version, which wins where instances exchange what they know; of equal versions, the lower
@@ -35,8 +35,9 @@
 const (
 	// holderLimit is the part of a limit for which there is one holder, beside extraHolders.
 	// In any four seconds, holders that have saved up a request each then send less than one
-	// and a half times the limit and five requests.
-	holderLimit  = 1000
+	// and a half times the limit and five requests. With a holder for each 1000, a holder's part
+	// was above half of the requests that one of 295 instances receives, and was left unused.
+	holderLimit  = 500
 	extraHolders = 3
 	// burstTime is the time for which a holder saves up its part, if that is more than one
 	// request.
--- a/internal/decision/limitsharer/limitsharer_test.go
+++ b/internal/decision/limitsharer/limitsharer_test.go
@@ -15,7 +15,7 @@
 // TestHoldersKeepLimit lets all holders of a limit send whatever they may, after they have
 // saved up, and verifies the most requests in four seconds and the mean.
 func TestHoldersKeepLimit(t *testing.T) {
-	for name, perSecond := range map[string]float64{"none at all": 0, "less than one": 0.3, "about one": 1.1, "some": 7.5, "many": 120} {
+	for name, perSecond := range map[string]float64{"none at all": 0, "less than one": 0.3, "about one": 1.1, "two": 2, "three": 3, "some": 7.5, "many": 120} {
 		t.Run(name, func(t *testing.T) {
 			holder := limitsharer.New()
 			holder.SetLimit(0, start, limitsharer.PerSecond(perSecond))
@@ -51,10 +51,10 @@
 		limited       bool
 		holders       int
 	}{
-		"the lower one of equal versions": {first: set(2), second: set(1), limited: true, holders: 4},
-		"a limit and none":                {first: set(2), second: func(*limitsharer.Sharer) {}, limited: true, holders: 5},
+		"the lower one of equal versions": {first: set(2), second: set(1), limited: true, holders: 5},
+		"a limit and none":                {first: set(2), second: func(*limitsharer.Sharer) {}, limited: true, holders: 7},
 		"lifted":                          {first: func(s *limitsharer.Sharer) { set(2)(s); s.Lift(2, start) }, second: set(3)},
-		"named again":                     {first: func(s *limitsharer.Sharer) { set(2)(s); s.Lift(2, start); set(4)(s) }, second: set(3), limited: true, holders: 7},
+		"named again":                     {first: func(s *limitsharer.Sharer) { set(2)(s); s.Lift(2, start); set(4)(s) }, second: set(3), limited: true, holders: 11},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
