Learn the slots of brittle servers from others of their service

TestBrittleServersStayUp failed where engines list 64 slots and have 8: a room starts at the listed slots, so several instances are rejected before the first rejection is known to all, and a server that has crashed grows to the listed slots again within seconds. At 67 instances, each engine that stops sends its load to others that still count as having 64 slots.

Each instance now keeps the ceilings that the servers of a service with the same listed slots have shown by rejections, which it knows already. Once a quarter of them, at least two, have shown one, the others and new starts get the upper quartile as their ceiling, from which they grow slowly as after a rejection of their own. No message changes.

--- a/internal/decision/forwarder/brittle.go
+++ b/internal/decision/forwarder/brittle.go
@@ -21,6 +21,40 @@
 	saidAt     clock.Millis
 }
 
+// roomGroup is a group of servers that probably take the same number of requests.
+type roomGroup struct {
+	service string
+	slots   int
+}
+
+// groupCeiling has what the rejections of a group show, and the ceiling to assume for the others;
+// 0 if there is none.
+type groupCeiling struct {
+	shown   *limitsharer.Ceilings
+	assumed int
+}
+
+// recordCeiling records the ceiling of a server that has rejected a request.
+func (f *Forwarder) recordCeiling(server registry.Server, ceiling int) {
+	group := roomGroup{service: server.Service, slots: server.Slots}
+	found, ok := f.groupCeilings[group]
+	if !ok {
+		if len(f.groupCeilings) >= maxServerNames {
+			clear(f.groupCeilings)
+		}
+		found.shown = limitsharer.NewCeilings()
+	}
+	found.shown.Record(server.ID, ceiling)
+	members := 0
+	for _, other := range f.servers.All() {
+		if other.Service == group.service && other.Slots == group.slots {
+			members++
+		}
+	}
+	found.assumed, _ = found.shown.Typical(members)
+	f.groupCeilings[group] = found
+}
+
 // handleBrittleness handles what a server says of the rejections that it bears.
 func (f *Forwarder) handleBrittleness(notice ServerNotice) {
 	if notice.InvalidBrittle != "" {
@@ -58,6 +92,9 @@
 	for _, changed := range f.rooms.Merge(f.now, notices) {
 		if server, listed := f.servers.Server(changed.Server); listed && changed.Rejections != limitsharer.Lifted {
 			f.brittleServices[server.Service] = brittleService{rejections: changed.Rejections, saidAt: f.now}
+			if changed.Ceiling < changed.Slots {
+				f.recordCeiling(server, changed.Ceiling)
+			}
 		}
 		f.logBrittle(changed.Start, "peer")
 		f.expediteRelay()
@@ -70,6 +107,7 @@
 	if !ok || !f.rooms.Reject(f.now, startOf(server), f.scheduler.ServerLoad(f.now, id).Requests) {
 		return
 	}
+	f.recordCeiling(server, f.rooms.Ceiling(startOf(server)))
 	f.logBrittle(startOf(server), "rejection")
 	f.expediteRelay()
 }
@@ -86,6 +124,9 @@
 		seenAt, seen := f.startsSeen[server.ID]
 		f.rooms.SetBrittle(f.now, start, said.rejections, server.Slots, seen && f.now.Since(seenAt) < freshTime)
 	}
+	if assumed := f.groupCeilings[roomGroup{service: server.Service, slots: server.Slots}].assumed; assumed > 0 {
+		f.rooms.Assume(f.now, start, assumed)
+	}
 	instances := max(1, f.arrangement.Size())
 	offset := int(balancer.Rendezvous(uint64(server.StartedAt), server.ID) % uint64(instances))
 	rank := (f.arrangement.Rank(f.settings.Name) + offset) % instances
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -206,10 +206,11 @@
 	limits  *limitsharer.Sharer
 	holders map[limitsharer.Start]limitHolders
 
-	// rooms has the servers that crash for rejections, and brittleServices what the servers of a
-	// service said of that last.
+	// rooms has the servers that crash for rejections, brittleServices what the servers of a
+	// service said of that last, and groupCeilings what they take.
 	rooms           *limitsharer.Rooms
 	brittleServices map[string]brittleService
+	groupCeilings   map[roomGroup]groupCeiling
 	// startsSeen are the times at which servers were first seen, or seen to have started anew,
 	// while others were known.
 	startsSeen map[string]clock.Millis
@@ -260,7 +261,7 @@
 		eras:           eratracker.New(),
 		parts:          partquarantine.New(maxAccusedParts),
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
-		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, startsSeen: map[string]clock.Millis{},
+		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, groupCeilings: map[roomGroup]groupCeiling{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		flights: map[string]*flight{},
 	}
--- a/internal/decision/limitsharer/rooms.go
+++ b/internal/decision/limitsharer/rooms.go
@@ -58,13 +58,15 @@
 type roomEntry struct {
 	notice    RoomNotice
 	changedAt clock.Millis
+	// growsFrom is the time from which the room grows, if nothing is stopped.
+	growsFrom clock.Millis
 	// stoppedUntil is the time until which nothing is sent.
 	stoppedUntil clock.Millis
 }
 
 // room returns the room as it has grown until now.
 func (e roomEntry) room(now clock.Millis) int {
-	elapsed := max(0, now.Since(max(e.changedAt, e.stoppedUntil)))
+	elapsed := max(0, now.Since(max(e.growsFrom, e.stoppedUntil)))
 	step := max(1, e.notice.Ceiling/growPart)
 	grown := e.notice.Room + int(elapsed/growInterval)*step
 	if grown <= e.notice.Ceiling {
@@ -138,6 +140,19 @@
 	return true
 }
 
+// Assume lowers the ceiling of a server that lists more slots and has not rejected a request since
+// its start. It is no change for the other instances: each of them assumes the same from what it
+// knows of other servers.
+func (r *Rooms) Assume(now clock.Millis, start Start, ceiling int) {
+	found, known := r.entries[start]
+	if !known || found.notice.Rejections == Lifted || found.notice.Ceiling < found.notice.Slots || ceiling >= found.notice.Slots {
+		return
+	}
+	found.notice.Room, found.notice.Ceiling = min(found.room(now), ceiling), ceiling
+	found.growsFrom = now
+	r.entries[start] = found
+}
+
 // Merge takes over what another instance knows, and returns what is new.
 func (r *Rooms) Merge(now clock.Millis, notices []RoomNotice) []RoomNotice {
 	var changed []RoomNotice
@@ -161,7 +176,7 @@
 		oldest := slices.MinFunc(slices.Collect(maps.Values(r.entries)), compareRoomAge)
 		delete(r.entries, oldest.notice.Start)
 	}
-	r.entries[notice.Start] = roomEntry{notice: notice, changedAt: now, stoppedUntil: stoppedUntil}
+	r.entries[notice.Start] = roomEntry{notice: notice, changedAt: now, growsFrom: now, stoppedUntil: stoppedUntil}
 }
 
 func compareRoomAge(a, b roomEntry) int {
@@ -183,6 +198,9 @@
 // Room returns the number of requests that all instances together may have at a brittle server.
 func (r *Rooms) Room(now clock.Millis, start Start) int { return r.entries[start].room(now) }
 
+// Ceiling returns the last number of requests that a brittle server is known to take.
+func (r *Rooms) Ceiling(start Start) int { return r.entries[start].notice.Ceiling }
+
 // Stopped reports whether nothing may be sent to the server.
 func (r *Rooms) Stopped(now clock.Millis, start Start) bool {
 	return now < r.entries[start].stoppedUntil
