Use no connection to a server or to the platform twice, and send no body to HEAD

What callers would see: in cmd/hyssopdoor, a server that sent a second copy of a response late gave it to the next caller whose request used the same connection. With a call to a plain service the body of another request arrived as 200 or 404. In both programs' HTTP server for callers of hyssopdoor-edge, the response to a HEAD request on a streaming route could end with bytes that the caller takes for its next response.

Cause: the dispatcher and the platform client kept connections open. The HTTP library drops bytes that arrive while a connection is idle, but takes those that arrive after the next request was written. It also resends a conditional PUT after the loss of a reused connection, although the first one may have taken effect. ResponseWriter wrote chunks without regard to the method.

Change: both clients open a connection for each request, as hyssopdoor-edge does. ResponseWriter writes no body to HEAD.

--- a/cmd/hyssopdoor/cluster_test.go
+++ b/cmd/hyssopdoor/cluster_test.go
@@ -209,7 +209,6 @@
 	peerAddress := started.waitForLine("instanceListening.* peers=(\\S+)")
 	c.instances[name] = started
 	api := platformclient.New(c.platformURL, 2*clock.Second)
-	defer api.Close()
 	require.NoError(c.t, api.Register(context.Background(), objectstore.Instance{Name: name, Role: objectstore.RoleEntry, Domain: domain, Address: peerAddress, State: objectstore.StateLive}))
 	return started
 }
--- a/internal/runtime/httpserver/response.go
+++ b/internal/runtime/httpserver/response.go
@@ -42,9 +42,7 @@
 // WriteResponse writes a complete response with its length.
 func (w *ResponseWriter) WriteResponse(status int, header http.Header, body []byte) {
 	w.writeHead(status, header, "Content-Length: "+strconv.Itoa(len(body))+"\r\n")
-	if w.method != http.MethodHead {
-		w.write(body)
-	}
+	w.writeBody(body)
 	w.flush()
 	w.finished = true
 }
@@ -57,16 +55,16 @@
 // WriteChunk writes a chunk and flushes it. It reports false when writing to the caller
 // failed.
 func (w *ResponseWriter) WriteChunk(chunk []byte) bool {
-	w.write([]byte(strconv.FormatInt(int64(len(chunk)), 16) + "\r\n"))
-	w.write(chunk)
-	w.write([]byte("\r\n"))
+	w.writeBody([]byte(strconv.FormatInt(int64(len(chunk)), 16) + "\r\n"))
+	w.writeBody(chunk)
+	w.writeBody([]byte("\r\n"))
 	w.flush()
 	return w.err == nil
 }
 
 // Finish writes the end of a chunked response.
 func (w *ResponseWriter) Finish() {
-	w.write([]byte("0\r\n\r\n"))
+	w.writeBody([]byte("0\r\n\r\n"))
 	w.flush()
 	w.finished = true
 }
@@ -86,6 +84,14 @@
 	w.write([]byte(framing + "\r\n"))
 }
 
+// writeBody writes a part of the body. The response to a HEAD request has none: its caller would
+// take the bytes for the next response.
+func (w *ResponseWriter) writeBody(data []byte) {
+	if w.method != http.MethodHead {
+		w.write(data)
+	}
+}
+
 func (w *ResponseWriter) write(data []byte) {
 	if w.err != nil {
 		return
--- a/internal/standalone/runtime/dispatcher/dispatcher.go
+++ b/internal/standalone/runtime/dispatcher/dispatcher.go
@@ -34,10 +34,7 @@
 type Dispatcher struct {
 	timeouts         settings.Timeouts
 	maxResponseBytes int64
-	// keepAliveClient reuses connections. singleUseClient opens one for each request, so
-	// that the HTTP library never resends a request by itself.
-	keepAliveClient *http.Client
-	singleUseClient *http.Client
+	client           *http.Client
 }
 
 // New returns a Dispatcher with the timeouts and the maximum size of a response body.
@@ -45,19 +42,19 @@
 	return &Dispatcher{
 		timeouts:         timeouts,
 		maxResponseBytes: maxResponseBytes,
-		keepAliveClient:  newClient(timeouts, false),
-		singleUseClient:  newClient(timeouts, true),
+		client:           newClient(timeouts),
 	}
 }
 
-func newClient(timeouts settings.Timeouts, singleUse bool) *http.Client {
+// newClient returns a client that opens a connection for each request. On a reused connection,
+// bytes that arrive late would be taken for the next response, and the HTTP library may resend a
+// request by itself.
+func newClient(timeouts settings.Timeouts) *http.Client {
 	dialer := &net.Dialer{Timeout: timeouts.Connect.Duration()}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableKeepAlives:   singleUse,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 32,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 	return &http.Client{
 		Transport:     transport,
@@ -65,11 +62,6 @@
 	}
 }
 
-// Close closes the idle connections.
-func (d *Dispatcher) Close() {
-	d.keepAliveClient.CloseIdleConnections()
-}
-
 // Result is the outcome of an attempt.
 type Result struct {
 	// Failure is 0 if the response is complete or the attempt was cancelled.
--- a/internal/standalone/runtime/dispatcher/exchange.go
+++ b/internal/standalone/runtime/dispatcher/exchange.go
@@ -32,7 +32,7 @@
 		return Result{Progress: retrier.NotSent, Failure: retrier.DialRefused}
 	}
 	request.Header = serviceHeader(dispatch, call.Header)
-	response, err := d.clientFor(dispatch).Do(request)
+	response, err := d.client.Do(request)
 	if err != nil {
 		return a.failure(ctx, retrier.Sent, err)
 	}
@@ -47,16 +47,6 @@
 	return Result{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}
 }
 
-// clientFor returns the client for the attempt. The HTTP library may resend a request
-// that failed on a reused connection, so a call that may not be repeated uses the client
-// without connection reuse.
-func (d *Dispatcher) clientFor(dispatch action.Dispatch) *http.Client {
-	if dispatch.OperationID != "" {
-		return d.singleUseClient
-	}
-	return d.keepAliveClient
-}
-
 func serviceHeader(dispatch action.Dispatch, callerHeader http.Header) http.Header {
 	header := http.Header{}
 	for _, name := range forwardedHeaders {
--- a/internal/standalone/runtime/dispatcher/stream.go
+++ b/internal/standalone/runtime/dispatcher/stream.go
@@ -36,7 +36,7 @@
 		return Result{Progress: retrier.NotSent, Failure: retrier.DialRefused}
 	}
 	request.Header = engineHeader(dispatch)
-	response, err := d.keepAliveClient.Do(request)
+	response, err := d.client.Do(request)
 	if err != nil {
 		result := a.failure(ctx, retrier.Sent, err)
 		if result.Cancelled {
@@ -82,7 +82,7 @@
 	if err != nil {
 		return
 	}
-	if response, err := d.keepAliveClient.Do(request); err == nil {
+	if response, err := d.client.Do(request); err == nil {
 		_ = response.Body.Close()
 	}
 }
--- a/internal/standalone/runtime/dispatcher/stream_test.go
+++ b/internal/standalone/runtime/dispatcher/stream_test.go
@@ -77,7 +77,6 @@
 			timeouts := settings.Defaults().Timeouts
 			timeouts.Idle = idleTimeout
 			d := dispatcher.New(timeouts, 1<<20)
-			defer d.Close()
 			caller := &slowCaller{delay: test.callerDelay}
 			dispatch := action.Dispatch{Attempt: "a", Address: strings.TrimPrefix(server.URL, "http://"), ResumeAfter: -1, FirstTokenTimeout: 5 * clock.Second}
 			result := d.Stream(context.Background(), dispatch, completer.KindChat, []byte("{}"), caller)
--- a/internal/standalone/runtime/instance/instance.go
+++ b/internal/standalone/runtime/instance/instance.go
@@ -241,8 +241,6 @@
 			}
 		}
 		i.closeListeners()
-		i.platform.Close()
 		i.sender.Close()
-		i.dispatcher.Close()
 	})
 }
--- a/internal/standalone/runtime/platformclient/platformclient.go
+++ b/internal/standalone/runtime/platformclient/platformclient.go
@@ -39,17 +39,14 @@
 }
 
 // New returns a Client for the platform at the URL. The timeout bounds each call; a watch
-// may take watchTimeout longer.
+// may take watchTimeout longer. Each call has a connection of its own: on a reused one, a
+// response that arrives late would be taken for the next call's, and the HTTP library would
+// resend a conditional write that may have taken effect.
 func New(address string, timeout clock.Millis) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{DisableKeepAlives: true}
 	return &Client{address: address, timeout: timeout.Duration(), http: &http.Client{Transport: transport}}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() {
-	c.http.CloseIdleConnections()
-}
-
 // Call makes the call. A failure is returned as the outcome of the response.
 func (c *Client) Call(ctx context.Context, op objectstore.Op) objectstore.Response {
 	switch op := op.(type) {
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -127,8 +127,5 @@
 
 // Close stops the simulator at once, without marking it as leaving.
 func (s *Simulator) Close() error {
-	if s.platform != nil {
-		s.platform.Close()
-	}
 	return s.server.Close()
 }
