Answer the requests that have arrived when hyssopdoor-edge stops

What callers would see: during a planned stop, connections were closed or reset without an answer. These were requests on a connection that had just been opened, or that was idle when the request arrived, pipelined requests behind a response whose head had been written before the stop, and requests that were still running at the end of the time to stop.

Cause: CloseIdle closed each connection on which no byte had been read yet, although the kernel had its request. The end of the listener reset the connections that waited to be accepted. A connection was closed after a response that did not announce it. At the end of the time to stop, all connections were closed. A connection that is closed with unread input is reset, which discards a response that the caller has not read yet.

Change: drainlistener accepts the connections that wait before it closes the listener. CloseIdle ends only connections that have waited for 300 ms, and input that the kernel has is read first. A connection stays open after a response that did not announce its end. Unread input is discarded after the last response. At the end of the time to stop, a new event (DrainExpired) refuses what is left: 503 if it has not run, else 502, with the new code "stopping".

--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -238,4 +238,5 @@
 	ReasonTimeout          Reason = "timeout"
 	ReasonUnknownOrigin    Reason = "unknownOrigin"
 	ReasonOtherService     Reason = "otherService"
+	ReasonStopping         Reason = "stopping"
 )
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -36,6 +36,10 @@
 		f.refuseOnArrival(request, statusUnavailable, ReasonTooManyInFlight, defaultRetryAfter)
 		return
 	}
+	if f.drainExpired {
+		f.refuseOnArrival(request, statusUnavailable, ReasonStopping, f.stoppingRetryAfter())
+		return
+	}
 	if f.desired.Version == 0 || !f.haveServers {
 		f.refuseOnArrival(request, statusUnavailable, ReasonNotReady, defaultRetryAfter)
 		return
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -344,6 +344,9 @@
 // DrainRequested asks the instance to drain before it stops.
 type DrainRequested struct{}
 
+// DrainExpired reports that the instance stops now, so that no request can be completed.
+type DrainExpired struct{}
+
 func (RequestArrived) isEvent()        {}
 func (CallerDisconnected) isEvent()    {}
 func (StreamStarted) isEvent()         {}
@@ -377,3 +380,4 @@
 func (SettingsReloaded) isEvent()      {}
 func (Tick) isEvent()                  {}
 func (DrainRequested) isEvent()        {}
+func (DrainExpired) isEvent()          {}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -196,6 +196,7 @@
 	interruptions  map[string][]interruption
 	crashedServers map[string][]string
 	draining       bool
+	drainExpired   bool
 	// parts has the parts of prompts that crash engines, and pendingCrashes the crashes for
 	// which no part is accused yet.
 	parts          *partquarantine.Quarantine
@@ -350,6 +351,8 @@
 	case DrainRequested:
 		f.draining = true
 		f.log(eventlog.New(eventlog.InstanceDraining, "").With("inFlight", len(f.flights)))
+	case DrainExpired:
+		f.handleDrainExpired()
 	default:
 		f.handleRollout(event)
 	}
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/drainlistener"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpserver"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/meter"
@@ -130,7 +131,7 @@
 
 	ctx            context.Context
 	cancel         context.CancelFunc
-	callerListener net.Listener
+	callerListener *drainlistener.Listener
 	// adminServers serve the readiness check and the metrics.
 	adminServers []*http.Server
 	goroutines   sync.WaitGroup
@@ -168,10 +169,11 @@
 }
 
 func (e *Edge) listen() error {
-	var err error
-	if e.callerListener, err = net.Listen("tcp", e.settings.CallerAddress); err != nil {
+	callers, err := net.Listen("tcp", e.settings.CallerAddress)
+	if err != nil {
 		return errors.Wrap(err, "edge.Start: callers")
 	}
+	e.callerListener = drainlistener.New(callers.(*net.TCPListener))
 	e.start(func() {
 		if err := e.httpServer.Serve(e.callerListener); err != nil {
 			e.log(eventlog.New(eventlog.InstanceStopped, "").With("error", err))
@@ -249,35 +251,47 @@
 	// stopMargin is the reserve between the last response and the time at which the
 	// process is killed.
 	stopMargin = 300 * time.Millisecond
+	// refusalTime is the time within stopMargin in which the requests that can't be completed
+	// are refused.
+	refusalTime = 150 * time.Millisecond
 	// drainPollInterval is the interval at which Drain checks for remaining requests.
 	drainPollInterval = 50 * time.Millisecond
 )
 
 // Drain stops the instance gracefully: it reports not ready, serves callers until the
 // load balancer sends no more and all requests are completed, at most until shortly
-// before the process is killed, and closes.
+// before the process is killed, refuses the requests that are left, and closes.
 func (e *Edge) Drain() {
 	start := time.Now()
 	e.machine.submit(forwarder.DrainRequested{})
 	e.httpServer.Drain()
-	limit := e.settings.Bounds.StopTimeout.Duration() - stopMargin
-	for time.Since(start) < limit {
-		time.Sleep(drainPollInterval)
-		if time.Since(start) < notReadyGrace {
-			continue
-		}
-		// A load balancer that has no other instance still sends requests here; those
-		// that arrive from now on might not be completed in time. Closing the listener
-		// repeatedly has no effect.
-		_ = e.callerListener.Close()
-		if e.httpServer.CloseIdle() == 0 && e.machine.inFlight() == 0 {
-			break
-		}
+	limit := start.Add(e.settings.Bounds.StopTimeout.Duration() - stopMargin)
+	time.Sleep(min(notReadyGrace, time.Until(limit)))
+	// A load balancer that has no other instance still sends requests here; those that arrive
+	// from now on might not be completed in time.
+	e.callerListener.Drain()
+	if !e.awaitIdle(limit) {
+		e.machine.submit(forwarder.DrainExpired{})
+		e.awaitIdle(limit.Add(refusalTime))
 	}
 	e.log(eventlog.New(eventlog.InstanceStopped, "").With("inFlight", e.machine.inFlight()).With("after", time.Since(start).Milliseconds()))
 	e.Close()
 }
 
+// awaitIdle waits until all requests are completed and all connections closed, at most until the
+// limit. It reports whether they are.
+func (e *Edge) awaitIdle(limit time.Time) bool {
+	for {
+		if e.httpServer.CloseIdle() == 0 && e.machine.inFlight() == 0 {
+			return true
+		}
+		if time.Until(limit) <= 0 {
+			return false
+		}
+		time.Sleep(min(drainPollInterval, time.Until(limit)))
+	}
+}
+
 // Close stops the instance immediately and aborts requests in flight.
 func (e *Edge) Close() {
 	e.cancel()
--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/inputpoller"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -16,53 +17,72 @@
 	netConn net.Conn
 	reader  *bufio.Reader
 
-	mu     sync.Mutex
-	busy   bool
-	closed bool
+	mu   sync.Mutex
+	busy bool
+	// ending reports whether the connection is closed unless a request has arrived.
+	ending bool
 	// idleSince is the time since which the connection waits for a request.
 	idleSince time.Time
 }
 
-// beginIdle marks that the connection waits for a request, for at most the idle timeout.
-// It reports false when the connection has been closed.
+// beginIdle marks that the connection waits for a request, for at most the idle timeout. It
+// reports false when the connection has ended.
 func (c *conn) beginIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
 	c.idleSince = time.Now()
-	return c.setReadTimeout(c.server.limits.Load().IdleTimeout) && !c.closed
+	return c.setReadTimeout(c.server.limits.Load().IdleTimeout)
 }
 
 // extendIdle applies a longer idle timeout if the connection waits for a request.
 func (c *conn) extendIdle(timeout clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && !c.closed {
+	if !c.busy && !c.ending {
 		// An error means that the connection has ended.
 		_ = c.netConn.SetReadDeadline(c.idleSince.Add(timeout.Duration()))
 	}
 }
 
-// setBusy marks that a request is being read or handled. It reports false when the
-// connection has been closed.
-func (c *conn) setBusy() bool {
+// setBusy marks that a request is being read or handled.
+func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = true
-	return !c.closed
+	c.busy, c.ending = true, false
 }
 
-// closeIdle closes the connection unless it is busy, and reports whether it did.
-func (c *conn) closeIdle() bool {
+// endIdle ends the wait for a request if it has lasted for some time. The goroutine that waits
+// reads a request that has arrived, or closes the connection.
+func (c *conn) endIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy {
+	if !c.busy && !c.ending && time.Since(c.idleSince) >= minIdle {
+		c.ending = true
+		// An error means that the connection has ended.
+		_ = c.netConn.SetReadDeadline(time.Now())
+	}
+}
+
+// awaitRequest waits for the first byte of a request. It reports false when the wait has ended
+// without one.
+func (c *conn) awaitRequest() bool {
+	_, err := c.reader.Peek(1)
+	return err == nil || c.hasArrived(err)
+}
+
+// hasArrived reports whether a request has arrived although the wait for it has ended with the
+// error: a read whose deadline has passed does not look for input.
+func (c *conn) hasArrived(err error) bool {
+	if !isTimeout(err) || !inputpoller.HasInput(c.netConn) {
 		return false
 	}
-	c.closed = true
-	// Closing ends the goroutine that reads. Its error needs no handling.
-	_ = c.netConn.Close()
-	return true
+	c.setBusy()
+	if c.netConn.SetReadDeadline(time.Now().Add(lastReadTimeout)) != nil {
+		return false
+	}
+	_, err = c.reader.Peek(1)
+	return err == nil
 }
 
 func (c *conn) serve() {
@@ -77,11 +97,12 @@
 	if !c.beginIdle() {
 		return false
 	}
-	if _, err := c.reader.Peek(1); err != nil {
+	if !c.awaitRequest() {
 		return false
 	}
+	c.setBusy()
 	limits := *c.server.limits.Load()
-	if !c.setBusy() || !c.setReadTimeout(limits.HeaderTimeout) {
+	if !c.setReadTimeout(limits.HeaderTimeout) {
 		return false
 	}
 	inbound, rejected := readHead(c.reader, limits.HeaderBytes)
@@ -128,13 +149,13 @@
 		return false
 	}
 	disconnected := make(chan struct{})
-	hasNext := make(chan bool, 1) // hasNext reports whether another request follows.
+	next := make(chan error, 1) // next has no error if another request follows.
 	go func() {
 		_, err := c.reader.Peek(1)
 		if err != nil && !isTimeout(err) {
 			close(disconnected)
 		}
-		hasNext <- err == nil
+		next <- err
 	}()
 	inbound.Disconnected = disconnected
 	response := &ResponseWriter{conn: c.netConn, writer: bufio.NewWriterSize(c.netConn, writeBufferBytes), method: inbound.Method, closeAfter: inbound.closeAfter || c.server.draining.Load(), draining: &c.server.draining}
@@ -142,16 +163,18 @@
 	if !response.Completed() {
 		return false
 	}
-	// If draining began after the head was written, the response has no "Connection:
-	// close". A request that the caller sends in the meantime is not read.
-	if response.closeAfter || c.server.draining.Load() {
+	if response.closeAfter {
 		c.closeWrite()
+		discardInput(c.netConn)
 		return false
 	}
+	// If draining began after the head was written, the caller does not know that the connection
+	// ends, and may have sent another request.
 	if !c.beginIdle() {
 		return false
 	}
-	return <-hasNext
+	err := <-next
+	return err == nil || c.hasArrived(err)
 }
 
 // closeWrite closes the connection for writing after the last response. Errors are
--- a/internal/runtime/httpserver/httpserver.go
+++ b/internal/runtime/httpserver/httpserver.go
@@ -8,6 +8,7 @@
 //	server := httpserver.New(handler, bodyBytes)
 //	go server.Serve(listener)
 //	server.Drain()
+//	remaining := server.CloseIdle()
 //
 // Each connection has one goroutine, and a second one while a request is handled, which
 // detects whether the caller disconnects.
@@ -34,6 +35,12 @@
 	writeTimeout = 5 * time.Second
 	// bodyTimeout limits the time for reading the body if the caller stated no timeout.
 	bodyTimeout = 30 * clock.Second
+	// lastReadTimeout limits the read of input that has arrived already. It is longer than a
+	// process may be suspended by a CPU quota.
+	lastReadTimeout = 500 * time.Millisecond
+	// minIdle is the time for which a connection must have waited for a request before it is
+	// closed when the instance stops. Callers send the next request within several round trips.
+	minIdle = 300 * time.Millisecond
 )
 
 // Handler handles requests.
@@ -92,7 +99,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &conn{server: s, netConn: accepted, reader: bufio.NewReaderSize(accepted, readBufferBytes)}
+		c := &conn{server: s, netConn: accepted, reader: bufio.NewReaderSize(accepted, readBufferBytes), idleSince: time.Now()}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -103,18 +110,16 @@
 // Drain closes each connection after its next response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections on which no request is being read or handled. It
-// returns the number of connections left.
+// CloseIdle ends the connections that have waited for a request for some time, after reading
+// requests that have arrived. It returns the number of connections left; a connection that it
+// ends is among them until it is closed.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	remaining := 0
 	for c := range s.conns {
-		if !c.closeIdle() {
-			remaining++
-		}
+		c.endIdle()
 	}
-	return remaining
+	return len(s.conns)
 }
 
 func (s *Server) removeConn(c *conn) {
--- a/internal/runtime/httpserver/httpserver_test.go
+++ b/internal/runtime/httpserver/httpserver_test.go
@@ -19,7 +19,7 @@
 )
 
 // echoHandler records each request and responds with its method, target and body. The
-// targets /wait, /incomplete and /chunks get other responses.
+// targets /wait, /incomplete, /long, /slow and /chunks get other responses.
 type echoHandler struct {
 	mu           sync.Mutex
 	requests     []string
@@ -44,6 +44,13 @@
 	case strings.HasPrefix(inbound.Target, "/incomplete"):
 		response.WriteHead(http.StatusOK, http.Header{})
 		response.WriteChunk([]byte("part"))
+	case strings.HasPrefix(inbound.Target, "/long"):
+		response.WriteResponse(http.StatusOK, http.Header{}, make([]byte, 4<<20))
+	case strings.HasPrefix(inbound.Target, "/slow"):
+		response.WriteHead(http.StatusOK, http.Header{})
+		response.WriteChunk([]byte("part"))
+		time.Sleep(100 * time.Millisecond)
+		response.Finish()
 	case strings.HasPrefix(inbound.Target, "/chunks"):
 		response.WriteHead(http.StatusOK, http.Header{})
 		response.WriteChunk([]byte("one "))
