Answer the requests that have arrived when hyssopdoor stops

A request that arrived on a new or idle connection at the moment of http.Server.Shutdown was reset or its connection closed. Requests in flight at the drain timeout were cut off without an answer.

Cause: Shutdown closes idle connections and the listener without reading what has arrived, and closes a connection after a response that did not announce it. At the drain timeout, all connections were closed.

Change: conndrainer ends the wait on idle connections, whose last read takes what the kernel has; the listener accepts the connections that wait. 500 ms before the drain timeout, requests in flight are refused: 502 with code "draining" and notRun false. The request that tells an engine to end a cancelled stream no longer delays the answer (up to 2 s).

--- a/cmd/hyssopdoor/cluster_test.go
+++ b/cmd/hyssopdoor/cluster_test.go
@@ -148,6 +148,7 @@
 	servers         map[string]*process
 	serverAddresses map[string]string // serverAddresses are the backend servers' addresses by name.
 	key             operator.KeyView
+	extraSettings   string // extraSettings are further sections of the instances' settings.
 }
 
 // clusterConfig returns the configuration of the test cluster.
@@ -159,7 +160,13 @@
 // and a service, as separate processes.
 func startCluster(t *testing.T, domains ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, instances: map[string]*instanceProcess{}, servers: map[string]*process{}, serverAddresses: map[string]string{}}
+	return startClusterWith(t, "", domains...)
+}
+
+// startClusterWith does the same with further sections of the instances' settings.
+func startClusterWith(t *testing.T, extraSettings string, domains ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, extraSettings: extraSettings, instances: map[string]*instanceProcess{}, servers: map[string]*process{}, serverAddresses: map[string]string{}}
 	c.platform = startProcess(t, "standin", "platform")
 	c.platformURL = "http://" + c.platform.waitForLine("listening (.*)")
 	for _, domain := range domains {
@@ -200,7 +207,7 @@
 credential = test-fleet-credential
 [operators]
 token = %s
-`, name, domain, c.platformURL, operatorToken)
+%s`, name, domain, c.platformURL, operatorToken, c.extraSettings)
 	file := filepath.Join(c.t.TempDir(), name+".ini")
 	require.NoError(c.t, os.WriteFile(file, []byte(settings), 0o600))
 	started := &instanceProcess{process: startProcess(c.t, "hyssopdoor", "serve", "--settings", file), name: name}
--- /dev/null
+++ b/cmd/hyssopdoor/stop_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// callerRequest returns a request as it is sent.
+func callerRequest(method, path, body string, header http.Header) string {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n", method, path, len(body))
+	for name := range header {
+		text += name + ": " + header.Get(name) + "\r\n"
+	}
+	return text + "\r\n" + body
+}
+
+// TestStoppingInstanceAnswersAcceptedRequests stops an instance by SIGTERM under callers that use
+// each connection until its end is announced, with one or several requests at a time, and open
+// new ones until the listener is closed. Each request must have an answer. The kernel may accept a
+// connection between the last look at the listener and its end; such a connection is reset.
+func TestStoppingInstanceAnswersAcceptedRequests(t *testing.T) {
+	c := startCluster(t, "split-a")
+	stopped := c.instances["split-a-1"]
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	answers, unaccepted, failures := map[int]int{}, 0, []string{}
+	for n := range 16 {
+		callers.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", stopped.callerAddress)
+				if err != nil {
+					return
+				}
+				reader := bufio.NewReader(conn)
+				for number, open := 0, true; open; number++ {
+					text := callerRequest(http.MethodPost, "/v1/completions", `{"model":"notes","prompt":"transect","max_tokens":8,"stream":true}`, c.authHeader())
+					pipelined := 1 + 2*(n%2)
+					for range pipelined {
+						_, _ = io.WriteString(conn, text)
+					}
+					for i := 0; i < pipelined && open; i++ {
+						_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+						response, err := http.ReadResponse(reader, nil)
+						if err == nil {
+							_, err = io.ReadAll(response.Body)
+						}
+						mu.Lock()
+						switch {
+						case err == nil:
+							answers[response.StatusCode]++
+						case number+i == 0 && errors.Is(err, syscall.ECONNRESET):
+							unaccepted++
+						default:
+							failures = append(failures, fmt.Sprint("caller ", n, ", request ", number, ", ", i, ": ", err))
+						}
+						mu.Unlock()
+						open = err == nil && !response.Close
+					}
+					time.Sleep(time.Duration(n) * time.Millisecond)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopped.signal(syscall.SIGTERM)
+	callers.Wait()
+	require.NoError(t, <-stopped.exited)
+	t.Log(answers, unaccepted)
+	require.Empty(t, failures)
+	require.LessOrEqual(t, unaccepted, 4, "of 16 callers")
+	require.Greater(t, answers[http.StatusOK], 100)
+}
+
+// TestStoppingInstanceAnswersUnfinishedRequests verifies that requests which can't be completed
+// within the drain timeout get an answer that doesn't say that they have not run.
+func TestStoppingInstanceAnswersUnfinishedRequests(t *testing.T) {
+	c := startClusterWith(t, "[timeouts]\ndrain = 2s\n", "split-a")
+	stopped := c.instances["split-a-1"]
+	require.Eventually(t, func() bool {
+		response, _ := c.mustSendOrder("split-a-1", "before", "order")
+		return response.StatusCode == http.StatusCreated
+	}, startTimeout, 50*time.Millisecond)
+	c.servers["ordering-split-a"].signal(syscall.SIGSTOP)
+	c.servers["engine-split-a"].signal(syscall.SIGSTOP)
+	orderHeader := c.authHeader()
+	orderHeader.Set("Idempotency-Key", "unfinished")
+	requests := map[string]string{
+		"order":      callerRequest(http.MethodPost, "/services/ordering/orders", "order", orderHeader),
+		"completion": callerRequest(http.MethodPost, "/v1/completions", `{"model":"notes","prompt":"transect","max_tokens":8,"stream":true}`, c.authHeader()),
+	}
+	conns := map[string]net.Conn{}
+	for name, text := range requests {
+		conn, err := net.Dial("tcp", stopped.callerAddress)
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, text)
+		require.NoError(t, err)
+		conns[name] = conn
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopped.signal(syscall.SIGTERM)
+	for name, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, name)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err, name)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode, "%s: %s", name, body)
+		require.Contains(t, string(body), `"notRun":false`, name)
+	}
+	require.Error(t, <-stopped.exited, "the exit code tells that requests were in flight")
+}
--- a/internal/standalone/runtime/dispatcher/stream.go
+++ b/internal/standalone/runtime/dispatcher/stream.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		result := a.failure(ctx, retrier.Sent, err)
 		if result.Cancelled {
-			d.cancelAttempt(ctx, dispatch)
+			go d.cancelAttempt(ctx, dispatch)
 		}
 		return result
 	}
@@ -51,7 +51,11 @@
 	reader := &streamReader{dispatch: dispatch, kind: kind, writer: writer, lastEvent: max(dispatch.ResumeAfter, 0)}
 	err = reader.read(response.Body, a, d.timeouts.Idle.Duration())
 	result := reader.result(ctx, a, err)
-	if result.Cancelled || result.Failure == retrier.Malformed {
+	switch {
+	case result.Cancelled:
+		// The request has ended and must not wait for the engine.
+		go d.cancelAttempt(ctx, dispatch)
+	case result.Failure == retrier.Malformed:
 		d.cancelAttempt(ctx, dispatch)
 	}
 	return result
--- a/internal/standalone/runtime/gateway/completions.go
+++ b/internal/standalone/runtime/gateway/completions.go
@@ -45,7 +45,7 @@
 		writer:  newStreamWriter(w, request),
 	}
 	c.writer.id = c.id
-	g.processRequest(r.Context(), c.arrivalEvent(input), func(output action.Action) bool { return c.execute(r.Context(), output) })
+	g.processRequest(r.Context(), c.arrivalEvent(input), c.execute, c.writer.writeRefusal)
 }
 
 // completion is one in-flight completion request.
--- a/internal/standalone/runtime/gateway/gateway.go
+++ b/internal/standalone/runtime/gateway/gateway.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	handler, err := gateway.New(runner, dispatcher, limits)
+//	handler, err := gateway.New(stopping, runner, dispatcher, limits)
 //	server := &http.Server{Handler: handler}
 package gateway
 
@@ -40,14 +40,17 @@
 	machine    Machine
 	dispatcher *dispatcher.Dispatcher
 	limits     settings.Limits
+	// stopping is done when the instance refuses the requests that are in flight.
+	stopping context.Context
 }
 
 // requestIDBytes is the length of a request's identifier in bytes, before it is encoded as hex.
 const requestIDBytes = 12
 
-// New returns the handler for callers.
-func New(machine Machine, d *dispatcher.Dispatcher, limits settings.Limits) (http.Handler, error) {
-	g := &Gateway{machine: machine, dispatcher: d, limits: limits}
+// New returns the handler for callers. When the context stopping is done, the requests in flight
+// are refused.
+func New(stopping context.Context, machine Machine, d *dispatcher.Dispatcher, limits settings.Limits) (http.Handler, error) {
+	g := &Gateway{machine: machine, dispatcher: d, limits: limits, stopping: stopping}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithoutPathCorrection, iris.WithoutBodyConsumptionOnUnmarshal)
--- a/internal/standalone/runtime/gateway/services.go
+++ b/internal/standalone/runtime/gateway/services.go
@@ -50,7 +50,7 @@
 		IdempotencyKey: input.idempotencyKey,
 		Fingerprint:    hasher.Fields(r.Method, name, c.target, string(input.body)),
 	}
-	g.processRequest(r.Context(), arrived, func(output action.Action) bool { return c.execute(r.Context(), output) })
+	g.processRequest(r.Context(), arrived, c.execute, func(refusal action.Refusal) { writeRefusal(w, c.id, refusal) })
 }
 
 // splitServicePath returns the service and the path below it. It accepts only a path that
@@ -100,10 +100,13 @@
 
 // runAttempt runs one attempt and submits its outcome. It reports whether the caller
 // has disconnected. A call that may not be repeated, whose dispatch has an OperationID,
-// continues after its caller disconnects.
+// continues after its caller disconnects, until the instance stops.
 func (c *serviceCall) runAttempt(ctx context.Context, dispatch action.Dispatch) bool {
 	if dispatch.OperationID != "" {
-		ctx = context.WithoutCancel(ctx)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		defer context.AfterFunc(c.gateway.stopping, cancel)()
 	}
 	result := c.gateway.dispatcher.Exchange(ctx, dispatch, dispatcher.Call{
 		Method: c.request.Method,
--- a/internal/standalone/runtime/instance/instance.go
+++ b/internal/standalone/runtime/instance/instance.go
@@ -22,9 +22,11 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/gen/peerv1"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/drainlistener"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/meter"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/conndrainer"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/dispatcher"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/gateway"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/logger"
@@ -41,6 +43,11 @@
 	incarnationBytes = 6
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 10 * time.Second
+	// drainPollInterval is the interval at which Drain checks for open connections.
+	drainPollInterval = 50 * time.Millisecond
+	// refusalTime is the time before the drain timeout at which the requests that are left are
+	// refused.
+	refusalTime = 500 * time.Millisecond
 )
 
 // Instance is a running instance.
@@ -54,6 +61,12 @@
 	// listeners and servers are those for callers, operators and peers, in this order.
 	listeners [3]net.Listener
 	servers   [3]*http.Server
+	// callerListener is the first listener. callerConns has its connections.
+	callerListener *drainlistener.Listener
+	callerConns    *conndrainer.Drainer
+	// stopping is done when the requests that are left are refused.
+	stopping  context.Context
+	refuseAll context.CancelFunc
 
 	drained  chan struct{}
 	draining atomic.Bool
@@ -63,7 +76,8 @@
 // Start opens the listeners and starts to serve. It writes log lines to logWriter.
 // Port 0 selects a free port; Addresses returns the selected ones.
 func Start(cfg settings.Settings, logWriter io.Writer) (*Instance, error) {
-	i := &Instance{settings: cfg, drained: make(chan struct{})}
+	i := &Instance{settings: cfg, drained: make(chan struct{}), callerConns: conndrainer.New()}
+	i.stopping, i.refuseAll = context.WithCancel(context.Background())
 	if err := i.listen(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -116,6 +130,8 @@
 		i.listeners[n] = listener
 		*address = listener.Addr().String()
 	}
+	i.callerListener = drainlistener.New(i.listeners[0].(*net.TCPListener))
+	i.listeners[0] = i.callerConns.Listen(i.callerListener)
 	return nil
 }
 
@@ -159,7 +175,7 @@
 
 // serve starts an HTTP server on each listener.
 func (i *Instance) serve(metrics *meter.Meter) error {
-	callers, err := gateway.New(i.runner, i.dispatcher, i.settings.Limits)
+	callers, err := gateway.New(i.stopping, i.runner, i.dispatcher, i.settings.Limits)
 	if err != nil {
 		return errors.Wrap(err, "instance.Start")
 	}
@@ -173,6 +189,7 @@
 	for n, handler := range []http.Handler{i.closeWhenDraining(callers), operators, peers} {
 		i.servers[n] = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	}
+	i.servers[0].ConnState = i.callerConns.Track
 	i.servers[2].Protocols = peer.ServerProtocols()
 	for n, server := range i.servers {
 		go func() { _ = server.Serve(i.listeners[n]) }()
@@ -195,24 +212,45 @@
 // Drain stops the instance without interrupting requests: it notifies the peers, goes
 // on accepting requests for the announce time and then waits for callers' connections
 // to close and for in-flight requests to finish, all within the drain timeout. It
-// returns an error if requests were still in flight at the timeout.
+// refuses the requests that are still in flight shortly before the timeout, and returns an error
+// then.
 func (i *Instance) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, i.settings.Timeouts.Drain.Duration())
+	deadline := time.Now().Add(i.settings.Timeouts.Drain.Duration())
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer i.Kill()
-	callers := i.servers[0]
 	i.runner.Submit(event.DrainRequested{})
 	i.draining.Store(true)
 	i.waitAnnounceTime(ctx)
-	if err := callers.Shutdown(ctx); err != nil {
+	i.callerListener.Drain()
+	refusal := time.AfterFunc(max(0, time.Until(deadline)-refusalTime), i.refuseAll)
+	defer refusal.Stop()
+	if err := i.waitConnsClosed(ctx); err != nil {
 		return errors.Wrap(err, "instance.Drain")
 	}
+	if i.stopping.Err() != nil {
+		return errors.New("instance.Drain: requests were in flight at the drain timeout")
+	}
 	if err := i.waitDrained(ctx); err != nil {
 		return errors.Wrap(err, "instance.Drain")
 	}
 	return nil
 }
 
+// waitConnsClosed waits until all connections of callers are closed.
+func (i *Instance) waitConnsClosed(ctx context.Context) error {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for i.callerConns.EndIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // waitAnnounceTime gives the platform's load balancer time to notice that the
 // instance is stopping.
 func (i *Instance) waitAnnounceTime(ctx context.Context) {
@@ -234,6 +272,7 @@
 // Kill stops the instance immediately, as a crash would.
 func (i *Instance) Kill() {
 	i.stopOnce.Do(func() {
+		i.refuseAll()
 		i.runner.Close()
 		for _, server := range i.servers {
 			if server != nil {
