Keep slow streams of hyssopdoor-edge, and take comments for no events

What callers would see: a response was cut off after 5 s if its caller read it slowly, but all the time. A stream through another instance was cut after 4 s in which its caller read nothing, which is allowed for 5 s on the direct path. A stream whose server sent only comments or empty lines lasted until the deadline, although another engine could have continued it.

Cause: the write timeout was for the whole of a write of up to 8 MB. TCP_USER_TIMEOUT also ends a connection whose other end acknowledges but takes nothing. Comments and empty lines were forwarded as events, which ended the wait for an event.

Change: the write timeout is for each 16 KB, until the caller's own deadline; then a write ends within the write timeout. The connection to another instance allows for 10 s. eventReader keeps comments and empty lines until the event that follows; at the end of a stream they are dropped. A line that fills the read buffer exactly was taken for the end of its event; this is corrected by the same change.

--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -206,19 +206,29 @@
 	reader *bufio.Reader
 }
 
-// next reads one event including the empty line that ends it. At the end of the stream
-// it returns io.EOF, together with the bytes of an incomplete event if there are any.
+// next reads one event including the empty line that ends it, and the comments and empty lines
+// before it: these are no events, and a server that sends only them is silent. At the end of the
+// stream it returns io.EOF, together with the bytes of an incomplete event if there are any.
 func (r *eventReader) next() ([]byte, error) {
 	var event []byte
+	hasField, lineStart := false, 0
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
 		case err == bufio.ErrBufferFull:
+		case err == io.EOF && !hasField && isComment(event[lineStart:]):
+			return nil, err
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) <= 2:
-			return event, nil
+		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
+			if hasField {
+				return event, nil
+			}
+			lineStart = len(event)
+		default:
+			hasField = hasField || !isComment(event[lineStart:])
+			lineStart = len(event)
 		}
 		if len(event) > maxEventBytes {
 			return event, errors.Errorf("the event is longer than %d bytes", maxEventBytes)
@@ -226,6 +236,12 @@
 	}
 }
 
+// isComment reports whether the line, which may be incomplete, is a comment or empty.
+func isComment(line []byte) bool {
+	text := bytes.TrimRight(line, "\r\n")
+	return len(text) == 0 || text[0] == ':'
+}
+
 // eventID returns the identifier of an event, if it has one.
 func eventID(event []byte) (string, bool) {
 	for _, line := range bytes.Split(event, []byte("\n")) {
--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -28,6 +28,10 @@
 	maxTunnelHeadBytes = 64 << 10
 	// tunnelRefusalTimeout limits the time to write a refusal, or the head of a tunnel.
 	tunnelRefusalTimeout = time.Second
+	// tunnelAckTimeout is the time for which another instance may take no data of a response. It
+	// reads no more while its caller does not, which it allows for up to 5 s at a time
+	// (httpserver). With 4 s, streams of callers that paused were cut.
+	tunnelAckTimeout = 10 * clock.Second
 )
 
 // tunnelNumber numbers the tunnels for other instances.
@@ -147,7 +151,7 @@
 
 // greet prepares the connection to the other instance and tells it that the tunnel is open.
 func greet(peer net.Conn) bool {
-	if conn, ok := peer.(*net.TCPConn); ok && httpclient.DetectSilence(conn) != nil {
+	if conn, ok := peer.(*net.TCPConn); ok && httpclient.DetectSilence(conn, tunnelAckTimeout) != nil {
 		return false
 	}
 	if peer.SetDeadline(time.Now().Add(tunnelRefusalTimeout)) != nil {
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -188,13 +188,13 @@
 }
 
 // DetectSilence sets the timeouts after which the kernel closes an accepted connection whose other
-// end does not respond.
-func DetectSilence(conn *net.TCPConn) error {
+// end does not respond, or takes no data for the ack timeout.
+func DetectSilence(conn *net.TCPConn, ackTimeout clock.Millis) error {
 	socket, err := conn.SyscallConn()
 	if err != nil {
 		return err
 	}
-	return errors.Join(conn.SetKeepAliveConfig(keepAlive), Request{}.setAckTimeout("", "", socket))
+	return errors.Join(conn.SetKeepAliveConfig(keepAlive), Request{AckTimeout: ackTimeout}.setAckTimeout("", "", socket))
 }
 
 // encode returns the bytes to send.
--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -123,11 +123,7 @@
 }
 
 func (c *conn) readBody(inbound *InboundRequest, limit int64) bool {
-	timeout := c.server.handler.CallerTimeout(inbound)
-	if timeout <= 0 {
-		timeout = bodyTimeout
-	}
-	if !c.setReadTimeout(timeout) {
+	if !c.setReadTimeout(c.callerTimeout(inbound)) {
 		return false
 	}
 	if inbound.expectsContinue {
@@ -142,6 +138,20 @@
 	return true
 }
 
+// callerTimeout returns the time for which the caller waits, or a default.
+func (c *conn) callerTimeout(inbound *InboundRequest) clock.Millis {
+	if timeout := c.server.handler.CallerTimeout(inbound); timeout > 0 {
+		return timeout
+	}
+	return bodyTimeout
+}
+
+// newWriter returns the buffer for the response to a request that has been read.
+func (c *conn) newWriter(inbound *InboundRequest) *bufio.Writer {
+	deadline := time.Now().Add(c.callerTimeout(inbound).Duration())
+	return bufio.NewWriterSize(&progressWriter{conn: c.netConn, deadline: deadline}, writeBufferBytes)
+}
+
 // handle runs the handler while a second goroutine detects whether the caller
 // disconnects. It reports whether the connection stays open.
 func (c *conn) handle(inbound *InboundRequest) bool {
@@ -158,7 +168,7 @@
 		next <- err
 	}()
 	inbound.Disconnected = disconnected
-	response := &ResponseWriter{conn: c.netConn, writer: bufio.NewWriterSize(c.netConn, writeBufferBytes), method: inbound.Method, closeAfter: inbound.closeAfter || c.server.draining.Load(), draining: &c.server.draining}
+	response := &ResponseWriter{writer: c.newWriter(inbound), method: inbound.Method, closeAfter: inbound.closeAfter || c.server.draining.Load(), draining: &c.server.draining}
 	c.server.handler.Handle(inbound, response)
 	if !response.Completed() {
 		return false
@@ -205,7 +215,7 @@
 	if rejected.status == 0 {
 		return
 	}
-	response := &ResponseWriter{conn: c.netConn, writer: bufio.NewWriterSize(c.netConn, writeBufferBytes), closeAfter: true}
+	response := &ResponseWriter{writer: bufio.NewWriterSize(&progressWriter{conn: c.netConn}, writeBufferBytes), closeAfter: true}
 	header := http.Header{}
 	if rejected.retryAfter > 0 {
 		header.Set("Retry-After", RetryAfter(rejected.retryAfter))
--- a/internal/runtime/httpserver/httpserver.go
+++ b/internal/runtime/httpserver/httpserver.go
@@ -31,8 +31,6 @@
 	// readBufferBytes and writeBufferBytes are the sizes of a connection's buffers.
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 2 << 10
-	// writeTimeout limits each write to a caller that does not read.
-	writeTimeout = 5 * time.Second
 	// bodyTimeout limits the time for reading the body if the caller stated no timeout.
 	bodyTimeout = 30 * clock.Second
 	// lastReadTimeout limits the read of input that has arrived already. It is longer than a
--- a/internal/runtime/httpserver/response.go
+++ b/internal/runtime/httpserver/response.go
@@ -2,18 +2,15 @@
 
 import (
 	"bufio"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // ResponseWriter writes the response to one request. It is not safe for concurrent use.
 type ResponseWriter struct {
-	conn       net.Conn
 	writer     *bufio.Writer
 	method     string
 	closeAfter bool
@@ -96,9 +93,6 @@
 	if w.err != nil {
 		return
 	}
-	if w.err = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); w.err != nil {
-		return
-	}
 	_, w.err = w.writer.Write(data)
 }
 
