Limit slow bodies and callers that do not read in hyssopdoor

What callers would see: in cmd/hyssopdoor, a caller that sent a body byte by byte, or stopped in the middle, kept its request forever. A caller that read nothing kept its request and the engine that ran it until the connection ended.

Cause: the server has a timeout for the head only, and none for writes.

Change: bodytimer limits the time of a body to 30 s (408). Connections of callers have the write timeout of hyssopdoor-edge (5 s for each 16 KB), which is now the package progresswriter.

--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/inputpoller"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/progresswriter"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -149,7 +150,7 @@
 // newWriter returns the buffer for the response to a request that has been read.
 func (c *conn) newWriter(inbound *InboundRequest) *bufio.Writer {
 	deadline := time.Now().Add(c.callerTimeout(inbound).Duration())
-	return bufio.NewWriterSize(&progressWriter{conn: c.netConn, deadline: deadline}, writeBufferBytes)
+	return bufio.NewWriterSize(progresswriter.New(c.netConn, deadline), writeBufferBytes)
 }
 
 // handle runs the handler while a second goroutine detects whether the caller
@@ -215,7 +216,7 @@
 	if rejected.status == 0 {
 		return
 	}
-	response := &ResponseWriter{writer: bufio.NewWriterSize(&progressWriter{conn: c.netConn}, writeBufferBytes), closeAfter: true}
+	response := &ResponseWriter{writer: bufio.NewWriterSize(progresswriter.New(c.netConn, time.Time{}), writeBufferBytes), closeAfter: true}
 	header := http.Header{}
 	if rejected.retryAfter > 0 {
 		header.Set("Retry-After", RetryAfter(rejected.retryAfter))
--- a/internal/runtime/httpserver/progresswriter.go
+++ b/internal/runtime/progresswriter/progresswriter.go
@@ -1,4 +1,11 @@
-package httpserver
+// Package progresswriter writes to the connection of a caller as long as the caller reads. A timeout
+// for the whole of a long write would cut off callers that read slowly.
+//
+// # Usage
+//
+//	writer := progresswriter.New(conn, deadline)
+//	_, err := writer.Write(data)
+package progresswriter
 
 import (
 	"net"
@@ -6,24 +13,27 @@
 )
 
 const (
-	// writeTimeout limits the time in which a caller takes a piece of a response. A caller that
-	// reads slowly is not cut off as long as it takes one piece in that time.
+	// writeTimeout limits the time in which a caller takes a piece.
 	writeTimeout = 5 * time.Second
 	// pieceBytes is the size of a piece. With writeTimeout it is the lowest rate, 3 KB/s.
 	pieceBytes = 16 << 10
 )
 
-// progressWriter writes to a caller's connection as long as the caller reads.
-type progressWriter struct {
-	conn net.Conn
-	// deadline is the time at which the caller does not wait for its response any more. A write
-	// ends within writeTimeout from then on, so that a caller that reads a byte now and then
-	// does not keep its response forever.
+// Writer writes to a connection.
+type Writer struct {
+	conn     net.Conn
 	deadline time.Time
 }
 
+// New returns a Writer to the connection. From the deadline on, the caller does not wait for its
+// response: a write ends within the write timeout, so that a caller that reads a byte now and then
+// does not keep its response forever.
+func New(conn net.Conn, deadline time.Time) *Writer {
+	return &Writer{conn: conn, deadline: deadline}
+}
+
 // Write writes the data in pieces.
-func (w *progressWriter) Write(data []byte) (int, error) {
+func (w *Writer) Write(data []byte) (int, error) {
 	last := time.Now()
 	if last.Before(w.deadline) {
 		last = w.deadline
--- a/internal/standalone/runtime/conndrainer/conndrainer.go
+++ b/internal/standalone/runtime/conndrainer/conndrainer.go
@@ -1,5 +1,6 @@
 // Package conndrainer closes the idle connections of a net/http server that stops, after the
 // requests that have arrived on them are read. http.Server.Shutdown would close them unread.
+// It also limits writes to callers that do not read.
 //
 // # Usage
 //
@@ -11,6 +12,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +20,7 @@
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/inputpoller"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/progresswriter"
 )
 
 const (
@@ -27,6 +30,8 @@
 	// lastReadTimeout limits the read of input that has arrived already. It is longer than a
 	// process may be suspended by a CPU quota.
 	lastReadTimeout = 500 * time.Millisecond
+	// maxWrite limits a write to a caller that reads slowly.
+	maxWrite = 30 * time.Second
 )
 
 // Drainer knows the connections of one server. It is safe for concurrent use.
@@ -138,6 +143,17 @@
 	return n, err
 }
 
+// Write writes to the connection as long as the caller reads. Without a limit, a caller that reads
+// nothing would keep its request, and the server that runs it, forever.
+func (c *conn) Write(data []byte) (int, error) {
+	return progresswriter.New(c.TCPConn, time.Now().Add(maxWrite)).Write(data)
+}
+
+// ReadFrom copies from the reader by Write.
+func (c *conn) ReadFrom(reader io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, reader)
+}
+
 // mayHaveRequest reports whether a request has arrived on a connection that ends.
 func (c *conn) mayHaveRequest() bool {
 	c.mu.Lock()
--- a/internal/standalone/runtime/conndrainer/conndrainer_test.go
+++ b/internal/standalone/runtime/conndrainer/conndrainer_test.go
@@ -87,3 +87,40 @@
 		})
 	}
 }
+
+// TestCallerThatDoesNotReadEndsItsRequest verifies that the handler of a request whose caller reads
+// nothing ends, and that a caller that pauses receives its whole response.
+func TestCallerThatDoesNotReadEndsItsRequest(t *testing.T) {
+	const bodyBytes = 32 << 20
+	for name, pause := range map[string]time.Duration{"a caller that reads nothing": 0, "a caller that pauses": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer tcp.Close()
+			drainer, ended := conndrainer.New(), make(chan error, 1)
+			server := &http.Server{ConnState: drainer.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, err := w.Write(make([]byte, bodyBytes))
+				ended <- err
+			})}
+			go func() { _ = server.Serve(drainer.Listen(tcp)) }()
+			conn, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, request)
+			require.NoError(t, err)
+			if pause > 0 {
+				time.Sleep(pause)
+				require.NoError(t, answer(conn))
+				require.NoError(t, <-ended)
+				return
+			}
+			select {
+			case err := <-ended:
+				require.Error(t, err)
+			case <-time.After(7 * time.Second):
+				require.Fail(t, "the handler has not ended")
+			}
+		})
+	}
+}
--- a/internal/standalone/runtime/gateway/callerrequest.go
+++ b/internal/standalone/runtime/gateway/callerrequest.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strings"
 
@@ -82,6 +83,10 @@
 		refusal := action.NewRefusal(http.StatusRequestEntityTooLarge, action.CodeInvalidRequest, "the body is longer than this instance takes; shorten it")
 		return nil, &refusal
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		refusal := action.NewRefusal(http.StatusRequestTimeout, action.CodeInvalidRequest, "the body did not arrive in time; send it faster")
+		return nil, &refusal
+	}
 	if err != nil {
 		return nil, invalidRequest("the body could not be read whole")
 	}
--- a/internal/standalone/runtime/instance/instance.go
+++ b/internal/standalone/runtime/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/meter"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/event"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/decision/router"
+	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/bodytimer"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/conndrainer"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/dispatcher"
 	"github.com/hyssopdoor/hyssopdoor/internal/standalone/runtime/gateway"
@@ -43,6 +44,8 @@
 	incarnationBytes = 6
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds the time to read a caller's body.
+	bodyTimeout = 30 * time.Second
 	// drainPollInterval is the interval at which Drain checks for open connections.
 	drainPollInterval = 50 * time.Millisecond
 	// refusalTime is the time before the drain timeout at which the requests that are left are
@@ -186,7 +189,7 @@
 	peers := peer.NewHandler(i.settings.Fleet.Credential, func(from string, message *peerv1.Message) {
 		i.runner.Submit(event.PeerMessage{From: from, Message: message})
 	})
-	for n, handler := range []http.Handler{i.closeWhenDraining(callers), operators, peers} {
+	for n, handler := range []http.Handler{i.closeWhenDraining(bodytimer.New(callers, bodyTimeout)), operators, peers} {
 		i.servers[n] = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	}
 	i.servers[0].ConnState = i.callerConns.Track
