--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -31,7 +31,7 @@
 func (c *conn) beginIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.ending = false, false
 	c.idleSince = time.Now()
 	return c.setReadTimeout(c.server.limits.Load().IdleTimeout)
 }
--- a/internal/standalone/runtime/conndrainer/conndrainer.go
+++ b/internal/standalone/runtime/conndrainer/conndrainer.go
@@ -158,5 +158,10 @@
 func (c *conn) mayHaveRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && inputpoller.HasInput(c.TCPConn) && c.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
+	if !c.ending || !inputpoller.HasInput(c.TCPConn) {
+		return false
+	}
+	// endIdle must not set a deadline before the read.
+	c.waiting = false
+	return c.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
