--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -260,4 +260,5 @@
 	ReasonTimeout          Reason = "timeout"
 	ReasonUnknownOrigin    Reason = "unknownOrigin"
 	ReasonOtherService     Reason = "otherService"
+	ReasonStopping         Reason = "stopping"
 )
