Send the counts of software roll-outs with the digests

The exposure of a new version is decided from counts over all instances. Digests and the outbox now have sums by order and route, the age of the order and its phase, in fields that earlier builds ignore. A target without any answer is taken back only after 10 requests to it, or 500 to the service: an idle service must still be completed.

Measured: the tests of datagram and exposurekeeper pass.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -11,9 +11,12 @@
 package digest
 
 import (
+	"maps"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/partquarantine"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
@@ -105,6 +108,50 @@
 	// Replicas are the states of the sender's copies of the store's objects.
 	Replicas []Replica
 	Outage   Outage
+	// Exposures are the roll-outs of software.
+	Exposures []Exposure
+}
+
+// Exposure is what instances have counted of one roll-out of a service's software.
+type Exposure struct {
+	// Order identifies the order.
+	Order uint32
+	// Age is the time since the first instance saw the order, and Phase the latest phase
+	// that an instance has decided.
+	Age   clock.Millis
+	Phase exposurekeeper.Phase
+	// MovingFor is the time since the first instance began to move the traffic; 0 before.
+	MovingFor clock.Millis
+	Sums      ExposureSums
+}
+
+// ExposureSums are sums over instances since their start.
+type ExposureSums struct {
+	TargetRequests, AllRequests int64
+	// OldRunning is the number of requests that run on servers of other versions now.
+	OldRunning int64
+	// Routes is keyed by the identifiers of the routes.
+	Routes map[uint32]exposurekeeper.Comparison
+}
+
+// Plus returns the sums with another one's, multiplied by the factor. It changes neither.
+func (s ExposureSums) Plus(other ExposureSums, factor int64) ExposureSums {
+	s.TargetRequests += factor * other.TargetRequests
+	s.AllRequests += factor * other.AllRequests
+	s.OldRunning += factor * other.OldRunning
+	routes := make(map[uint32]exposurekeeper.Comparison, max(len(s.Routes), len(other.Routes)))
+	maps.Copy(routes, s.Routes)
+	for route, compared := range other.Routes {
+		sum := routes[route]
+		sum.Target, sum.Old = addCounts(sum.Target, compared.Target, factor), addCounts(sum.Old, compared.Old, factor)
+		routes[route] = sum
+	}
+	s.Routes = routes
+	return s
+}
+
+func addCounts(a, b exposurekeeper.Counts, factor int64) exposurekeeper.Counts {
+	return exposurekeeper.Counts{OK: a.OK + factor*b.OK, Failed: a.Failed + factor*b.Failed, Slow: a.Slow + factor*b.Slow}
 }
 
 // CacheDelta is a change of a server's cache.
--- a/internal/decision/exposurekeeper/exposurekeeper.go
+++ b/internal/decision/exposurekeeper/exposurekeeper.go
@@ -40,9 +40,6 @@
 	Rollback clock.Millis
 }
 
-// Enabled reports whether the settings name all bounds.
-func (b Bounds) Enabled() bool { return b.Share > 0 && b.Slack > 0 && b.Rollback > 0 }
-
 // Counts are the ended attempts of one version.
 type Counts struct{ OK, Failed, Slow int64 }
 
@@ -158,6 +155,10 @@
 	settleTime = 2 * clock.Second
 	// enoughAnswers is the number of the target's answers that suffices for the move.
 	enoughAnswers = 60
+	// unansweredRequests is the number of requests to the target, and unservedRequests that to
+	// the service, from which a target without any answer is taken back.
+	unansweredRequests = 10
+	unservedRequests   = 500
 	// tolerance is the factor by which the target's bad answers may exceed those expected by
 	// the old version's rate, deviations the number of standard deviations above that, and
 	// freeBad the bad answers that are never significant.
@@ -204,9 +205,9 @@
 	switch {
 	case seen.Age >= k.order.Duration-reserve && answers >= enoughAnswers:
 		return Decision{Share: k.trialShare(seen), Phase: Move, Reason: ReasonGood}
-	case seen.Age < k.order.Duration-reserve/2:
+	case seen.Age < k.order.Duration-min(reserve, max(reserve/2, k.ramp(seen)+settleTime+writeMargin/2)):
 		return Decision{Share: k.trialShare(seen)}
-	case answers == 0 && seen.AllRequests > 0:
+	case answers == 0 && (seen.TargetRequests >= unansweredRequests || seen.AllRequests >= unservedRequests):
 		return Decision{Verdict: RollBack, Reason: ReasonNoAnswers}
 	default:
 		// So few requests arrive that all of the rest may be within the slack.
@@ -216,7 +217,7 @@
 
 func (k Keeper) decideMove(seen Observation) Decision {
 	decision := Decision{Share: 1, Phase: Move}
-	ramp := min(maxMoveRamp, clock.Millis(moveRamp*float64(k.reserve(seen))))
+	ramp := k.ramp(seen)
 	if seen.MovingFor < ramp {
 		decision.Share = max(k.bounds.Share*trialShare, float64(seen.MovingFor)/float64(ramp))
 		return decision
@@ -243,6 +244,11 @@
 	return clock.Millis(min(maxReserve*duration, max(minReserve*duration, float64(seen.LongestRequest+writeMargin))))
 }
 
+// ramp returns the time in which the share grows to 1.
+func (k Keeper) ramp(seen Observation) clock.Millis {
+	return min(maxMoveRamp, clock.Millis(moveRamp*float64(k.reserve(seen))))
+}
+
 func targetAnswers(routes map[uint32]Comparison) int64 {
 	var answers int64
 	for _, compared := range routes {
--- a/internal/decision/outbox/outbox.go
+++ b/internal/decision/outbox/outbox.go
@@ -32,6 +32,8 @@
 	Admitted map[string]int64
 	// Loads is keyed by server.
 	Loads map[string]scheduler.Load
+	// Exposures is keyed by the order.
+	Exposures map[uint32]digest.ExposureSums
 }
 
 // Outbox has the latest sums. It is not safe for concurrent use.
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -63,6 +63,7 @@
 		message.CacheDeltas = append(message.CacheDeltas, delta)
 	}
 	encodeRollout(d, message)
+	encodeExposures(d, message)
 	for _, fingerprint := range slices.Sorted(maps.Keys(d.CrashedServers)) {
 		message.Crashes = append(message.Crashes, &edgev1.Crash{Fingerprint: fingerprint, Servers: d.CrashedServers[fingerprint]})
 	}
@@ -159,6 +160,7 @@
 		}})
 	}
 	decodeRollout(&d, &message)
+	decodeExposures(&d, &message)
 	for _, crash := range message.GetCrashes() {
 		d.CrashedServers[crash.GetFingerprint()] = crash.GetServers()
 	}
@@ -231,6 +233,9 @@
 			return errors.New("datagram.DecodeDigest: a replica's age or revision is out of range")
 		}
 	}
+	if err := validateExposures(message); err != nil {
+		return err
+	}
 	for _, part := range message.GetAccusedParts() {
 		if max(part.GetGeneration(), part.GetCleared(), part.GetConvicted()) > maxGeneration {
 			return errors.Errorf("datagram.DecodeDigest: a generation of an accused part is above %d", maxGeneration)
