Copy the orders of roll-outs as an optional kind

Instances copy all kinds of the store's objects, and refused copies to a client that named no position of one of them. A kind that only some instances copy would leave earlier builds without copies. Optional kinds are left out of the answer to a client that does not name them, and an instance that watches the store does not fetch because it lacks one. The settings have the bounds of roll-outs.

Measured: the tests of replicator, datagram and the settings pass.

--- a/internal/decision/forwarder/object_store_test.go
+++ b/internal/decision/forwarder/object_store_test.go
@@ -20,6 +20,8 @@
 	kindWeights = "weights"
 	kindMembers = "members"
 	kindLeases  = "leases"
+	// kindRollouts has the orders of software.
+	kindRollouts = "rollouts"
 )
 
 // objectStore simulates the store, as a fault may leave it: it may be away, and may come
--- a/internal/decision/forwarder/store_client_test.go
+++ b/internal/decision/forwarder/store_client_test.go
@@ -16,7 +16,7 @@
 )
 
 // watchedKinds are the kinds that instances copy.
-var watchedKinds = map[replicator.Kind]string{replicator.State: kindState, replicator.Servers: kindServers, replicator.Weights: kindWeights, replicator.Members: kindMembers}
+var watchedKinds = map[replicator.Kind]string{replicator.State: kindState, replicator.Servers: kindServers, replicator.Weights: kindWeights, replicator.Members: kindMembers, replicator.Rollouts: kindRollouts}
 
 // storeClient simulates the runtime of one start of an instance: its copies and its watches of the
 // store.
--- a/internal/decision/instancesettings/settings.go
+++ b/internal/decision/instancesettings/settings.go
@@ -78,6 +78,19 @@
 	// MaxWeightsAge is the longest time for which requests may still start on
 	// superseded weights.
 	MaxWeightsAge clock.Millis
+
+	// ExposureShare and ExposureSlack limit the requests that a software version gets before
+	// it is known to be good: the share of all requests to the service, plus the slack.
+	// RollbackTime is the longest time for which a bad one gets requests after its 50th bad
+	// answer. Without all three, roll-outs of software are not watched.
+	ExposureShare float64
+	ExposureSlack int64
+	RollbackTime  clock.Millis
+}
+
+// LimitsExposure reports whether roll-outs of software are watched.
+func (b Bounds) LimitsExposure() bool {
+	return b.ExposureShare > 0 && b.ExposureSlack > 0 && b.RollbackTime > 0
 }
 
 // Defaults returns Settings with default bounds.
@@ -142,6 +155,9 @@
 	if b.LimitExcess < 0 {
 		findings.Add(locate("limitExcess"), "is negative", "give a fraction of 0 or more")
 	}
+	if b.ExposureShare < 0 || b.ExposureShare > 1 || b.ExposureSlack < 0 || b.RollbackTime < 0 {
+		findings.Add(locate("exposureShare"), "is out of range, or the slack or the time for taking back is negative", "give a share from 0 to 1, and a slack and a time of 0 or more")
+	}
 	if b.RetryRatio < 0 || b.RetryExtra < 0 {
 		findings.Add(locate("retryRatio"), "is negative", "give a ratio and an extra of 0 or more")
 	}
--- a/internal/decision/replicator/replicator.go
+++ b/internal/decision/replicator/replicator.go
@@ -48,10 +48,16 @@
 	Weights
 	// Members are the entries of the instances.
 	Members
+	// Rollouts are the orders to move services to other software.
+	Rollouts
 )
 
 // Kinds are all kinds.
-var Kinds = []Kind{State, Servers, Weights, Members}
+var Kinds = []Kind{State, Servers, Weights, Members, Rollouts}
+
+// Optional reports whether some instances do not copy the kind: those of an earlier build,
+// and those whose settings do not need it.
+func (k Kind) Optional() bool { return k > Members }
 
 const (
 	// startDelay is the time from the start of an instance until it may watch the store:
@@ -321,7 +327,7 @@
 	return ""
 }
 
-// hasAll reports whether there is a copy of each kind.
+// hasAll reports whether there is a copy of each kind that all instances copy.
 func (r *Replicator) hasAll() bool {
-	return !slices.ContainsFunc(Kinds, func(kind Kind) bool { return r.copies[kind].ConfirmedAt == 0 })
+	return !slices.ContainsFunc(Kinds, func(kind Kind) bool { return !kind.Optional() && r.copies[kind].ConfirmedAt == 0 })
 }
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/limitsharer"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
@@ -38,6 +39,9 @@
 		ServerRooms:  []limitsharer.RoomNotice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Rejections: 4, Room: 20, Ceiling: 30, Slots: 64}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Rejections: limitsharer.Lifted}},
 		ServerLimits: []limitsharer.Notice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Limit: 1100}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Limit: limitsharer.None}},
 		Replicas:     []digest.Replica{{Kind: 1, Era: 2, Revision: 5, Through: 6, Age: 700, Source: 8}}, Outage: digest.Outage{Known: true, Ended: true, SinceStart: 90, SinceEnd: 30},
+		Exposures: []digest.Exposure{{Order: 77, Age: 900, Phase: exposurekeeper.Move, MovingFor: 300, Sums: digest.ExposureSums{TargetRequests: 3, AllRequests: -4, OldRunning: 5, Routes: map[uint32]exposurekeeper.Comparison{
+			8: {Target: exposurekeeper.Counts{OK: 1, Failed: 2, Slow: -3}, Old: exposurekeeper.Counts{OK: 4, Failed: 5, Slow: 6}},
+		}}}},
 	}
 }
 
@@ -72,17 +76,19 @@
 // TestInvalidDigests verifies that digests which can't be used are errors.
 func TestInvalidDigests(t *testing.T) {
 	tests := map[string]func(message *edgev1.Digest){
-		"another format":            func(m *edgev1.Digest) { m.Format = 2 },
-		"no name":                   func(m *edgev1.Digest) { m.Name = "" },
-		"no incarnation":            func(m *edgev1.Digest) { m.Incarnation = 0 },
-		"no scope":                  func(m *edgev1.Digest) { m.Scope = 0 },
-		"an unknown scope":          func(m *edgev1.Digest) { m.Scope = 7 },
-		"teams without counts":      func(m *edgev1.Digest) { m.Admitted = nil },
-		"levels without teams":      func(m *edgev1.Digest) { m.LevelTeams = nil },
-		"servers without loads":     func(m *edgev1.Digest) { m.LoadRequests = nil },
-		"a huge generation":         func(m *edgev1.Digest) { m.AccusedParts[0].Generation = 1 << 30 },
-		"a negative age":            func(m *edgev1.Digest) { m.Replicas[0].AgeMs = -1 },
-		"a revision that goes back": func(m *edgev1.Digest) { m.Replicas[0].Through = 1 },
+		"another format":             func(m *edgev1.Digest) { m.Format = 2 },
+		"no name":                    func(m *edgev1.Digest) { m.Name = "" },
+		"no incarnation":             func(m *edgev1.Digest) { m.Incarnation = 0 },
+		"no scope":                   func(m *edgev1.Digest) { m.Scope = 0 },
+		"an unknown scope":           func(m *edgev1.Digest) { m.Scope = 7 },
+		"teams without counts":       func(m *edgev1.Digest) { m.Admitted = nil },
+		"levels without teams":       func(m *edgev1.Digest) { m.LevelTeams = nil },
+		"servers without loads":      func(m *edgev1.Digest) { m.LoadRequests = nil },
+		"a huge generation":          func(m *edgev1.Digest) { m.AccusedParts[0].Generation = 1 << 30 },
+		"a negative age":             func(m *edgev1.Digest) { m.Replicas[0].AgeMs = -1 },
+		"a negative age of an order": func(m *edgev1.Digest) { m.Exposures[0].AgeMs = -1 },
+		"an unknown phase":           func(m *edgev1.Digest) { m.Exposures[0].Phase = 9 },
+		"a revision that goes back":  func(m *edgev1.Digest) { m.Replicas[0].Through = 1 },
 	}
 	valid, err := datagram.EncodeDigest(newDigest())
 	require.NoError(t, err)
--- a/internal/runtime/edge/replicas.go
+++ b/internal/runtime/edge/replicas.go
@@ -145,6 +145,9 @@
 	query := r.URL.Query()
 	var response edgev1.Snapshots
 	for _, kind := range e.kinds {
+		if kind.ID.Optional() && !query.Has(strconv.Itoa(int(kind.ID))) {
+			continue
+		}
 		since, err := parsePosition(query, kind.ID)
 		if err != nil {
 			http.Error(w, "the position of kind "+strconv.Itoa(int(kind.ID))+" is missing or is not a number", http.StatusBadRequest)
