Limit the exposure of new software versions and write the verdict

During a roll-out of a service's software, requests went to both versions alike, and nothing wrote the status of the order. Instances now watch orders of the kind rollouts where the settings have the three bounds. They count both versions' answers by route, sum them with the digests, send a drawn share to the target, and stop when it is bad. The holder of the lease writes the verdict on condition of the object's revision, and not after a suspension.

After a suspension, decisions are made anew before the next event.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -67,6 +67,11 @@
 	WeightsNamed         Number = 2301
 	StoreEraChanged      Number = 2401
 	StoreEraInvalid      Number = 2402
+	RolloutOrdered       Number = 2501
+	RolloutTargetUnknown Number = 2502
+	RolloutPhase         Number = 2503
+	RolloutVerdict       Number = 2504
+	RolloutEnded         Number = 2505
 	OrderGiven           Number = 2302
 	OrderReplied         Number = 2303
 	SettingsRead         Number = 3005
@@ -143,6 +148,11 @@
 	WeightsNamed:         "weightsNamed",
 	StoreEraChanged:      "storeEraChanged",
 	StoreEraInvalid:      "storeEraInvalid",
+	RolloutOrdered:       "rolloutOrdered",
+	RolloutTargetUnknown: "rolloutTargetUnknown",
+	RolloutPhase:         "rolloutPhase",
+	RolloutVerdict:       "rolloutVerdict",
+	RolloutEnded:         "rolloutEnded",
 	OrderGiven:           "orderGiven",
 	OrderReplied:         "orderReplied",
 	SettingsRead:         "settingsRead",
--- a/internal/decision/exposurekeeper/exposurekeeper.go
+++ b/internal/decision/exposurekeeper/exposurekeeper.go
@@ -145,6 +145,10 @@
 	// writeMargin is the time to acquire the lease from a frozen holder and to write the
 	// status. The lease alone takes up to 4.1 s.
 	writeMargin = 8 * clock.Second
+	// completionMargin is the time before the deadline from which the completion no longer
+	// waits for instances that can't be reached. A holder of the lease writes within a second,
+	// and one that takes over from a frozen holder within 5 s.
+	completionMargin = 6 * clock.Second
 	// moveRamp is the time in which the share grows to 1, as a part of the reserve, and
 	// maxMoveRamp its limit. A version that is bad under load only shows it before it gets
 	// more than the bound.
@@ -224,7 +228,7 @@
 	}
 	// Instances that are gone stay listed for some time. Those that are cut off may have
 	// requests on old servers, for which the move waits as long as the time allows.
-	if seen.IdleFor >= settleTime && (seen.AllReachable || seen.Age >= k.order.Duration-writeMargin) {
+	if seen.IdleFor >= settleTime && (seen.AllReachable || seen.Age >= k.order.Duration-completionMargin) {
 		decision.Verdict, decision.Reason = Complete, ReasonMoved
 	}
 	return decision
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -5,6 +5,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
@@ -171,6 +172,16 @@
 // CallStore reads or writes the rollout lease in the store.
 type CallStore struct{ Step rollout.Step }
 
+// WriteVerdict writes the status of a roll-out's order if the object still has the revision.
+// It must not be sent after its deadline: the instance may have been suspended since.
+type WriteVerdict struct {
+	Service    string
+	Target     string
+	Verdict    exposurekeeper.Verdict
+	IfRevision int64
+	Deadline   clock.Millis
+}
+
 // CallEngine sends an order or a report request to an engine.
 type CallEngine struct{ Step rollout.Step }
 
@@ -214,6 +225,7 @@
 func (RefuseTunnel) isAction()    {}
 func (ReadCache) isAction()       {}
 func (CallStore) isAction()       {}
+func (WriteVerdict) isAction()    {}
 func (CallEngine) isAction()      {}
 func (SetLimits) isAction()       {}
 func (ObserveDuration) isAction() {}
--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -69,7 +69,7 @@
 	}
 	f.log(eventlog.New(eventlog.StreamMoved, fl.id()).With("server", fl.server).With("reason", reason).With("after", f.now.Since(fl.arrivedAt)))
 	f.cancelAttempts(fl)
-	f.scheduler.End(fl.attemptKey(fl.attempt))
+	f.endAttempt(fl, fl.attempt)
 	fl.leftServers = append(fl.leftServers, fl.server)
 	f.dispatch(fl, choice)
 }
@@ -83,7 +83,7 @@
 		entry := eventlog.New(eventlog.AttemptFailed, fl.id()).With("server", left).With("attempt", fl.attempt).With("failure", "silent")
 		f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 	}
-	f.scheduler.End(fl.attemptKey(fl.attempt))
+	f.endAttempt(fl, fl.attempt)
 	replacement := fl.alternative
 	fl.alternative = nil
 	fl.attempt, fl.server, fl.expectedStartMs = replacement.number, replacement.server, replacement.startMs
@@ -106,7 +106,7 @@
 	}
 	ended := fl.alternative
 	fl.alternative = nil
-	f.scheduler.End(fl.attemptKey(ended.number))
+	f.endAttempt(fl, ended.number)
 	if event.WeightsVersion > 0 && fl.hasPrompt() {
 		f.recordWeights(ended.server, fl.request.Model, event.WeightsVersion)
 	}
@@ -130,7 +130,7 @@
 		return
 	}
 	f.emit(CancelAttempt{Request: fl.id(), Attempt: fl.alternative.number})
-	f.scheduler.End(fl.attemptKey(fl.alternative.number))
+	f.endAttempt(fl, fl.alternative.number)
 	fl.alternative = nil
 	fl.supersededRuns++
 }
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -156,7 +156,7 @@
 
 func (f *Forwarder) removeFlight(fl *flight) {
 	f.dropAlternative(fl)
-	f.scheduler.End(fl.attemptKey(fl.attempt))
+	f.endAttempt(fl, fl.attempt)
 	f.endQuery(fl)
 	f.endLookup(fl)
 	delete(f.flights, fl.id())
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -94,6 +94,7 @@
 	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now}
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
+	f.beginExposed(fl, server, fl.attempts)
 	f.takeLimit(server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
@@ -149,6 +150,7 @@
 		fl.answeringSince, fl.survived = f.now, false
 	}
 	fl.streamStarted = true
+	f.startExposed(fl, event.Attempt)
 	f.recordOrigin(fl)
 	f.dropAlternative(fl)
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
@@ -171,6 +173,7 @@
 }
 
 func (f *Forwarder) handleAttemptEnded(event AttemptEnded) {
+	f.recordExposedEnd(event)
 	f.recordWayOf(event)
 	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
 		f.handleAlternativeEnded(fl, event)
@@ -190,7 +193,7 @@
 	if event.WeightsVersion > 0 && fl.hasPrompt() {
 		f.recordWeights(fl.server, fl.request.Model, event.WeightsVersion)
 	}
-	f.scheduler.End(fl.attemptKey(fl.attempt))
+	f.endAttempt(fl, fl.attempt)
 	if event.Outcome == OutcomeCompleted && (!fl.partDelivered || event.Status == statusOK) {
 		f.handleCompletedAttempt(fl, event)
 		return
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -79,6 +79,7 @@
 	message := f.newDigest(sequence, full)
 	message.Scope, message.Members, message.MemberIDs = digest.Subtree, sums.Members, f.subtreeIDs(belowNames)
 	f.fillSums(&message, sums.Admitted, sums.Loads, withLoads)
+	message.Exposures = f.exposuresOf(sums.Exposures)
 	f.fillNotices(&message, relayer.Below)
 	if len(subtree) > 0 {
 		f.emit(SendDigest{Digest: message, Recipients: subtree})
@@ -172,13 +173,14 @@
 	slices.Sort(message.MemberIDs)
 	message.MemberIDs = slices.Compact(message.MemberIDs)
 	f.fillSums(&message, f.allAdmitted(), f.scheduler.PlacedLoads(f.now, slices.Collect(maps.Keys(f.neighbors))), withLoads)
+	message.Exposures = f.exposuresOf(f.allExposures())
 	f.fillNotices(&message, relayer.Elsewhere)
 	return message
 }
 
 // subtreeSums returns the sums over this instance and those below it.
 func (f *Forwarder) subtreeSums(belowNames []string) outbox.Sums {
-	sums := outbox.Sums{SentAt: f.now, Members: f.subtreeCount(), Admitted: f.limiter.Admitted(), Loads: f.scheduler.PlacedLoads(f.now, belowNames)}
+	sums := outbox.Sums{SentAt: f.now, Members: f.subtreeCount(), Admitted: f.limiter.Admitted(), Loads: f.scheduler.PlacedLoads(f.now, belowNames), Exposures: f.subtreeExposures()}
 	for team, tokens := range f.admittedBelow {
 		sums.Admitted[team] += tokens
 	}
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -15,7 +16,14 @@
 // that already had an attempt of it, those that are down, load weights or pause and, for a
 // stream that goes on, those of another software version.
 func (f *Forwarder) candidates(fl *flight) []scheduler.Candidate {
-	return f.candidatesAmong(fl, f.servers.Available(f.now, fl.service))
+	servers := f.servers.Available(f.now, fl.service)
+	candidates := f.candidatesAmong(fl, f.serversInExposure(fl, servers))
+	if len(candidates) == 0 && fl.draw.toTarget && fl.draw.phase == exposurekeeper.Trial {
+		// No server of the trial can take the request now.
+		fl.draw.toTarget = false
+		candidates = f.candidatesAmong(fl, f.serversInExposure(fl, servers))
+	}
+	return candidates
 }
 
 // candidatesAmong returns those of the servers that can take the request now.
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -139,6 +139,8 @@
 	// objects is the store from which the instances read; nil for a cluster that gets
 	// the store's objects as events.
 	objects *objectStore
+	// rollout is the roll-out of a service's software; nil for none.
+	rollout *softwareRollout
 }
 
 type server struct {
@@ -233,6 +235,9 @@
 	c.step(i, forwarder.StateRead{State: newDesiredState(1), ConfirmedAt: c.now})
 	c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
 	c.listServers(i)
+	if c.rollout != nil {
+		c.rollout.tell(i, 1)
+	}
 }
 
 // listPeers delivers the list of instances.
@@ -342,6 +347,8 @@
 		c.checkHealth(i, action)
 	case forwarder.CallStore:
 		c.callStore(i, action.Step)
+	case forwarder.WriteVerdict:
+		c.rollout.write(i, action)
 	case forwarder.CallEngine:
 		c.callEngine(i, action.Step)
 	case forwarder.ReadCache:
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -48,6 +48,7 @@
 	if received != upstream {
 		f.neighbors[message.Name] = n
 		f.mergeSums(message, f.serverLoads(message.Loads), f.teamCounts(message.Admitted))
+		f.mergeExposures(message, nil, true)
 	} else {
 		f.mergeUpstream(message, n)
 	}
@@ -136,6 +137,7 @@
 		admitted[team] -= tokens
 	}
 	f.mergeSums(message, loads, admitted)
+	f.mergeExposures(message, own.Exposures, counted > 0)
 }
 
 // serverLoads returns the loads of the servers that this instance knows.
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -75,6 +75,10 @@
 	survived       bool
 	// confirms reports whether the request confirms the conviction of one of its parts.
 	confirms bool
+	// draw is the choice of a version while the service's software is rolled out, and
+	// targetAttempts the number of attempts at the new one.
+	draw           exposureDraw
+	targetAttempts int
 	// crashCheck is the server of which the request waits to learn whether it has crashed;
 	// empty for none.
 	crashCheck string
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -9,7 +9,7 @@
 // (backend servers), rollout (loading new weights into engines), organizer (with which
 // instances digests are exchanged), replicator (from where the store's objects are read),
 // backlogkeeper (how long engines still take for the prompts that they were sent),
-// limitsharer (limits that servers name), originkeeper (where streams began) and pathfinder
+// exposurekeeper (how much a new software version gets), limitsharer (limits that servers name), originkeeper (where streams began) and pathfinder
 // (through which instance a server is reached).
 //
 // The age of the desired state is the time since the store last confirmed it. With
@@ -224,6 +224,9 @@
 	controls map[string]clock.Millis
 	tunnels  map[string]tunnel
 
+	// rollouts has the roll-outs of software.
+	rollouts
+
 	flights map[string]*flight
 }
 
@@ -262,7 +265,8 @@
 		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
 		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
-		flights: map[string]*flight{},
+		rollouts: newRollouts(settings.Bounds.LimitsExposure()),
+		flights:  map[string]*flight{},
 	}
 }
 
@@ -276,6 +280,8 @@
 		f.replicas = replicator.New(now, digest.ID(f.settings.Name), replicator.NewTiming(f.settings.Bounds.ConfigApply, f.settings.Bounds.KeyWithdrawal))
 		f.log(eventlog.New(eventlog.InstanceStarted, "").With("instance", f.settings.Name).With("domain", f.settings.Domain).With("incarnation", f.incarnation))
 	}
+	// After a suspension, no request may be sent by a decision from before it.
+	f.advanceExposures()
 	f.handle(event)
 	f.runDueWork()
 	return f.actions
@@ -345,6 +351,8 @@
 		f.handleReplicasFetched(event)
 	case CacheRead:
 		f.handleCacheRead(event)
+	case SoftwareOrdered, SoftwareOrderRemoved, VerdictWritten:
+		f.handleRolloutEvent(event)
 	case SettingsReloaded:
 		f.handleSettingsReloaded(event.Settings)
 	case DrainRequested:
@@ -374,6 +382,7 @@
 		f.checkDownServers()
 		f.checkBlockedPaths()
 	}
+	f.advanceExposures()
 	f.advanceRollout()
 	f.moveStreams()
 	f.readDueCaches()
--- a/internal/decision/forwarder/leaving.go
+++ b/internal/decision/forwarder/leaving.go
@@ -52,7 +52,8 @@
 	if candidates := f.candidates(fl); len(candidates) > 0 {
 		return candidates
 	}
-	return f.candidatesAmong(fl, f.servers.Leaving(f.now, fl.service, f.settings.Bounds.ServerDrain/leavingDivisor))
+	leaving := f.servers.Leaving(f.now, fl.service, f.settings.Bounds.ServerDrain/leavingDivisor)
+	return f.candidatesAmong(fl, f.serversInExposure(fl, leaving))
 }
 
 // leavingInTime returns the servers from which streams must move now to be elsewhere before
--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -12,6 +12,9 @@
 func (f *Forwarder) mergeReplicas(message digest.Digest) {
 	sums, echoed := f.sent.Find(f.now, message.Echo)
 	for _, replica := range message.Replicas {
+		if replicator.Kind(replica.Kind) == replicator.Rollouts && !f.followsRollouts {
+			continue
+		}
 		offer := replicator.Offer{Kind: replicator.Kind(replica.Kind), Neighbor: message.Name, Copy: replicator.Copy{Era: replica.Era, Revision: replica.Revision, Through: replica.Through, Source: replica.Source}}
 		if echoed {
 			offer.Copy.ConfirmedAt = sums.SentAt.Add(-replica.Age)
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -100,7 +100,7 @@
 	if f.rollout.HoldsLease(f.now) || len(f.rollout.LoadingEngines()) > 0 {
 		f.nextRollout = f.now.Add(rolloutTickInterval)
 	}
-	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown, MaxWeightsAge: f.settings.Bounds.MaxWeightsAge}
+	view := rollout.View{Rank: f.instanceRank(), StoreReachable: !f.storeDown, NeedsLease: f.needsLease(), MaxWeightsAge: f.settings.Bounds.MaxWeightsAge}
 	for _, server := range f.servers.All() {
 		// Orders must come from one instance, and another one reaches the engines.
 		if f.paths.CutOff() {
--- a/internal/decision/forwarder/status.go
+++ b/internal/decision/forwarder/status.go
@@ -26,6 +26,46 @@
 	// milliseconds since it was last known to be current.
 	StateVersion int64        `json:"stateVersion"`
 	StateAge     clock.Millis `json:"stateAge"`
+	// Rollouts are the roll-outs of software by service.
+	Rollouts map[string]RolloutStatus `json:"rollouts,omitempty"`
+}
+
+// RolloutStatus is the state of a roll-out of a service's software, as far as the instance
+// knows.
+type RolloutStatus struct {
+	Target  string       `json:"target"`
+	Phase   string       `json:"phase"`
+	Verdict string       `json:"verdict"`
+	Share   float64      `json:"share"`
+	Age     clock.Millis `json:"age"`
+	// TargetRequests, AllRequests and OldRunning are as in digests. Good and Bad are the
+	// target's answers.
+	TargetRequests int64 `json:"targetRequests"`
+	AllRequests    int64 `json:"allRequests"`
+	OldRunning     int64 `json:"oldRunning"`
+	Good           int64 `json:"good"`
+	Bad            int64 `json:"bad"`
+}
+
+func (f *Forwarder) rolloutStatus() map[string]RolloutStatus {
+	rollouts := make(map[string]RolloutStatus, len(f.exposures))
+	for service, e := range f.exposures {
+		state, known := f.exposureSums.orders[e.id]
+		if !known {
+			continue
+		}
+		sums := f.allExposure(e)
+		status := RolloutStatus{
+			Target: e.order.Target, Phase: state.phase.String(), Verdict: e.final.String(), Share: e.decision.Share, Age: f.now.Since(state.seenAt),
+			TargetRequests: sums.TargetRequests, AllRequests: sums.AllRequests, OldRunning: sums.OldRunning,
+		}
+		for _, compared := range sums.Routes {
+			status.Good += compared.Target.OK
+			status.Bad += compared.Target.Bad()
+		}
+		rollouts[service] = status
+	}
+	return rollouts
 }
 
 // StatusAt returns the status at now.
@@ -37,5 +77,6 @@
 		WatchesStore: f.replicas != nil && f.replicas.Watching(), HoldsLease: f.rollout.HoldsLease(f.now),
 		KnownOrigins: f.origins.Len(),
 		StoreEra:     f.eras.Era(), StateVersion: f.desired.Version, StateAge: f.now.Since(f.desiredConfirmedAt),
+		Rollouts: f.rolloutStatus(),
 	}
 }
--- a/internal/decision/rollout/rollout.go
+++ b/internal/decision/rollout/rollout.go
@@ -89,6 +89,9 @@
 	Rank int
 	// StoreReachable reports whether the store can be reached.
 	StoreReachable bool
+	// NeedsLease reports whether the instance needs the lease for something other than
+	// orders to engines.
+	NeedsLease bool
 	// MaxWeightsAge is the time within which all engines must have loaded new weights.
 	MaxWeightsAge clock.Millis
 }
@@ -170,7 +173,7 @@
 func (c *Controller) Next(now clock.Millis, view View) []Step {
 	outdated := c.outdatedEngines(view)
 	c.removeJobs(now, view)
-	if len(outdated) == 0 && len(c.jobs) == 0 {
+	if len(outdated) == 0 && len(c.jobs) == 0 && !view.NeedsLease {
 		c.outdatedSince = 0
 		return c.readLease(now, view)
 	}
--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -59,6 +59,8 @@
 		})
 	case forwarder.CallStore:
 		e.start(func() { e.callStore(action.Step) })
+	case forwarder.WriteVerdict:
+		e.start(func() { e.writeVerdict(action) })
 	case forwarder.CallEngine:
 		e.start(func() { e.callEngine(action.Step) })
 	}
@@ -93,6 +95,14 @@
 	}
 }
 
+func (e *Edge) writeVerdict(write forwarder.WriteVerdict) {
+	response := objectstore.Response{Outcome: objectstore.Refused}
+	if bootclock.Now() < write.Deadline {
+		response = e.platform.WriteVerdict(e.ctx, write)
+	}
+	e.machine.submit(forwarder.VerdictWritten{Service: write.Service, Revision: write.IfRevision, Verdict: write.Verdict, Response: response})
+}
+
 func (e *Edge) callEngine(step rollout.Step) {
 	switch step := step.(type) {
 	case rollout.RequestReport:
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -92,6 +92,8 @@
 	CheckHealth(ctx context.Context, check forwarder.CheckHealth, notify Notify) forwarder.HealthChecked
 	// ReadCache reads which prompt parts a server or the cache store holds.
 	ReadCache(ctx context.Context, read cachetracker.ReadRequest, notify Notify) forwarder.CacheRead
+	// WriteVerdict writes the status of a roll-out's order.
+	WriteVerdict(ctx context.Context, write forwarder.WriteVerdict) objectstore.Response
 	// ReadyPath returns the path of the readiness check.
 	ReadyPath() string
 }
