--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -72,6 +72,11 @@
 	AssignmentWritten    Number = 2320
 	StoreEraChanged      Number = 2401
 	StoreEraInvalid      Number = 2402
+	RolloutOrdered       Number = 2501
+	RolloutTargetUnknown Number = 2502
+	RolloutPhase         Number = 2503
+	RolloutVerdict       Number = 2504
+	RolloutEnded         Number = 2505
 	OrderGiven           Number = 2302
 	OrderReplied         Number = 2303
 	SettingsRead         Number = 3005
@@ -153,6 +158,11 @@
 	AssignmentWritten:    "assignmentWritten",
 	StoreEraChanged:      "storeEraChanged",
 	StoreEraInvalid:      "storeEraInvalid",
+	RolloutOrdered:       "rolloutOrdered",
+	RolloutTargetUnknown: "rolloutTargetUnknown",
+	RolloutPhase:         "rolloutPhase",
+	RolloutVerdict:       "rolloutVerdict",
+	RolloutEnded:         "rolloutEnded",
 	OrderGiven:           "orderGiven",
 	OrderReplied:         "orderReplied",
 	SettingsRead:         "settingsRead",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -5,6 +5,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/keepermessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
@@ -188,6 +189,16 @@
 // CallStore reads or writes the rollout lease in the store.
 type CallStore struct{ Step rollout.Step }
 
+// WriteVerdict writes the status of a roll-out's order if the object still has the revision.
+// It must not be sent after its deadline: the instance may have been suspended since.
+type WriteVerdict struct {
+	Service    string
+	Target     string
+	Verdict    exposurekeeper.Verdict
+	IfRevision int64
+	Deadline   clock.Millis
+}
+
 // CallEngine sends an order or a report request to an engine.
 type CallEngine struct{ Step rollout.Step }
 
@@ -235,6 +246,7 @@
 func (CallStore) isAction()       {}
 func (ReadAssignment) isAction()  {}
 func (WriteAssignment) isAction() {}
+func (WriteVerdict) isAction()    {}
 func (CallEngine) isAction()      {}
 func (SetLimits) isAction()       {}
 func (ObserveDuration) isAction() {}
--- a/internal/decision/forwarder/assignmentwriter.go
+++ b/internal/decision/forwarder/assignmentwriter.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
@@ -72,10 +73,7 @@
 
 func (f *Forwarder) advanceAssignment(service string) {
 	view, known := f.assignments[service]
-	servers := map[string]int{}
-	for _, server := range f.servers.Available(f.now, service) {
-		servers[server.SoftwareVersion]++
-	}
+	servers := f.assignableServers(service)
 	if len(servers) == 0 || (view.writingSince > 0 && f.now.Since(view.writingSince) < assignmentTimeout) {
 		return
 	}
@@ -107,6 +105,35 @@
 	f.emit(WriteAssignment{Service: service, Record: next, IfRevision: revision})
 }
 
+// assignableServers returns the number of servers of the service by version, for the shares of
+// streams. While a version is rolled out, its number stands for the share that it may have.
+func (f *Forwarder) assignableServers(service string) map[string]int {
+	servers, old := map[string]int{}, 0
+	e, exposed := f.exposures[service]
+	for _, server := range f.servers.Available(f.now, service) {
+		servers[server.SoftwareVersion]++
+		if exposed && server.SoftwareVersion != e.order.Target {
+			old++
+		}
+	}
+	if !exposed || old == 0 || servers[e.order.Target] == 0 {
+		return servers
+	}
+	parts := 0
+	switch {
+	case e.final == exposurekeeper.RollBack || e.stoppedAt > 0:
+	case e.final == exposurekeeper.Complete:
+		parts = versionassigner.MaxShares
+	default:
+		parts = int(e.decision.Share * versionassigner.MaxShares)
+	}
+	for version, count := range servers {
+		servers[version] = count * (versionassigner.MaxShares - parts)
+	}
+	servers[e.order.Target] = old * parts
+	return servers
+}
+
 // allAssigned returns what all instances know of the streams that may be resumed. It reports
 // false unless all of them have the assignment.
 func (f *Forwarder) allAssigned(position storeposition.Position) (assignedStreams, bool) {
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -113,6 +113,7 @@
 	fl.ways[fl.attempts] = way{hop: hop, beganAt: f.now, startedAt: server.StartedAt}
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
+	f.beginExposed(fl, server, fl.attempts)
 	f.takeLimit(server)
 	f.recordSent(fl, choice.Server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
@@ -169,6 +170,7 @@
 		fl.answeringSince, fl.survived = f.now, false
 	}
 	fl.streamStarted = true
+	f.startExposed(fl, event.Attempt)
 	f.recordOrigin(fl)
 	f.dropAlternative(fl)
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
@@ -194,6 +196,7 @@
 	if fl, ok := f.currentAttempt(event.Request, event.Attempt); ok {
 		f.recordEnded(fl, event)
 	}
+	f.recordExposedEnd(event)
 	f.recordWayOf(event)
 	if fl, ok := f.flights[event.Request]; ok && fl.isAlternative(event.Attempt) {
 		f.handleAlternativeEnded(fl, event)
@@ -213,7 +216,7 @@
 	if event.WeightsVersion > 0 && fl.hasPrompt() {
 		f.recordWeights(fl.server, fl.request.Model, event.WeightsVersion)
 	}
-	f.scheduler.End(fl.attemptKey(fl.attempt))
+	f.endAttempt(fl, fl.attempt)
 	if event.Outcome == OutcomeCompleted && (!fl.partDelivered || event.Status == statusOK) {
 		f.handleCompletedAttempt(fl, event)
 		return
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -147,6 +147,8 @@
 	// objects is the store from which the instances read; nil for a cluster that gets
 	// the store's objects as events.
 	objects *objectStore
+	// rollout is the roll-out of a service's software; nil for none.
+	rollout *softwareRollout
 }
 
 type server struct {
@@ -242,6 +244,9 @@
 	c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
 	c.listAssignments(i)
 	c.listServers(i)
+	if c.rollout != nil {
+		c.rollout.tell(i, 1)
+	}
 }
 
 // listPeers delivers the list of instances.
@@ -355,6 +360,8 @@
 		c.writeAssignment(i, action)
 	case forwarder.CallStore:
 		c.callStore(i, action.Step)
+	case forwarder.WriteVerdict:
+		c.rollout.write(i, action)
 	case forwarder.CallEngine:
 		c.callEngine(i, action.Step)
 	case forwarder.ReadCache:
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -77,6 +77,10 @@
 	survived       bool
 	// confirms reports whether the request confirms the conviction of one of its parts.
 	confirms bool
+	// draw is the choice of a version while the service's software is rolled out, and
+	// targetAttempts the number of attempts at the new one.
+	draw           exposureDraw
+	targetAttempts int
 	// crashCheck is the server of which the request waits to learn whether it has crashed;
 	// empty for none.
 	crashCheck string
@@ -87,6 +91,10 @@
 	return fl.route.Kind == desired.Stream && fl.route.Resumable
 }
 
+// begun reports whether the request goes on with a stream that has begun at its origin. Before
+// that, the origin only follows from the assignment of streams.
+func (fl *flight) begun() bool { return fl.hasOrigin && (fl.partDelivered || fl.resumes()) }
+
 // resumes reports whether the request resumes a stream.
 func (fl *flight) resumes() bool {
 	return fl.request.ResumedRequest != "" || fl.request.LastEventID != ""
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -11,7 +11,8 @@
 // backlogkeeper (how long engines still take for the prompts that they were sent),
 // limitsharer (limits that servers name), admitter (which requests are sent, wait or are refused),
 // originkeeper (where streams began), versionassigner (where they begin, for a restart of all
-// instances), streamtracker (which streams may be resumed) and pathfinder
+// instances), streamtracker (which streams may be resumed), exposurekeeper (how much a new
+// software version gets) and pathfinder
 // (through which instance a server is reached).
 //
 // The age of the desired state is the time since the store last confirmed it. With
@@ -252,6 +253,8 @@
 	memberRemovedAt clock.Millis
 	// admitter decides which requests with prompts are sent, wait or are refused.
 	admitter *admitter.Admitter
+	// rollouts has the roll-outs of software.
+	rollouts
 
 	flights map[string]*flight
 }
@@ -295,6 +298,7 @@
 		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, groupCeilings: map[roomGroup]groupCeiling{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		admitter: admitter.New(),
+		rollouts: newRollouts(settings.Bounds.LimitsExposure()),
 		flights:  map[string]*flight{},
 	}
 }
@@ -310,6 +314,8 @@
 		f.log(eventlog.New(eventlog.InstanceStarted, "").With("instance", f.settings.Name).With("domain", f.settings.Domain).With("incarnation", f.incarnation))
 	}
 	f.detectPause()
+	// After a suspension, no request may be sent by a decision from before it.
+	f.advanceExposures()
 	f.handle(event)
 	f.runDueWork()
 	return f.actions
@@ -388,6 +394,8 @@
 		f.handleReplicasFetched(event)
 	case CacheRead:
 		f.handleCacheRead(event)
+	case SoftwareOrdered, SoftwareOrderRemoved, VerdictWritten:
+		f.handleRolloutEvent(event)
 	case SettingsReloaded:
 		f.handleSettingsReloaded(event.Settings)
 	case DrainRequested:
@@ -420,6 +428,7 @@
 		f.checkDownServers()
 		f.checkBlockedPaths()
 	}
+	f.advanceExposures()
 	f.advanceRollout()
 	f.advanceAssignments()
 	f.moveStreams()
--- a/internal/decision/versionassigner/versionassigner.go
+++ b/internal/decision/versionassigner/versionassigner.go
@@ -39,8 +39,8 @@
 )
 
 const (
-	// maxShares limits the shares of an assignment. Each costs one hash for each stream.
-	maxShares = 16
+	// MaxShares limits the shares of an assignment. Each costs one hash for each stream.
+	MaxShares = 16
 	// maxEarlier limits the earlier assignments of a record; with more, the versions of
 	// streams are unknown until all have been dropped.
 	maxEarlier = 4
@@ -94,8 +94,8 @@
 	}
 	shares := make(map[string]int, len(servers))
 	for version, count := range servers {
-		if total > maxShares {
-			count = max(min(count, 1), (count*maxShares+total/2)/total)
+		if total > MaxShares {
+			count = max(min(count, 1), (count*MaxShares+total/2)/total)
 		}
 		if count > 0 {
 			shares[version] = count
@@ -251,11 +251,11 @@
 		return Record{}, errors.New("versionassigner.Decode: the current assignment is missing")
 	}
 	for _, shares := range append(slices.Clip(wire.Earlier), wire.Current) {
-		if len(shares) > maxShares {
-			return Record{}, errors.Errorf("versionassigner.Decode: an assignment has %d versions, at most %d are allowed", len(shares), maxShares)
+		if len(shares) > MaxShares {
+			return Record{}, errors.Errorf("versionassigner.Decode: an assignment has %d versions, at most %d are allowed", len(shares), MaxShares)
 		}
 		for version, count := range shares {
-			if count < 1 || count > maxShares || len(version) > maxNameBytes {
+			if count < 1 || count > MaxShares || len(version) > maxNameBytes {
 				return Record{}, errors.Errorf("versionassigner.Decode: the shares of a version are out of range: %d", count)
 			}
 		}
