Complete no roll-out while streams may still begin at the old version

TestGoodRolloutIsCompleted failed once with 503 after the merge: the roll-out was completed at a moment without a running stream, while the assignment still led streams to the old version. Such an assignment now counts as a running request. The larger simulations run in parallel.

--- a/internal/decision/forwarder/exposedattempts.go
+++ b/internal/decision/forwarder/exposedattempts.go
@@ -87,9 +87,15 @@
 	}
 }
 
-// oldRunning returns the number of this instance's attempts on old servers.
+// oldRunning returns the number of this instance's attempts on old servers. While the assignment
+// of streams still leads there, it counts as one.
 func (f *Forwarder) oldRunning(e *exposure) int64 {
 	var running int64
+	shares := f.assignmentInUse(e.order.Service).Record.Shares()
+	delete(shares, e.order.Target)
+	if len(shares) > 0 {
+		running++
+	}
 	for _, attempt := range f.exposed {
 		if attempt.service == e.order.Service && !attempt.target {
 			running++
--- a/internal/decision/forwarder/exposure_simulation_test.go
+++ b/internal/decision/forwarder/exposure_simulation_test.go
@@ -263,6 +263,7 @@
 // against good ones that are taken back or completed while streams run on old servers. The
 // Exposure stays within its bounds with kills, a cut, a frozen holder and crashes.
 func TestRollouts(t *testing.T) {
+	t.Parallel()
 	kills := func(r *softwareRollout) { r.oneIn(5, r.restartInstance) }
 	cut := func(r *softwareRollout) {
 		if since := r.now.Since(r.orderedAt); since > 8*clock.Second && since < 9*clock.Second {
@@ -308,6 +309,7 @@
 		"good, a kill, 295 instances":           {295, 5, 1, 1, nil, func(r *softwareRollout) { r.oneIn(12, r.restartInstance) }},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			if raceDetector && test.instances > 7 {
 				t.Skip("a state machine has no concurrency, and the race detector takes minutes at this size")
 			}
--- a/internal/decision/forwarder/power_loss_simulation_test.go
+++ b/internal/decision/forwarder/power_loss_simulation_test.go
@@ -66,6 +66,7 @@
 // them, after all instances have lost power around a release of the engines' software: no
 // instance then knows where a stream began.
 func TestStreamsAfterPowerLoss(t *testing.T) {
+	t.Parallel()
 	releaseAt := func(from, to clock.Millis) func(p *powerLoss, elapsed clock.Millis) {
 		return func(p *powerLoss, elapsed clock.Millis) {
 			if elapsed >= from && elapsed < to {
@@ -107,6 +108,7 @@
 		"amid a release, 295 instances": {295, 5, 5 * clock.Second, 1, []clock.Millis{4 * clock.Second}, releaseAt(500, 1100), nil, 0.5},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			if raceDetector && test.instances > 7 {
 				t.Skip("a state machine has no concurrency, and the race detector takes minutes at this size")
 			}
