--- a/internal/decision/forwarder/exposure_simulation_test.go
+++ b/internal/decision/forwarder/exposure_simulation_test.go
@@ -273,6 +273,12 @@
 	crashes := func(r *softwareRollout) { r.oneIn(6, r.crashServer) }
 	crashTargets := func(r *softwareRollout) { r.oneIn(4, r.crashTarget) }
 	freeze := func(r *softwareRollout) { r.freezeHolder() }
+	// The store also has the assignments of resumable streams.
+	assigned := func(r *softwareRollout) {
+		if r.assignments == nil {
+			r.assignments = map[string]forwarder.Assignment{}
+		}
+	}
 	later := func(r *softwareRollout, _ string) (bool, clock.Millis) {
 		return r.now.Since(r.orderedAt) > r.order.Duration/4 && r.random.IntN(100) < 40, 0
 	}
@@ -303,10 +309,13 @@
 		"slow, 7 instances": {7, 3, 2, 6, func(r *softwareRollout, _ string) (bool, clock.Millis) {
 			return false, 300 * clock.Millis(r.random.IntN(2))
 		}, nil},
-		"good, kills and crashes, 67 instances": {67, 3, 1, 2, nil, func(r *softwareRollout) { kills(r); crashes(r) }},
-		"bad, kills and a cut, 67 instances":    {67, 3, 1, 2, fails(30), func(r *softwareRollout) { kills(r); cut(r) }},
-		"bad later, kills, 295 instances":       {295, 5, 1, 1, later, kills},
-		"good, a kill, 295 instances":           {295, 5, 1, 1, nil, func(r *softwareRollout) { r.oneIn(12, r.restartInstance) }},
+		"good, kills and crashes, 67 instances":    {67, 3, 1, 2, nil, func(r *softwareRollout) { kills(r); crashes(r) }},
+		"bad, kills and a cut, 67 instances":       {67, 3, 1, 2, fails(30), func(r *softwareRollout) { kills(r); cut(r) }},
+		"good, assigned streams, 7 instances":      {7, 3, 2, 6, nil, assigned},
+		"bad, assigned streams, 7 instances":       {7, 3, 2, 6, fails(50), assigned},
+		"bad later, assigned streams, 7 instances": {7, 3, 2, 6, later, assigned},
+		"bad later, kills, 295 instances":          {295, 5, 1, 1, later, kills},
+		"good, a kill, 295 instances":              {295, 5, 1, 1, nil, func(r *softwareRollout) { r.oneIn(12, r.restartInstance) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
