--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -10,7 +10,6 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/versionassigner"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -176,16 +175,6 @@
 // ReadCache reads the list of cached parts from a server or from the cache store.
 type ReadCache struct{ Read cachetracker.ReadRequest }
 
-// ReadAssignment reads the assignment of a service's streams from the store, not a copy.
-type ReadAssignment struct{ Service string }
-
-// WriteAssignment writes the assignment if its revision is IfRevision.
-type WriteAssignment struct {
-	Service    string
-	Record     versionassigner.Record
-	IfRevision int64
-}
-
 // CallStore reads or writes the rollout lease in the store.
 type CallStore struct{ Step rollout.Step }
 
@@ -244,8 +233,6 @@
 func (RefuseTunnel) isAction()    {}
 func (ReadCache) isAction()       {}
 func (CallStore) isAction()       {}
-func (ReadAssignment) isAction()  {}
-func (WriteAssignment) isAction() {}
 func (WriteVerdict) isAction()    {}
 func (CallEngine) isAction()      {}
 func (SetLimits) isAction()       {}
--- a/internal/decision/forwarder/assignments.go
+++ b/internal/decision/forwarder/assignments.go
@@ -68,6 +68,30 @@
 	}
 }
 
+// streamAssignments has the assignments of streams and what they depend on.
+type streamAssignments struct {
+	// assignments are the assignments of streams by service. streamRoutes identifies the routes
+	// of resumable streams, streamServices their services, and streamLifetime is the longest time
+	// for which a caller resumes a stream.
+	assignments         map[string]assignmentView
+	nextAssignments     clock.Millis
+	nextFirstAssignment clock.Millis
+	streamRoutes        string
+	streamServices      map[string]bool
+	streamLifetime      clock.Millis
+	endedStreams        *streamtracker.Tracker
+	// assignmentReads counts the requests that waited for an assignment, and readingAssignments
+	// has the count at which the read in flight was sent, by service.
+	assignmentReads    uint64
+	readingAssignments map[string]uint64
+	// memberRemovedAt is the time at which an instance was last removed from the list.
+	memberRemovedAt clock.Millis
+}
+
+func newStreamAssignments() streamAssignments {
+	return streamAssignments{assignments: map[string]assignmentView{}, readingAssignments: map[string]uint64{}, endedStreams: streamtracker.New()}
+}
+
 // assignmentView is what the instance knows of an assignment.
 type assignmentView struct {
 	Assignment
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -13,9 +13,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/versionassigner"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -183,27 +181,6 @@
 // PeersListed is the list of instances in the store, by name.
 type PeersListed struct{ Members map[string]Member }
 
-// AssignmentsListed has the assignments of streams in the store, by service, as they are at
-// the position.
-type AssignmentsListed struct {
-	Assignments map[string]Assignment
-	Position    storeposition.Position
-}
-
-// AssignmentRead and AssignmentWritten are the store's responses to a ReadAssignment and a
-// WriteAssignment.
-type (
-	AssignmentRead struct {
-		Service  string
-		Response objectstore.Response
-	}
-	AssignmentWritten struct {
-		Service  string
-		Record   versionassigner.Record
-		Response objectstore.Response
-	}
-)
-
 // KeeperMessageReceived is a message to or from a keeper of engines.
 type KeeperMessageReceived struct{ Message keepermessage.Message }
 
@@ -387,9 +364,6 @@
 func (StoreEraSeen) isEvent()          {}
 func (PeersListed) isEvent()           {}
 func (DigestReceived) isEvent()        {}
-func (AssignmentsListed) isEvent()     {}
-func (AssignmentRead) isEvent()        {}
-func (AssignmentWritten) isEvent()     {}
 func (KeeperMessageReceived) isEvent() {}
 func (OriginMessageReceived) isEvent() {}
 func (ReplicaUpdated) isEvent()        {}
--- a/internal/decision/forwarder/exposuresums.go
+++ b/internal/decision/forwarder/exposuresums.go
@@ -9,8 +9,8 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// unknownOrderTime is the time for which an order is passed on that this instance has only
-// heard of: its copies of the store's objects arrive by then.
+// unknownOrderTime is the time for which an order is passed on that this instance knows only from
+// digests: its copies of the store's objects arrive by then.
 const unknownOrderTime = 30 * clock.Second
 
 // exposureContact is the time between two digests of a neighbor within which what it has
@@ -20,9 +20,9 @@
 
 // orderState is what all instances share of an order.
 type orderState struct {
-	// seenAt is the time at which the first instance saw the order, and heardAt that at which
-	// this one first heard of it.
-	seenAt, heardAt clock.Millis
+	// seenAt is the time at which the first instance saw the order, and receivedAt that at which
+	// this one first received it.
+	seenAt, receivedAt clock.Millis
 	phase           exposurekeeper.Phase
 	movingSince     clock.Millis
 }
@@ -62,7 +62,7 @@
 func (s *exposureSums) see(now clock.Millis, seen digest.Exposure) {
 	state, known := s.orders[seen.Order]
 	if !known {
-		state = &orderState{seenAt: now, heardAt: now}
+		state = &orderState{seenAt: now, receivedAt: now}
 		s.orders[seen.Order] = state
 	}
 	state.seenAt = min(state.seenAt, now.Add(-seen.Age))
@@ -124,7 +124,7 @@
 		current[e.id] = true
 	}
 	for id, state := range f.exposureSums.orders {
-		if !current[id] && f.now.Since(state.heardAt) > 2*unknownOrderTime {
+		if !current[id] && f.now.Since(state.receivedAt) > 2*unknownOrderTime {
 			delete(f.exposureSums.orders, id)
 			delete(f.exposureSums.below, id)
 			delete(f.exposureSums.elsewhere, id)
@@ -134,7 +134,7 @@
 }
 
 // sharedOrders returns the orders that are passed on, sorted: those in progress, and those
-// that this instance has heard of lately.
+// that this instance has received lately.
 func (f *Forwarder) sharedOrders() []uint32 {
 	ended := map[uint32]bool{}
 	for _, e := range f.exposures {
@@ -142,7 +142,7 @@
 	}
 	var ids []uint32
 	for id, state := range f.exposureSums.orders {
-		if final, known := ended[id]; (known && !final) || (!known && f.now.Since(state.heardAt) < unknownOrderTime) {
+		if final, known := ended[id]; (known && !final) || (!known && f.now.Since(state.receivedAt) < unknownOrderTime) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -52,7 +52,6 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/retrybudget"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/streamtracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tokenbucket"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -235,22 +234,8 @@
 	controls map[string]clock.Millis
 	tunnels  map[string]tunnel
 
-	// assignments are the assignments of streams by service. streamRoutes identifies the routes
-	// of resumable streams, streamServices their services, and streamLifetime is the longest time
-	// for which a caller resumes a stream.
-	assignments         map[string]assignmentView
-	nextAssignments     clock.Millis
-	nextFirstAssignment clock.Millis
-	streamRoutes        string
-	streamServices      map[string]bool
-	streamLifetime      clock.Millis
-	endedStreams        *streamtracker.Tracker
-	// assignmentReads counts the requests that waited for an assignment, and readingAssignments
-	// has the count at which the read in flight was sent, by service.
-	assignmentReads    uint64
-	readingAssignments map[string]uint64
-	// memberRemovedAt is the time at which an instance was last removed from the list.
-	memberRemovedAt clock.Millis
+	// streamAssignments has the assignments of streams to software versions.
+	streamAssignments
 	// admitter decides which requests with prompts are sent, wait or are refused.
 	admitter *admitter.Admitter
 	// rollouts has the roll-outs of software.
@@ -289,12 +274,12 @@
 		orders:         map[string]receivedOrders{},
 		keeper:         backlogkeeper.New(), queries: map[uint64]*flight{}, silentKeepers: map[string]clock.Millis{},
 		origins: originkeeper.New(), lookups: map[uint64]*flight{}, soleVersions: map[string]soleVersion{},
-		assignments: map[string]assignmentView{}, readingAssignments: map[string]uint64{}, endedStreams: streamtracker.New(),
-		interruptions:  map[string][]interruption{},
-		crashedServers: map[string][]string{},
-		eras:           eratracker.New(),
-		parts:          partquarantine.New(maxAccusedParts),
-		limits:         limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
+		streamAssignments: newStreamAssignments(),
+		interruptions:     map[string][]interruption{},
+		crashedServers:    map[string][]string{},
+		eras:              eratracker.New(),
+		parts:             partquarantine.New(maxAccusedParts),
+		limits:            limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
 		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, groupCeilings: map[roomGroup]groupCeiling{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		admitter: admitter.New(),
@@ -408,35 +393,6 @@
 	}
 }
 
-// runDueWork does the work that depends on time alone.
-func (f *Forwarder) runDueWork() {
-	if f.servers.Expire(f.now) {
-		f.forgetRemoved()
-	}
-	if f.now.Since(f.startedAt) >= bucketWarmup {
-		f.limiter.MarkSynced()
-	}
-	f.updateInstanceCounts()
-	f.recordPendingCrashes()
-	f.refuseConvicted()
-	f.endSuspicions()
-	f.refuseFailedTunnels()
-	f.checkFlights()
-	f.sendWaiting()
-	if f.now >= f.nextServerScan {
-		f.nextServerScan = f.now.Add(serverScanInterval)
-		f.checkDownServers()
-		f.checkBlockedPaths()
-	}
-	f.advanceExposures()
-	f.advanceRollout()
-	f.advanceAssignments()
-	f.moveStreams()
-	f.readDueCaches()
-	f.advanceReplicas()
-	f.broadcast()
-}
-
 func (f *Forwarder) emit(action Action) { f.actions = append(f.actions, action) }
 
 func (f *Forwarder) log(entry eventlog.Entry) { f.emit(Log{Entry: entry}) }
--- a/internal/decision/forwarder/permissions.go
+++ b/internal/decision/forwarder/permissions.go
@@ -47,7 +47,7 @@
 
 // detectPause notices that this process has made no step for longer than peers wait for each
 // other. What it knows of them is out of date then: it counts as unreachable by them, and takes no
-// more than its own share of the limits until it has heard of them again.
+// more than its own share of the limits until it receives digests of them again.
 func (f *Forwarder) detectPause() {
 	before := f.lastStepAt
 	f.lastStepAt = f.now
--- a/internal/decision/forwarder/permissions_test.go
+++ b/internal/decision/forwarder/permissions_test.go
@@ -155,7 +155,7 @@
 }
 
 // TestPausedInstanceTakesItsShareOnly guards against an instance that, after a pause of its
-// process, grants the whole burst of a team before it has heard of the others.
+// process, grants the whole burst of a team before it has received digests of the others.
 func TestPausedInstanceTakesItsShareOnly(t *testing.T) {
 	p := newPausable(9)
 	state := pausableState(2, goodKey)
@@ -194,7 +194,7 @@
 }
 
 // TestPausedInstanceRemovesNoPeers guards against an instance that removes the entries of peers
-// which it has not heard of because it was itself paused.
+// from which it received nothing because it was itself paused.
 func TestPausedInstanceRemovesNoPeers(t *testing.T) {
 	p := newPausable(1)
 	p.run(16 * clock.Second)
