--- a/internal/decision/forwarder/exposuresums.go
+++ b/internal/decision/forwarder/exposuresums.go
@@ -23,8 +23,8 @@
 	// seenAt is the time at which the first instance saw the order, and receivedAt that at which
 	// this one first received it.
 	seenAt, receivedAt clock.Millis
-	phase           exposurekeeper.Phase
-	movingSince     clock.Millis
+	phase              exposurekeeper.Phase
+	movingSince        clock.Millis
 }
 
 // enter records a phase, and for how long the traffic has been moving.
