--- a/internal/decision/forwarder/admission.go
+++ b/internal/decision/forwarder/admission.go
@@ -7,6 +7,10 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
+// capacityWaitThirds is the longest wait for capacity in thirds of the request's time. A caller
+// that is refused later has too little time left to return.
+const capacityWaitThirds = 2
+
 // needsAdmission reports whether the request needs a slot of a server before it is sent. Plain
 // requests and streams that continue after an event are not held back.
 func (fl *flight) needsAdmission() bool {
@@ -19,7 +23,7 @@
 	return admitter.Request{
 		ID: fl.id(), Service: fl.service, Priority: fl.priority(),
 		Target: fl.route.ResponseTarget, TargetAt: fl.arrivedAt.Add(fl.route.ResponseTarget),
-		GiveUpAt: fl.deadline.Add(-max(minRemaining, duration)), Constrained: len(fl.triedServers) > 0 || fl.hasOrigin,
+		GiveUpAt: min(fl.deadline.Add(-max(minRemaining, duration)), fl.arrivedAt.Add(fl.deadline.Since(fl.arrivedAt)*capacityWaitThirds/3)), Constrained: len(fl.triedServers) > 0 || fl.hasOrigin,
 	}
 }
 
--- a/internal/decision/forwarder/admission_simulation_test.go
+++ b/internal/decision/forwarder/admission_simulation_test.go
@@ -89,6 +89,7 @@
 // TestBurstOfLessUrgentPrompts guards against engines that reject urgent requests because they are
 // full of less urgent ones. Without known slots, nothing is held back, as before.
 func TestBurstOfLessUrgentPrompts(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		instances, domains int
 		urgentServed       float64
--- a/internal/decision/forwarder/brittle_simulation_test.go
+++ b/internal/decision/forwarder/brittle_simulation_test.go
@@ -119,6 +119,7 @@
 // within a second, at loads below and above what they take. In one such time, they may crash twice
 // and a tenth of their number.
 func TestBrittleServersStayUp(t *testing.T) {
+	t.Parallel()
 	loads := map[string]float64{"below capacity": 0.6, "near capacity": 1, "above capacity": 1.6}
 	for size, scale := range scales {
 		for seed := range uint64(max(*brittleSeeds, fewBrittleSeeds[size])) {
--- a/internal/decision/forwarder/crashing_parts_simulation_test.go
+++ b/internal/decision/forwarder/crashing_parts_simulation_test.go
@@ -38,6 +38,7 @@
 // datagrams get lost. It verifies that such requests soon reach no engine any more, and that
 // sound ones with the same other parts begin as before.
 func TestPartsThatCrashEngines(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		for load := range partLoads {
 			for seed := range uint64(max(*crashSeeds, fewCrashSeeds[name])) {
--- a/internal/decision/forwarder/crashing_parts_test.go
+++ b/internal/decision/forwarder/crashing_parts_test.go
@@ -242,6 +242,7 @@
 // TestAnsweredRequestIsNotBlocked repeats a request whose engine ends while it answers it,
 // because of requests at another instance. It must not be blocked as one that crashes engines.
 func TestAnsweredRequestIsNotBlocked(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 3)
 	c.streamDuration = clock.Second
 	p := c.crashOnParts()
--- a/internal/decision/forwarder/eras_simulation_test.go
+++ b/internal/decision/forwarder/eras_simulation_test.go
@@ -182,6 +182,7 @@
 // TestErasBesideOtherFaults runs random sequences of stores that come back older, new states
 // and weights, pauses, restarts and cuts.
 func TestErasBesideOtherFaults(t *testing.T) {
+	t.Parallel()
 	sizes := []int{7, 67}
 	if *eraInstances > 0 {
 		sizes = []int{*eraInstances}
@@ -215,6 +216,7 @@
 // TestCallsAfterAnEraChange verifies that the number of calls to the store after its return
 // does not grow with the number of instances.
 func TestCallsAfterAnEraChange(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{7, 67, 295} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			c := newStoreCluster(t, 1, instances)
--- a/internal/decision/forwarder/eras_test.go
+++ b/internal/decision/forwarder/eras_test.go
@@ -42,6 +42,7 @@
 // a state with a lower version is not used, and that a copy is no evidence that no key was
 // withdrawn since, until what was lost is written again.
 func TestStateAfterAnEraChange(t *testing.T) {
+	t.Parallel()
 	changes := map[string]forwarder.Event{
 		"the store tells":           forwarder.StoreEraSeen{Era: 2},
 		"another instance tells":    forwarder.StoreEraSeen{Era: 2, From: "edge-1"},
@@ -69,6 +70,7 @@
 // TestServersMissingAfterAnEraChange verifies that a server whose entry the older copy lacks
 // is used until it would have been written again.
 func TestServersMissingAfterAnEraChange(t *testing.T) {
+	t.Parallel()
 	entry := registry.Entry{ID: "r0", Service: "records", StartedAt: 1, Era: 2, Revision: 50}
 	tests := map[string]struct {
 		era         int64
--- a/internal/decision/forwarder/fault_pairs_test.go
+++ b/internal/decision/forwarder/fault_pairs_test.go
@@ -41,6 +41,7 @@
 // TestFaultPairs draws two faults by seed, sometimes the same one twice, and verifies
 // the invariants of every request.
 func TestFaultPairs(t *testing.T) {
+	t.Parallel()
 	var names []string
 	for name := range faultKinds {
 		names = append(names, name)
--- a/internal/decision/forwarder/forwarder_test.go
+++ b/internal/decision/forwarder/forwarder_test.go
@@ -61,6 +61,7 @@
 // every request: exactly one final response, a correct "not run", no second run where
 // none is allowed, no requests to a leaving server or to weights that are too old.
 func TestUnderFaults(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		faults map[forwarder.Outcome]int
 		// inject injects a fault every half second.
@@ -122,6 +123,7 @@
 // the instance is not ready, while the desired state is older than the bound for
 // withdrawn keys.
 func TestStaleKeysAreRefused(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	require.True(t, c.instances[0].ReadyAt(c.now))
 	c.storeCutOff[0] = true
@@ -144,6 +146,7 @@
 // TestStaleStateGivesNoFinalRefusal verifies that an unknown route or key is refused
 // with a retryable status while the desired state may have been replaced.
 func TestStaleStateGivesNoFinalRefusal(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	statusOf := func(id, path, key string) int {
 		c.requests[id] = &request{}
@@ -162,6 +165,7 @@
 // it. After crashes of three servers every instance must refuse it at once, and still
 // serve other requests.
 func TestRequestThatCrashesServers(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 3)
 	c.poisonPrefix = "poison"
 	for attempt := range 8 {
@@ -188,6 +192,7 @@
 // TestCallerDisconnects verifies that a request is dropped when its caller disconnects,
 // and that an unsafe one, here of the route "filing", continues.
 func TestCallerDisconnects(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	for _, kind := range kinds {
 		id := c.sendRequest(0, kind)
@@ -207,6 +212,7 @@
 // TestTeamOverLimit verifies that a team over its limit receives a retry delay, and
 // that requests which did not run consume no tokens.
 func TestTeamOverLimit(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	refused := 0
 	for range 1200 {
@@ -225,6 +231,7 @@
 // after a short connection failure of the store is removed, and that it is still used
 // for a while after an outage in which entries may have expired.
 func TestServerRemovedAfterStoreFailure(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		outage clock.Millis
 		used   bool
@@ -254,6 +261,7 @@
 // same time while all caches are empty, as they are after a load of new weights. Each
 // instance must receive the others' assignments soon enough not to overload one engine.
 func TestConcurrentPromptsSpreadOverEngines(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 4)
 	const prompts = 48
 	for i := range prompts {
@@ -284,6 +292,7 @@
 // TestStateAgeIgnoredWithoutKeys verifies that where no request needs a key, requests
 // are served whatever the age of the desired state.
 func TestStateAgeIgnoredWithoutKeys(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	open := newDesiredState(2)
 	open.Teams, open.Keys = nil, nil
--- a/internal/decision/forwarder/leaving_test.go
+++ b/internal/decision/forwarder/leaving_test.go
@@ -12,6 +12,7 @@
 // TestLeavingServerGetsNoNewRequests lets a server say in its responses that it leaves, while
 // its entry in the store does not, or is away and comes back.
 func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		entry func(c *cluster, s *server)
 		// back reports whether the server gets requests again.
@@ -62,6 +63,7 @@
 // TestLeavingIsPassedOn verifies that instances which had no response from the leaving server
 // send it nothing either, soon after another one has learned of it.
 func TestLeavingIsPassedOn(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		t.Run(name, func(t *testing.T) {
 			c := newClusterIn(t, 1, scale.instances, scale.domains)
@@ -78,6 +80,7 @@
 // TestNoticeOfEarlierStart verifies that a notice about a server that has started again since
 // doesn't concern it.
 func TestNoticeOfEarlierStart(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 2)
 	s := c.servers["r0"]
 	s.entry.StartedAt, s.entry.Revision = 2, 2
@@ -93,6 +96,7 @@
 // TestLeavingAgainUnderTheSameName verifies that a server which says that it leaves, to an
 // instance that does not know of its latest start yet, gets no requests once that is listed.
 func TestLeavingAgainUnderTheSameName(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	c.keepOnly("r0")
 	c.step(0, forwarder.ServerChanged{Entry: c.servers["r1"].entry})
@@ -111,6 +115,7 @@
 // TestLastServerLeaves verifies that where no other server is left, a leaving one gets
 // requests for as long as it is sure to serve them, and that they are refused at once later.
 func TestLastServerLeaves(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	c.keepOnly("r0")
 	c.servers["r0"].leaving = true
@@ -129,6 +134,7 @@
 // TestStreamsMoveFromLeavingEngines verifies that resumable streams move to other engines
 // before theirs stops, and that others stay.
 func TestStreamsMoveFromLeavingEngines(t *testing.T) {
+	t.Parallel()
 	leave := map[string]func(c *cluster, s *server){
 		"says so": func(c *cluster, s *server) {
 			c.step(0, forwarder.ServerNotice{Server: s.entry.ID, StartedAt: s.entry.StartedAt, Leaving: true})
--- a/internal/decision/forwarder/moves_test.go
+++ b/internal/decision/forwarder/moves_test.go
@@ -12,6 +12,7 @@
 // Resumable streams must move away from the engines that wait for them, within the
 // retry budget, and all others must stay.
 func TestStreamsMoveFromLoadingEngines(t *testing.T) {
+	t.Parallel()
 	for name, want := range map[string]struct {
 		kind   string
 		budget float64
--- a/internal/decision/forwarder/notices_simulation_test.go
+++ b/internal/decision/forwarder/notices_simulation_test.go
@@ -21,6 +21,7 @@
 // and ask for pauses, while instances are killed, suspended and cut off from each other and
 // from the store. It verifies from the records which calls reached which server.
 func TestNoticesUnderFaults(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		for seed := range uint64(max(*noticeSeeds, fewNoticeSeeds[name])) {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
@@ -53,6 +54,7 @@
 // TestNoticesUnderCuts does the same while instances are cut off from some or all servers, so that
 // the calls of several instances reach a server from the same one.
 func TestNoticesUnderCuts(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		for seed := range uint64(max(*noticeSeeds, fewNoticeSeeds[name])) {
 			if scale.instances > 7 && raceDetector {
--- a/internal/decision/forwarder/partitions_simulation_test.go
+++ b/internal/decision/forwarder/partitions_simulation_test.go
@@ -132,6 +132,7 @@
 // the store and the other instances still reach them. With an odd seed, instances are killed,
 // suspended and started anew, servers crash and leave, and new weights are loaded meanwhile.
 func TestCallersOfPartitionedInstancesAreServed(t *testing.T) {
+	t.Parallel()
 	for size, scale := range scales {
 		for seed := range uint64(max(*partitionSeeds, fewPartitionSeeds[size])) {
 			for who, choose := range partitions {
@@ -171,6 +172,7 @@
 // TestPartitionIsNotTakenForCrashes cuts most instances off from all servers, which are sound.
 // The other instances must not avoid any of them, and no part of a prompt may be convicted.
 func TestPartitionIsNotTakenForCrashes(t *testing.T) {
+	t.Parallel()
 	for name, mode := range cutModes {
 		t.Run(name, func(t *testing.T) {
 			c := newClusterIn(t, 1, 7, 3)
--- a/internal/decision/forwarder/partitions_test.go
+++ b/internal/decision/forwarder/partitions_test.go
@@ -222,6 +222,7 @@
 // instance that reaches no other one, and verifies that it goes on at the last one, and at the
 // engines, by its own connections.
 func TestCrashesAreNotTakenForPartition(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 3)
 	c.cut = func(from, to int) bool { return from == 0 || to == 0 }
 	c.run(3 * clock.Second)
--- a/internal/decision/forwarder/pauses_test.go
+++ b/internal/decision/forwarder/pauses_test.go
@@ -19,6 +19,7 @@
 // TestPausedServerGetsNothing lets servers ask for a pause, also while engines must load new
 // weights, and verifies that none gets a call until its end, while others take the requests.
 func TestPausedServerGetsNothing(t *testing.T) {
+	t.Parallel()
 	const pause = 2500 * clock.Millisecond
 	for server, kind := range map[string]string{"r0": "lookup", "e0": "stream"} {
 		t.Run(kind, func(t *testing.T) {
@@ -52,6 +53,7 @@
 // TestPausesAddUp verifies that a later pause extends an earlier one, and that a shorter one
 // does not end it sooner.
 func TestPausesAddUp(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct{ first, second, quiet clock.Millis }{
 		"longer":  {1000, 2500, 2500},
 		"shorter": {2500, 600, 2500},
@@ -74,6 +76,7 @@
 // TestAllServersPause verifies that a request is refused at once with the time until the
 // first server returns, and that it waits for that server if it returns soon enough.
 func TestAllServersPause(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		shortest clock.Millis
 		served   bool
@@ -105,6 +108,7 @@
 // TestPausesEndApart verifies that instances which were asked for the same pause do not return
 // to the server at the same moment.
 func TestPausesEndApart(t *testing.T) {
+	t.Parallel()
 	const pause = 2 * clock.Second
 	c := newCluster(t, 1, 7)
 	c.keepOnly("r0")
@@ -131,6 +135,7 @@
 
 // TestInvalidPause verifies that a pause that can't be used is counted and otherwise ignored.
 func TestInvalidPause(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, 1)
 	start := c.now
 	c.step(0, forwarder.ServerNotice{Server: "r0", StartedAt: 1, InvalidPause: "Fri, 31 Dec 1999 23:59:59 GMT"})
--- a/internal/decision/forwarder/releases_test.go
+++ b/internal/decision/forwarder/releases_test.go
@@ -282,6 +282,7 @@
 // over all of its caller's requests, and while two engines of its version serve, at least
 // half as many streams must go on as new ones begin.
 func TestReleases(t *testing.T) {
+	t.Parallel()
 	replace := func(r *release) {
 		for range max(1, len(r.instances)/20) {
 			r.replaceEngine()
--- a/internal/decision/forwarder/scale_test.go
+++ b/internal/decision/forwarder/scale_test.go
@@ -31,6 +31,7 @@
 // TestDigestsDoNotGrowWithInstances verifies that the datagrams that an instance sends and
 // receives are bounded, however many instances there are.
 func TestDigestsDoNotGrowWithInstances(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		t.Run(name, func(t *testing.T) {
 			newClusterIn(t, 1, scale.instances, scale.domains).requireBoundedTraffic()
@@ -41,6 +42,7 @@
 // TestDigestsWithHotSubjects verifies the same while all prompts share seven subjects, so
 // that the keepers of their owners are asked about each prompt.
 func TestDigestsWithHotSubjects(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		t.Run(name, func(t *testing.T) {
 			c := newClusterIn(t, 1, scale.instances, scale.domains)
@@ -88,6 +90,7 @@
 // in normal operation, after the loss of each instance that passes on the state of others,
 // and with a failure domain cut off. Its share of the limits follows from that.
 func TestReachableInstances(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		t.Run(name, func(t *testing.T) {
 			c := newClusterIn(t, 1, scale.instances, scale.domains)
@@ -126,6 +129,7 @@
 // TestLoadsReachAll verifies that the load which one instance places on an engine is known
 // to all others soon, and only once.
 func TestLoadsReachAll(t *testing.T) {
+	t.Parallel()
 	c := newClusterIn(t, 1, 67, 3)
 	c.run(2 * clock.Second)
 	c.streamDuration = 20 * clock.Second
@@ -148,6 +152,7 @@
 // a large cluster, faster than digests arrive, while all caches are empty. Hundreds of
 // instances that choose by the same outdated loads would all choose the same engine.
 func TestManyInstancesSpreadPrompts(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		t.Run(name, func(t *testing.T) {
 			c := newClusterIn(t, 1, scale.instances, scale.domains)
@@ -174,6 +179,7 @@
 // after another and faster than digests arrive. Its parts must be read once, by the engine
 // that owns them, and found there by all others.
 func TestKeepersKnowCaches(t *testing.T) {
+	t.Parallel()
 	c := newClusterIn(t, 1, 67, 3)
 	c.run(2 * clock.Second)
 	c.sendPrompt(0, "first")
--- a/internal/decision/forwarder/server_limits_simulation_test.go
+++ b/internal/decision/forwarder/server_limits_simulation_test.go
@@ -117,6 +117,7 @@
 // TestServerLimitsUnderFaults lets servers name limits while instances are killed, suspended
 // and cut off, servers crash, new weights are loaded, and datagrams get lost.
 func TestServerLimitsUnderFaults(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		for seed := range uint64(max(*limitSeeds, fewLimitSeeds[name])) {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
@@ -154,6 +155,7 @@
 // load. They must get most of what they take, and the other requests must be refused at once,
 // or after a short wait, with the most urgent ones served.
 func TestLimitedServersAreUsed(t *testing.T) {
+	t.Parallel()
 	for name, scale := range scales {
 		if scale.instances > 100 && *limitSeeds == 0 {
 			continue
--- a/internal/decision/forwarder/unreachable_test.go
+++ b/internal/decision/forwarder/unreachable_test.go
@@ -57,6 +57,7 @@
 // reached right afterwards, and verifies that it counts as the cause only if they refuse
 // connections. The peers learn of either.
 func TestConnectTimeoutBlamesNoRequest(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		set     func(s *server, unreachable bool)
 		blocked bool
@@ -104,6 +105,7 @@
 // until its next health check, and that its cache is known to be lost only if it refuses
 // connections.
 func TestConnectTimeoutForgetsNoCache(t *testing.T) {
+	t.Parallel()
 	const engine = "e0"
 	ways := map[string]func(c *cluster, gone bool){
 		"attempt": func(c *cluster, gone bool) {
--- a/internal/decision/forwarder/versions_test.go
+++ b/internal/decision/forwarder/versions_test.go
@@ -33,6 +33,7 @@
 // software versions. Within one response, no stream may hold events of both, while a
 // request that has received none may be sent to an engine of the other.
 func TestStreamGoesOnlyOnAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		versions []string
 		prepare  func(c *cluster)
