Send streams that are assigned to a stopped version to another one

TestBadRolloutIsTakenBack failed once with 503: after a bad version was stopped, new streams that the assignment gave to it were refused until the next assignment, up to 0.4 s. They now begin at another version. No instance confirms the assignment while a roll-out is in progress, so that the earlier ones are kept and none of these streams is taken for one of the bad version.

--- a/internal/decision/forwarder/assignments.go
+++ b/internal/decision/forwarder/assignments.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
@@ -151,9 +152,31 @@
 	}
 	fl.hasOrigin = false
 	f.streamLifetime = max(f.streamLifetime, fl.request.CallerTimeout)
-	if inUse := f.assignmentInUse(fl.service); inUse.Position != (storeposition.Position{}) {
-		fl.origin, fl.hasOrigin = originkeeper.Origin{Service: fl.service, SoftwareVersion: inUse.Record.Pick(fl.id())}, true
+	inUse := f.assignmentInUse(fl.service)
+	if inUse.Position == (storeposition.Position{}) {
+		return
+	}
+	if version := inUse.Record.Pick(fl.id()); !f.isStopped(fl.service, version) {
+		fl.origin, fl.hasOrigin = originkeeper.Origin{Service: fl.service, SoftwareVersion: version}, true
+	}
+}
+
+// isStopped reports whether the version of the service's software gets no new requests, because
+// it is bad.
+func (f *Forwarder) isStopped(service, version string) bool {
+	e, exposed := f.exposures[service]
+	return exposed && version == e.order.Target && (e.final == exposurekeeper.RollBack || e.stoppedAt > 0)
+}
+
+// mayLeaveAssignment reports whether streams may begin at another version than the assignment in
+// use gives them: that of a roll-out may be stopped at any time.
+func (f *Forwarder) mayLeaveAssignment(service string) bool {
+	e, exposed := f.exposures[service]
+	if !exposed {
+		return false
 	}
+	_, shared := f.assignmentInUse(service).Record.Shares()[e.order.Target]
+	return e.final == exposurekeeper.Continue || (shared && f.isStopped(service, e.order.Target))
 }
 
 // assignmentInUse returns the assignment by which this instance begins streams of the service.
--- a/internal/decision/forwarder/assignmentwriter.go
+++ b/internal/decision/forwarder/assignmentwriter.go
@@ -171,7 +171,7 @@
 		if !f.streamServices[service] {
 			continue
 		}
-		if !view.Record.IsFor(f.eras.Era(), f.streamRoutes) || f.assignmentInUse(service).Position != view.Position || view.Position.Era != f.eras.Era() {
+		if !view.Record.IsFor(f.eras.Era(), f.streamRoutes) || f.assignmentInUse(service).Position != view.Position || f.mayLeaveAssignment(service) || view.Position.Era != f.eras.Era() {
 			return assigned
 		}
 		revision, settled = max(revision, view.Position.Revision), settled && view.Record.Settled()
