--- a/internal/decision/forwarder/admission.go
+++ b/internal/decision/forwarder/admission.go
@@ -13,8 +13,8 @@
 
 // needsAdmission reports whether the request needs a slot of a server before it is sent. Plain
 // requests and streams that continue after an event are not held back.
-func (fl *flight) needsAdmission() bool {
-	return fl.hasPrompt() && !fl.partDelivered && fl.request.LastEventID == "" && fl.request.ResumedRequest == ""
+func (f *Forwarder) needsAdmission(fl *flight) bool {
+	return f.settings.Admission && fl.hasPrompt() && !fl.partDelivered && fl.request.LastEventID == "" && fl.request.ResumedRequest == ""
 }
 
 // admissionRequest returns the request as the admitter needs it.
@@ -43,7 +43,7 @@
 // chooseAdmitted returns the cheapest candidate that admits the request. If there is none, full
 // reports whether that is for lack of capacity.
 func (f *Forwarder) chooseAdmitted(fl *flight, request scheduler.Request, candidates []scheduler.Candidate, turn bool) (choice scheduler.Choice, ok, full bool) {
-	if !fl.needsAdmission() {
+	if !f.needsAdmission(fl) {
 		choice, ok = f.scheduler.Choose(f.now, request, candidates)
 		return choice, ok, false
 	}
@@ -124,7 +124,7 @@
 
 // recordSent tells the admitter that the request was sent.
 func (f *Forwarder) recordSent(fl *flight, server string) {
-	if !fl.needsAdmission() {
+	if !f.needsAdmission(fl) {
 		return
 	}
 	if f.admitter.Waits(fl.id()) {
@@ -144,7 +144,7 @@
 // unless it pauses.
 func (f *Forwarder) recordFull(fl *flight, id string) {
 	server, ok := f.servers.Server(id)
-	if !ok || !fl.needsAdmission() || server.Slots == 0 || f.holdsBack(server) {
+	if !ok || !f.needsAdmission(fl) || server.Slots == 0 || f.holdsBack(server) {
 		return
 	}
 	f.admitter.Rejected(f.now, fl.service, admitter.Server{ID: id, Slots: server.Slots, Requests: f.scheduler.ServerLoad(f.now, id).Requests})
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -32,7 +32,7 @@
 // it. In a large cluster it asks the keepers of some engines first.
 func (f *Forwarder) assignServer(fl *flight) {
 	f.assignVersion(fl)
-	if fl.needsAdmission() && f.admitter.MustQueue(f.admissionRequest(fl)) {
+	if f.needsAdmission(fl) && f.admitter.MustQueue(f.admissionRequest(fl)) {
 		f.awaitCapacity(fl)
 		return
 	}
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -222,6 +222,7 @@
 		settings.Name, settings.IP, settings.Domain = fmt.Sprint("edge-", i), fmt.Sprint("10.0.0.", i), string(rune('a'+i%domains))
 		settings.PeerAddress = settings.Name
 		settings.FirstStart = true
+		settings.Admission = true
 		settings.Bounds.RetryExtra = 50
 		settings.Bounds.RetryRatio = 0.2
 		c.settings = append(c.settings, settings)
--- a/internal/decision/instancesettings/settings.go
+++ b/internal/decision/instancesettings/settings.go
@@ -40,7 +40,10 @@
 	Capacity int64
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int64
-	Bounds   Bounds
+	// Admission reports whether requests with prompts wait for free slots of servers, by
+	// urgency, instead of in the servers' queues.
+	Admission bool
+	Bounds    Bounds
 }
 
 // Bounds are the operational limits that the operators require of the cluster.
