--- a/internal/decision/forwarder/origins_test.go
+++ b/internal/decision/forwarder/origins_test.go
@@ -205,3 +205,22 @@
 		})
 	}
 }
+
+// TestUnnamedStreamAfterRestart guards against a stream that its caller does not name and that an
+// instance which has just started resumes at the only listed version: servers of the version
+// that began it may have left a moment before. After the longest time for which a caller comes
+// back, the stream goes on.
+func TestUnnamedStreamAfterRestart(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.setSoftwareVersions("v2")
+	c.settings[0].FirstStart = false
+	c.startInstance(0)
+	c.run(500)
+	refused := c.resumeStream(0, "soon", "stream", "", "1")
+	c.run(50)
+	refusal, ok := refused.finalAction.(forwarder.Refuse)
+	require.True(t, ok, c.logOf("soon"))
+	require.Equal(t, forwarder.ReasonUnknownOrigin, refusal.Reason)
+	c.run(31 * clock.Second)
+	require.Equal(t, 1, func() int { r := c.resumeStream(0, "later", "stream", "", "1"); c.run(50); return r.attempts }(), c.logOf("later"))
+}
