Log the age of weights at the choice and at the first token

The lines could not tell whether a request on superseded weights was handed over late, was sent late, waited at the server, or counted the age from too late a time. routeChosen and attemptFirstToken now have the version and the time since a newer one was published, routeChosen the expected start, and weightsNamed is also written for versions that a peer reports, with the age and where it is from. No decision changes.

--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -103,9 +103,17 @@
 	fl.attemptActive = true
 	fl.streamStarted = false
 	fl.expectedStartMs = choice.CostMs
+	fl.weightsVersion = f.weightsVersionAt(fl, choice.Server)
 	f.scheduleCheck(fl)
 }
 
+// weightsVersionAt returns the version of the weights with which the server runs the request; 0
+// without a prompt.
+func (f *Forwarder) weightsVersionAt(fl *flight, id string) int64 {
+	server, _ := f.servers.Server(id)
+	return server.Entry.WeightVersions[fl.request.Model]
+}
+
 // startAttempt sends the request to the selected server, as the next attempt or as an
 // alternative to the current one. It returns the attempt's number.
 func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) int {
@@ -128,7 +136,7 @@
 	}
 	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
-	entry = entry.With("weights", server.Entry.WeightVersions[fl.request.Model]).With("left", fl.remaining(f.now))
+	entry = f.withWeights(entry, fl.request.Model, server.Entry.WeightVersions[fl.request.Model]).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
 	saveAddress := ""
 	if choice.SaveToStore {
@@ -185,7 +193,8 @@
 	f.dropAlternative(fl)
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
 	f.scheduleCheck(fl)
-	f.log(eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt).With("after", f.now.Since(fl.arrivedAt)))
+	entry := eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
+	f.log(f.withWeights(entry, fl.request.Model, fl.weightsVersion).With("after", f.now.Since(fl.arrivedAt)))
 }
 
 func (f *Forwarder) handleStreamUnplaced(event StreamUnplaced) {
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -185,7 +185,7 @@
 	}
 	for model, ages := range message.WeightsAges {
 		for version, age := range ages {
-			f.rollout.AddVersion(model, version, f.now.Add(-age), true)
+			f.addWeights(model, version, f.now.Add(-age), true, "peer")
 		}
 	}
 	f.mergeOrders(message, origin)
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -55,9 +55,28 @@
 	if !published.JustPublished {
 		publishedAt = f.now.Add(-f.settings.Bounds.MaxWeightsAge)
 	}
-	if f.rollout.AddVersion(published.Model, published.Version, publishedAt, published.JustPublished) {
-		f.log(eventlog.New(eventlog.WeightsNamed, "").With("model", published.Model).With("version", published.Version).With("fresh", published.JustPublished))
+	f.addWeights(published.Model, published.Version, publishedAt, published.JustPublished, "store")
+}
+
+// addWeights records published weights, of which this instance learned from the store or a peer.
+func (f *Forwarder) addWeights(model string, version int64, publishedAt clock.Millis, exact bool, from string) {
+	if f.rollout.AddVersion(model, version, publishedAt, exact) {
+		entry := eventlog.New(eventlog.WeightsNamed, "").With("model", model).With("version", version)
+		f.log(entry.With("fresh", exact).With("age", f.now.Since(publishedAt)).With("from", from))
+	}
+}
+
+// withWeights adds the version of the weights to the entry, and the time since a newer one was
+// published.
+func (f *Forwarder) withWeights(entry eventlog.Entry, model string, version int64) eventlog.Entry {
+	if version == 0 {
+		return entry
+	}
+	entry = entry.With("weights", version)
+	if supersededAt, superseded := f.rollout.SupersededAt(model, version); superseded {
+		entry = entry.With("supersededFor", f.now.Since(supersededAt))
 	}
+	return entry
 }
 
 // recordWeights records the version that a server itself reported.
--- a/internal/decision/scheduler/choice.go
+++ b/internal/decision/scheduler/choice.go
@@ -61,9 +61,12 @@
 // startMargin is the safety factor on the expected start delay where it is limited.
 const startMargin = 2
 
+// StartMs returns the expected time until the request starts, in milliseconds, without penalties.
+func (c Choice) StartMs() float64 { return c.QueueMs + float64(c.UncachedTokens)/defaultPrefillRate }
+
 // startsInTime reports whether the request would start within the candidate's limit.
 func (c Choice) startsInTime() bool {
-	return c.MaxStartDelayMs == 0 || startMargin*(c.QueueMs+float64(c.UncachedTokens)/defaultPrefillRate) <= c.MaxStartDelayMs
+	return c.MaxStartDelayMs == 0 || startMargin*c.StartMs() <= c.MaxStartDelayMs
 }
 
 // Choose returns the cheapest candidate at which the request starts in time. It
