Show that queued requests begin on superseded weights

Callers got responses made with weights that had been replaced for longer than allowed. The simulation gives engines a queue of up to 4 s that the scheduler does not expect, and verifies for all tests when engines begin a request.

--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -167,6 +167,8 @@
 	// the time until which it declines everything.
 	leaving     bool
 	pausedUntil clock.Millis
+	// queue is the time for which streams wait there before they begin.
+	queue clock.Millis
 	// limit is the limit that it names in its responses; nil for none.
 	limit *limitPeriod
 	// room is its capacity; nil for an unlimited one.
@@ -188,6 +190,8 @@
 	attempts      int
 	partDelivered bool
 	lastDispatch  forwarder.Dispatch
+	// cancelled are the numbers of its cancelled attempts.
+	cancelled []int
 	// softwareVersions are those of the servers whose events it has received.
 	softwareVersions map[string]bool
 	parts            []scheduler.Part
@@ -346,7 +350,9 @@
 	case forwarder.Dispatch:
 		c.dispatch(i, action)
 	case forwarder.CancelAttempt:
-		if run := c.requests[action.Request]; c.parts != nil {
+		run := c.requests[action.Request]
+		run.cancelled = append(run.cancelled, action.Attempt)
+		if c.parts != nil {
 			delete(c.parts.runs[run.lastDispatch.Server], fmt.Sprint(action.Request, "/", action.Attempt))
 		}
 	case forwarder.ForwardResponse, forwarder.Refuse, forwarder.AbortStream, forwarder.DropRequest:
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/stretchr/testify/require"
@@ -143,6 +144,9 @@
 	if dispatch.Stream && c.streamDuration > 0 {
 		delay = c.streamDuration
 	}
+	if dispatch.Stream {
+		delay += s.queue
+	}
 	end(delay+slower+c.firstEventDelays[r.kind], forwarder.OutcomeCompleted, status)
 }
 
@@ -152,7 +156,8 @@
 
 // startStreamAfter does the same later, for a slow server.
 func (c *cluster) startStreamAfter(slower clock.Millis, i, from int, dispatch forwarder.Dispatch, r *request) {
-	c.after(10+slower+c.firstEventDelays[r.kind], func() {
+	c.after(10+slower+c.firstEventDelays[r.kind]+c.servers[dispatch.Server].queue, func() {
+		c.checkBeginning(i, dispatch, r)
 		cut, isCut := c.cutFrom(from, dispatch.Server)
 		if r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 && !(isCut && cut.breaks()) {
 			r.partDelivered = true
@@ -186,6 +191,20 @@
 	require.Equal(c.t, "press", dispatch.Team)
 }
 
+// checkBeginning verifies that an engine begins no request on weights that are too old, unless the
+// request's instance was disturbed.
+func (c *cluster) checkBeginning(i int, dispatch forwarder.Dispatch, r *request) {
+	over := r.finalActions > 0 || slices.Contains(r.cancelled, dispatch.Attempt)
+	if over || !dispatch.HasPrompt || c.stopped[i] || c.now.Since(max(c.pausedUntil[i], c.disturbedUntil[i])) < resumeGrace {
+		return
+	}
+	for version, publishedAt := range c.publishedAt {
+		if version > dispatch.WeightsVersion {
+			require.LessOrEqual(c.t, c.now.Since(publishedAt), c.settings[i].Bounds.MaxWeightsAge, "%s begins on weights %d although %d were published\n%s", dispatch.Request, dispatch.WeightsVersion, version, c.logOf(dispatch.Request))
+		}
+	}
+}
+
 func (c *cluster) recordFinalAction(action forwarder.Action) {
 	var id string
 	switch action := action.(type) {
--- /dev/null
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -0,0 +1,95 @@
+package forwarder_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// TestQueuedRequestsDoNotBeginOnSupersededWeights publishes weights that some engines do not load in
+// time, while requests wait in the queues of engines for longer than expected.
+func TestQueuedRequestsDoNotBeginOnSupersededWeights(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		kind string
+		// updated is the number of engines, of six, that load the new weights after a second.
+		updated int
+		// sentFor is the time for which requests are sent, from 100 ms before the publication.
+		sentFor clock.Millis
+		// served is the least fraction of the requests that an engine must answer.
+		served float64
+	}{
+		"resumable streams, others usable":           {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"resumable streams, no other":                {kind: "stream", sentFor: 6 * clock.Second},
+		"other streams, others usable":               {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"other streams, no other":                    {kind: "once", sentFor: 6 * clock.Second},
+		"sent before the weights were superseded":    {kind: "stream", updated: 3, sentFor: 90, served: 1},
+		"not resumable, sent before the new weights": {kind: "once", updated: 3, sentFor: 90},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				c := newCluster(t, seed, 4)
+				c.timeout = 12 * clock.Second
+				for i := range c.settings {
+					c.settings[i].Bounds.RetryExtra = 1000
+					c.startInstance(i)
+				}
+				c.run(300)
+				for i := range c.instances {
+					// Without leases nobody orders engines to load weights.
+					c.storeCutOff[i] = true
+				}
+				c.after(100, func() {
+					c.publishedVersion, c.publishedAt[2] = 2, c.now
+					for i := range c.instances {
+						c.step(i, forwarder.WeightsPublished{Model: model, Version: 2, JustPublished: true})
+					}
+				})
+				c.after(clock.Second, func() { c.loadWeights(test.updated) })
+				confirm := func() {
+					for i := range c.instances {
+						c.step(i, forwarder.StateConfirmed{ConfirmedAt: c.now})
+					}
+				}
+				for end := c.now.Add(test.sentFor); c.now < end; {
+					confirm()
+					for _, s := range c.servers {
+						s.queue = clock.Millis(c.random.IntN(4000))
+						if s.entry.WeightVersions[model] == 2 {
+							s.queue = 0
+						}
+						if test.sentFor < clock.Second {
+							s.queue = 6500
+						}
+					}
+					c.sendRequest(c.random.IntN(len(c.instances)), test.kind)
+					c.run(20)
+				}
+				for _, s := range c.servers {
+					s.queue = 0
+				}
+				for range 24 {
+					confirm()
+					c.run(500)
+				}
+				c.checkInvariants()
+				require.GreaterOrEqual(t, c.servedFraction(), test.served, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// loadWeights gives a number of engines the newest weights, as they report themselves.
+func (c *cluster) loadWeights(count int) {
+	for _, id := range c.serverIDs()[:count] {
+		s := c.servers[id]
+		s.entry = s.entry.WithWeightVersion(model, c.publishedVersion)
+		s.entry.Revision++
+		for i := range c.instances {
+			c.step(i, forwarder.ServerChanged{Entry: s.entry})
+		}
+	}
+}
