Withdraw requests that have not begun before the limit of their weights

Cause: the bound for the beginning was checked once, at the hand-over, on an estimate of the server's queue that knew neither full slots nor full memory.

Now the bound is enforced where the request is. A stream without a first event is cancelled 250 ms before it and goes on elsewhere if it can resume. If the response to a request that may not be repeated fits into the time before the limit, the server gets no longer deadline, so that its refusal proves that nothing has run; otherwise it is withdrawn and answered with 502. Responses that show no beginning are only sent if they fit, and nothing is sent after the limit. The estimate, which now counts full servers, only decides the choice.

TestQueuedRequestsDoNotBeginOnSupersededWeights failed before (begun 6.01 to 6.9 s after, bound 6 s) and passes; the check of beginnings holds in all simulations of the package.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -23,6 +23,7 @@
 	OriginsDropped       Number = 1109
 	CapacityAwaited      Number = 1110
 	CapacityRefused      Number = 1111
+	AttemptWithdrawn     Number = 1112
 	TokensTaken          Number = 1201
 	TokensRefused        Number = 1202
 	TokensReturned       Number = 1203
@@ -110,6 +111,7 @@
 	OriginsDropped:       "originsDropped",
 	CapacityAwaited:      "capacityAwaited",
 	CapacityRefused:      "capacityRefused",
+	AttemptWithdrawn:     "attemptWithdrawn",
 	TokensTaken:          "tokensTaken",
 	TokensRefused:        "tokensRefused",
 	TokensReturned:       "tokensReturned",
--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -47,8 +47,10 @@
 	SaveAddress string
 	// Priority is the request's priority at an engine; 0 goes first.
 	Priority int
-	// Timeout is the time that the server has for the response.
-	Timeout clock.Millis
+	// Timeout is the time that is left for the response, and ServerTimeout the one that is sent to
+	// the server, which ends the request then.
+	Timeout       clock.Millis
+	ServerTimeout clock.Millis
 	// SendBefore is the time from which the request must not be sent any more: what permitted
 	// it may have expired. The sender then reports OutcomeExpired.
 	SendBefore clock.Millis
@@ -262,4 +264,7 @@
 	ReasonUnknownOrigin    Reason = "unknownOrigin"
 	ReasonOtherService     Reason = "otherService"
 	ReasonStopping         Reason = "stopping"
+	// ReasonSupersededWeights refuses a request that has not begun before the weights of its server
+	// became too old.
+	ReasonSupersededWeights Reason = "supersededWeights"
 )
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -46,7 +46,12 @@
 
 // schedulerRequest returns the request as the scheduler needs it.
 func (f *Forwarder) schedulerRequest(fl *flight) scheduler.Request {
-	return scheduler.Request{Parts: fl.request.PromptParts, PromptTokens: fl.request.PromptTokens, OutputTokens: max(fl.request.OutputTokens, defaultOutputTokens)}
+	request := scheduler.Request{Parts: fl.request.PromptParts, PromptTokens: fl.request.PromptTokens, OutputTokens: max(fl.request.OutputTokens, defaultOutputTokens)}
+	if fl.hasPrompt() {
+		usual, _ := f.streamTimes(fl)
+		request.RunMs = float64(usual)
+	}
+	return request
 }
 
 // chooseServer selects one of the candidates and sends the request there, makes it wait,
@@ -97,26 +102,18 @@
 // dispatch starts the next attempt at the selected server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
-	fl.attempt = f.startAttempt(fl, choice, false)
+	fl.attempt, fl.weights = f.startAttempt(fl, choice, false)
 	fl.server = choice.Server
 	fl.attemptOrigin = f.originOf(choice.Server)
 	fl.attemptActive = true
 	fl.streamStarted = false
 	fl.expectedStartMs = choice.CostMs
-	fl.weightsVersion = f.weightsVersionAt(fl, choice.Server)
 	f.scheduleCheck(fl)
 }
 
-// weightsVersionAt returns the version of the weights with which the server runs the request; 0
-// without a prompt.
-func (f *Forwarder) weightsVersionAt(fl *flight, id string) int64 {
-	server, _ := f.servers.Server(id)
-	return server.Entry.WeightVersions[fl.request.Model]
-}
-
 // startAttempt sends the request to the selected server, as the next attempt or as an
-// alternative to the current one. It returns the attempt's number.
-func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) int {
+// alternative to the current one. It returns the attempt's number and its run.
+func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) (int, weightsRun) {
 	server, _ := f.servers.Server(choice.Server)
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
@@ -126,6 +123,7 @@
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.beginExposed(fl, server, fl.attempts)
+	f.nextWithdrawal = f.now
 	f.takeLimit(server)
 	f.recordSent(fl, choice.Server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
@@ -136,7 +134,8 @@
 	}
 	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
-	entry = f.withWeights(entry, fl.request.Model, server.Entry.WeightVersions[fl.request.Model]).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
+	run := f.planRun(fl, choice)
+	entry = f.withWeights(entry, fl.request.Model, run.version).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
 	saveAddress := ""
 	if choice.SaveToStore {
@@ -145,12 +144,12 @@
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
 		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
-		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: server.Entry.WeightVersions[fl.request.Model],
+		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: run.version,
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
-		Priority: fl.priority(), Timeout: fl.remaining(f.now), SendBefore: f.sendBefore(fl), LastEventID: fl.lastEventID,
+		Priority: fl.priority(), Timeout: fl.remaining(f.now), ServerTimeout: run.timeout, SendBefore: run.sendBefore, LastEventID: fl.lastEventID,
 		Stream: fl.route.Kind == desired.Stream, Resumable: fl.route.Resumable, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
 	})
-	return fl.attempts
+	return fl.attempts, run
 }
 
 // canRetry reports whether a request that may have run may be sent again.
@@ -194,7 +193,7 @@
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
 	f.scheduleCheck(fl)
 	entry := eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
-	f.log(f.withWeights(entry, fl.request.Model, fl.weightsVersion).With("after", f.now.Since(fl.arrivedAt)))
+	f.log(f.withWeights(entry, fl.request.Model, fl.weights.version).With("after", f.now.Since(fl.arrivedAt)))
 }
 
 func (f *Forwarder) handleStreamUnplaced(event StreamUnplaced) {
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -9,7 +9,6 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/exposurekeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
-	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
 // candidates returns the servers that can take the request now. It excludes servers
@@ -48,7 +47,7 @@
 				continue
 			}
 			var usable bool
-			if candidate.PenaltyMs, candidate.MaxStartDelayMs, usable = f.weightsPenalty(fl.request.Model, version); !usable {
+			if candidate.PenaltyMs, usable = f.weightsPenalty(fl.request.Model, version); !usable || !f.limitBeginning(fl, &candidate, version) {
 				continue
 			}
 			candidate.Salt = f.cacheSalt(fl, version)
@@ -93,28 +92,23 @@
 	// slightPenaltyMs is the penalty before that age, a slight preference for new
 	// weights.
 	slightPenaltyMs = 10.0
-	// weightsAgeMargin is subtracted from the age limit, for the network delay to the
-	// engine and its queue.
-	weightsAgeMargin = 500 * clock.Millisecond
 )
 
-// weightsPenalty returns the penalty for the version of the weights, the time within which
-// a request must start on it (0 for no limit), and whether it is still usable.
-func (f *Forwarder) weightsPenalty(model string, version int64) (penaltyMs, maxStartDelayMs float64, usable bool) {
-	supersededAt, superseded := f.rollout.SupersededAt(model, version)
+// weightsPenalty returns the penalty for the version of the weights, and whether it is still usable.
+func (f *Forwarder) weightsPenalty(model string, version int64) (penaltyMs float64, usable bool) {
+	limit, superseded := f.beginLimit(model, version)
 	if !superseded {
-		return 0, 0, true
+		return 0, true
 	}
-	age := f.now.Since(supersededAt)
 	maxAge := f.settings.Bounds.MaxWeightsAge
-	remaining := maxAge - weightsAgeMargin - age
+	remaining := limit.Since(f.now) - sendMargin
 	switch {
 	case remaining <= 0:
-		return 0, 0, false
-	case age > maxAge*fullPenaltyAgeSixths/6:
-		return fullPenaltyMs, float64(remaining), true
+		return 0, false
+	case maxAge-beginMargin-sendMargin-remaining > maxAge*fullPenaltyAgeSixths/6:
+		return fullPenaltyMs, true
 	default:
-		return slightPenaltyMs, float64(remaining), true
+		return slightPenaltyMs, true
 	}
 }
 
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -127,6 +127,10 @@
 			return
 		}
 	}
+	if dispatch.Stream && s.queue > dispatch.ServerTimeout {
+		end(dispatch.ServerTimeout, forwarder.OutcomeDeclined, 503)
+		return
+	}
 	r.runs++
 	s.addToCache(dispatch.CacheSalt, r.parts, c.cacheFaultPercent > 0)
 	if dispatch.Stream && c.eventGap != nil {
--- a/internal/decision/forwarder/duework.go
+++ b/internal/decision/forwarder/duework.go
@@ -13,6 +13,7 @@
 	f.refuseConvicted()
 	f.endSuspicions()
 	f.refuseFailedTunnels()
+	f.withdrawLate()
 	f.checkFlights()
 	f.sendWaiting()
 	if f.now >= f.nextServerScan {
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -241,6 +241,8 @@
 	drainState
 
 	flights map[string]*flight
+	// nextWithdrawal is the time of the next check for requests that have not begun in time.
+	nextWithdrawal clock.Millis
 }
 
 // New returns the state of an instance that has just started.
@@ -315,6 +317,9 @@
 	for _, fl := range f.flights {
 		wake = min(wake, fl.checkAt)
 	}
+	if f.nextWithdrawal > f.now {
+		wake = min(wake, f.nextWithdrawal)
+	}
 	if round, waiting := f.admitter.NextRound(); waiting {
 		wake = min(wake, round)
 	}
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -60,6 +60,7 @@
 
 // addWeights records published weights, of which this instance learned from the store or a peer.
 func (f *Forwarder) addWeights(model string, version int64, publishedAt clock.Millis, exact bool, from string) {
+	f.nextWithdrawal = f.now
 	if f.rollout.AddVersion(model, version, publishedAt, exact) {
 		entry := eventlog.New(eventlog.WeightsNamed, "").With("model", model).With("version", version)
 		f.log(entry.With("fresh", exact).With("age", f.now.Since(publishedAt)).With("from", from))
@@ -147,7 +148,7 @@
 // hasExpiredWeights reports whether one of the versions is too old to serve requests.
 func (f *Forwarder) hasExpiredWeights(weights map[string]int64) bool {
 	for model, version := range weights {
-		if _, _, usable := f.weightsPenalty(model, version); !usable {
+		if _, usable := f.weightsPenalty(model, version); !usable {
 			return true
 		}
 	}
--- a/internal/decision/scheduler/choice.go
+++ b/internal/decision/scheduler/choice.go
@@ -54,6 +54,8 @@
 	// of it that is spent waiting for earlier requests, both in milliseconds.
 	CostMs  float64
 	QueueMs float64
+	// Saturated is set if the request has to wait there for the end of another one.
+	Saturated bool
 	// Load is the server's load before the request.
 	Load Load
 }
@@ -62,7 +64,13 @@
 const startMargin = 2
 
 // StartMs returns the expected time until the request starts, in milliseconds, without penalties.
-func (c Choice) StartMs() float64 { return c.QueueMs + float64(c.UncachedTokens)/defaultPrefillRate }
+func (c Choice) StartMs() float64 {
+	start := c.QueueMs + float64(c.UncachedTokens)/defaultPrefillRate
+	if c.Saturated {
+		start += c.request.RunMs
+	}
+	return start
+}
 
 // startsInTime reports whether the request would start within the candidate's limit.
 func (c Choice) startsInTime() bool {
@@ -196,9 +204,11 @@
 	}
 	if excess := choice.NeededTokens() - candidate.MemoryTokens; candidate.MemoryTokens > 0 && excess > 0 {
 		choice.QueueMs += saturationCost + float64(excess)/defaultPrefillRate
+		choice.Saturated = true
 	}
 	if candidate.Slots > 0 && choice.Load.Requests >= candidate.Slots {
 		choice.QueueMs += saturationCost
+		choice.Saturated = true
 	}
 	choice.CostMs = cost + choice.QueueMs + slowdown*float64(choice.UncachedTokens)/defaultPrefillRate + float64(choice.Load.Requests)*runningRequestCost
 	return choice
--- a/internal/decision/scheduler/request.go
+++ b/internal/decision/scheduler/request.go
@@ -8,6 +8,8 @@
 	// PromptTokens and OutputTokens are both 0 for a plain request.
 	PromptTokens int64
 	OutputTokens int64
+	// RunMs is the usual time in milliseconds from the first token of such a request to its end.
+	RunMs float64
 }
 
 // Part is a part of a prompt.
