Do not cut streams that have begun at the limit of their weights

Cause: the server got a deadline at the limit of its weights if the response was expected to fit, so that its refusal would show that nothing had run; streams that took longer than expected were ended by it, and not one was refused.

Only responses that show no beginning get that deadline now. Streams are withdrawn without their first event, as resumable ones. The check looks at requests only when a limit is due or ages have changed, without allocations, and those of which the caller has a part go on first. The cancelled connect of a withdrawn attempt no longer counts against its server.

TestBegunStreamIsNotCutAtLimitOfItsWeights failed before (engines of the simulation now stop work at their deadline) and passes.

--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -18,8 +18,8 @@
 	startMs float64
 	// origin is that of its server.
 	origin originkeeper.Origin
-	// weights are those with which its server runs the request.
-	weights weightsRun
+	// weightsVersion is the version of the weights at its server.
+	weightsVersion int64
 }
 
 // chooseOther chooses another server for a request that could stay where it is. It reports
@@ -48,8 +48,8 @@
 	}
 	entry := eventlog.New(eventlog.AlternativeTried, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
 	f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
-	number, run := f.startAttempt(fl, choice, true)
-	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weights: run}
+	number, plan := f.startAttempt(fl, choice, true)
+	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weightsVersion: plan.weightsVersion}
 	fl.checkAt = fl.deadline
 	return true
 }
@@ -89,7 +89,7 @@
 	replacement := fl.alternative
 	fl.alternative = nil
 	fl.attempt, fl.server, fl.expectedStartMs = replacement.number, replacement.server, replacement.startMs
-	fl.attemptOrigin, fl.weights = replacement.origin, replacement.weights
+	fl.attemptOrigin, fl.weightsVersion = replacement.origin, replacement.weightsVersion
 	fl.attemptActive, fl.streamStarted = true, false
 	if silent {
 		f.servers.RecordSilence(f.now, left)
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -102,7 +102,8 @@
 // dispatch starts the next attempt at the selected server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
-	fl.attempt, fl.weights = f.startAttempt(fl, choice, false)
+	attempt, plan := f.startAttempt(fl, choice, false)
+	fl.attempt, fl.weightsVersion = attempt, plan.weightsVersion
 	fl.server = choice.Server
 	fl.attemptOrigin = f.originOf(choice.Server)
 	fl.attemptActive = true
@@ -112,8 +113,8 @@
 }
 
 // startAttempt sends the request to the selected server, as the next attempt or as an
-// alternative to the current one. It returns the attempt's number and its run.
-func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) (int, weightsRun) {
+// alternative to the current one. It returns the attempt's number and its plan.
+func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) (int, attemptPlan) {
 	server, _ := f.servers.Server(choice.Server)
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
@@ -123,7 +124,6 @@
 	fl.partGenerations = f.parts.Generations(fl.partKeys)
 	f.scheduler.Begin(f.now, fl.attemptKey(fl.attempts), choice)
 	f.beginExposed(fl, server, fl.attempts)
-	f.nextWithdrawal = f.now
 	f.takeLimit(server)
 	f.recordSent(fl, choice.Server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
@@ -134,8 +134,9 @@
 	}
 	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
-	run := f.planRun(fl, choice)
-	entry = f.withWeights(entry, fl.request.Model, run.version).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
+	plan := f.planAttempt(fl, choice)
+	f.scheduleWithdrawal(fl.request.Model, plan.weightsVersion)
+	entry = f.withWeights(entry, fl.request.Model, plan.weightsVersion).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
 	saveAddress := ""
 	if choice.SaveToStore {
@@ -144,12 +145,12 @@
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
 		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
-		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: run.version,
+		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: plan.weightsVersion,
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
-		Priority: fl.priority(), Timeout: fl.remaining(f.now), ServerTimeout: run.timeout, SendBefore: run.sendBefore, LastEventID: fl.lastEventID,
+		Priority: fl.priority(), Timeout: fl.remaining(f.now), ServerTimeout: plan.serverTimeout, SendBefore: plan.sendBefore, LastEventID: fl.lastEventID,
 		Stream: fl.route.Kind == desired.Stream, Resumable: fl.route.Resumable, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
 	})
-	return fl.attempts, run
+	return fl.attempts, plan
 }
 
 // canRetry reports whether a request that may have run may be sent again.
@@ -193,7 +194,7 @@
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
 	f.scheduleCheck(fl)
 	entry := eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
-	f.log(f.withWeights(entry, fl.request.Model, fl.weights.version).With("after", f.now.Since(fl.arrivedAt)))
+	f.log(f.withWeights(entry, fl.request.Model, fl.weightsVersion).With("after", f.now.Since(fl.arrivedAt)))
 }
 
 func (f *Forwarder) handleStreamUnplaced(event StreamUnplaced) {
--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -13,21 +13,20 @@
 	// beginMargin is the time from the withdrawal of a request to the age limit of weights: the
 	// cancellation must reach the server.
 	beginMargin = 250 * clock.Millisecond
-	// sendMargin is added for a request that is yet to be sent.
+	// sendMargin is added for a request that is yet to be sent: a connect takes as long at most.
 	sendMargin = 250 * clock.Millisecond
-	// limitedSendWindow replaces sendWindow for a request with a shorter deadline at the server: the
-	// server counts it from the arrival.
-	limitedSendWindow = 150 * clock.Millisecond
+	// maxWithdrawalInterval is the time between two checks if no limit is known.
+	maxWithdrawalInterval = clock.Second
 )
 
-// weightsRun is the run of a request on a version of the weights, 0 without a prompt.
-type weightsRun struct {
-	version int64
-	// timeout is the time that the server has for the response, which ends at endsAt, and sendBefore the
-	// time from which the request must not be sent.
-	timeout    clock.Millis
-	endsAt     clock.Millis
-	sendBefore clock.Millis
+// attemptPlan is what an attempt may use.
+type attemptPlan struct {
+	// weightsVersion is that of the server; 0 without a prompt.
+	weightsVersion int64
+	// serverTimeout is the time that the server gets for the response, and sendBefore the time from which
+	// the request must not be sent.
+	serverTimeout clock.Millis
+	sendBefore    clock.Millis
 }
 
 // beginLimit returns the time until which a request may begin on the version of the weights. It
@@ -62,87 +61,107 @@
 	return withReserve(longest)
 }
 
-// planRun returns the run of the request at the chosen server. If the response to one that may not be
-// repeated fits into the time before the limit of the weights, the server gets no more time: only its own
-// refusal proves that the request has not run.
-func (f *Forwarder) planRun(fl *flight, choice scheduler.Choice) weightsRun {
-	run := weightsRun{timeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
-	if fl.hasPrompt() {
-		server, _ := f.servers.Server(choice.Server)
-		run.version = server.Entry.WeightVersions[fl.request.Model]
-		if limit, limited := f.beginLimit(fl.request.Model, run.version); limited {
-			run.sendBefore = min(run.sendBefore, limit)
-			left := limit.Since(f.now)
-			if needed := clock.Millis(choice.StartMs()) + f.runTime(fl); !fl.resumable() && left < run.timeout && needed <= left {
-				run.timeout, run.sendBefore = left, min(run.sendBefore, f.now.Add(limitedSendWindow))
-			}
-		}
+// planAttempt returns what the attempt at the chosen server may use. Where the response shows no beginning, the
+// server gets no more time than until the limit of its weights: its refusal shows that nothing has run.
+// Streams get all the time that is left, as it would also end those that have begun.
+func (f *Forwarder) planAttempt(fl *flight, choice scheduler.Choice) attemptPlan {
+	plan := attemptPlan{serverTimeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
+	if !fl.hasPrompt() {
+		return plan
+	}
+	server, _ := f.servers.Server(choice.Server)
+	plan.weightsVersion = server.Entry.WeightVersions[fl.request.Model]
+	limit, limited := f.beginLimit(fl.request.Model, plan.weightsVersion)
+	if !limited {
+		return plan
+	}
+	plan.sendBefore = min(plan.sendBefore, limit)
+	if fl.route.Kind != desired.Stream {
+		plan.serverTimeout = min(plan.serverTimeout, limit.Since(f.now)-sendMargin)
+		plan.sendBefore = min(plan.sendBefore, f.now.Add(sendMargin))
+	}
+	return plan
+}
+
+// scheduleWithdrawal lets withdrawLate look at an attempt when it must have begun.
+func (f *Forwarder) scheduleWithdrawal(model string, version int64) {
+	if limit, limited := f.beginLimit(model, version); limited {
+		f.nextWithdrawal = min(f.nextWithdrawal, limit)
 	}
-	run.endsAt = f.now.Add(run.timeout)
-	return run
 }
 
 // withdrawLate withdraws the requests that have not begun before the limit of their server's weights.
-// A stream that is withdrawn may have begun a moment ago.
+// A stream that is withdrawn may have begun a moment ago. Those of which the caller has a part go on first.
 func (f *Forwarder) withdrawLate() {
 	if f.now < f.nextWithdrawal {
 		return
 	}
-	f.nextWithdrawal = f.now.Add(maxTickInterval)
+	f.nextWithdrawal = f.now.Add(maxWithdrawalInterval)
 	var late []*flight
 	for _, fl := range f.flights {
-		for _, run := range fl.waitingRuns() {
-			limit, limited := f.beginLimit(fl.request.Model, run.version)
-			switch {
-			case !limited || run.endsAt <= limit:
-			case f.now >= limit:
-				late = append(late, fl)
-			default:
-				f.nextWithdrawal = min(f.nextWithdrawal, limit)
-			}
+		begins, waits := f.waitingUntil(fl)
+		switch {
+		case !waits:
+		case f.now >= begins:
+			late = append(late, fl)
+		default:
+			f.nextWithdrawal = min(f.nextWithdrawal, begins)
 		}
 	}
-	slices.SortFunc(late, compareUrgency)
-	for _, fl := range slices.Compact(late) {
+	slices.SortFunc(late, func(a, b *flight) int {
+		if a.partDelivered != b.partDelivered {
+			if a.partDelivered {
+				return -1
+			}
+			return 1
+		}
+		return compareUrgency(a, b)
+	})
+	for _, fl := range late {
 		f.withdraw(fl)
 	}
 }
 
-// beginsTooLate reports whether a run that has not begun must be withdrawn.
-func (f *Forwarder) beginsTooLate(fl *flight, run weightsRun) bool {
-	limit, limited := f.beginLimit(fl.request.Model, run.version)
-	return limited && f.now >= limit && run.endsAt > limit
-}
-
-// waitingRuns returns the runs of a stream that have not begun. Of other responses it is unknown.
-func (fl *flight) waitingRuns() []weightsRun {
-	var runs []weightsRun
+// waitingUntil returns the earliest limit of the attempts of a stream that have not begun. Of other
+// responses it is unknown whether they have. It reports false if there is no limit.
+func (f *Forwarder) waitingUntil(fl *flight) (clock.Millis, bool) {
 	if !fl.hasPrompt() || fl.route.Kind != desired.Stream {
-		return nil
+		return 0, false
 	}
+	limit, limited := clock.Millis(0), false
 	if fl.attemptActive && !fl.streamStarted {
-		runs = append(runs, fl.weights)
+		limit, limited = f.beginLimit(fl.request.Model, fl.weightsVersion)
 	}
 	if fl.alternative != nil {
-		runs = append(runs, fl.alternative.weights)
+		if other, also := f.beginLimit(fl.request.Model, fl.alternative.weightsVersion); also && (!limited || other < limit) {
+			limit, limited = other, true
+		}
 	}
-	return runs
+	return limit, limited
+}
+
+// pastLimit reports whether nothing may begin any more on the version of the weights.
+func (f *Forwarder) pastLimit(model string, version int64) bool {
+	limit, limited := f.beginLimit(model, version)
+	return limited && f.now >= limit
 }
 
 // withdraw cancels the attempts of the request that have not begun in time. It goes on at another
 // server, if that is possible.
 func (f *Forwarder) withdraw(fl *flight) {
-	if other := fl.alternative; other != nil && f.beginsTooLate(fl, other.weights) {
-		f.logWithdrawal(fl, other.server, other.number, other.weights)
+	if other := fl.alternative; other != nil && f.pastLimit(fl.request.Model, other.weightsVersion) {
+		f.logWithdrawal(fl, other.server, other.number, other.weightsVersion)
 		f.dropAlternative(fl)
 	}
-	if !fl.attemptActive || fl.streamStarted || !f.beginsTooLate(fl, fl.weights) {
+	if !fl.attemptActive || fl.streamStarted || !f.pastLimit(fl.request.Model, fl.weightsVersion) {
 		return
 	}
-	f.logWithdrawal(fl, fl.server, fl.attempt, fl.weights)
+	f.logWithdrawal(fl, fl.server, fl.attempt, fl.weightsVersion)
 	f.emit(CancelAttempt{Request: fl.id(), Attempt: fl.attempt})
 	fl.attemptActive = false
 	fl.supersededRuns++
+	// Its connect may end by the cancellation, which says nothing about the server.
+	delete(fl.ways, fl.attempt)
 	switch {
 	case fl.alternative != nil:
 		f.replaceAttempt(fl)
@@ -154,7 +173,7 @@
 	}
 }
 
-func (f *Forwarder) logWithdrawal(fl *flight, server string, attempt int, run weightsRun) {
+func (f *Forwarder) logWithdrawal(fl *flight, server string, attempt int, version int64) {
 	entry := eventlog.New(eventlog.AttemptWithdrawn, fl.id()).With("server", server).With("attempt", attempt)
-	f.log(f.withWeights(entry, fl.request.Model, run.version).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
+	f.log(f.withWeights(entry, fl.request.Model, version).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 }
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -151,6 +151,11 @@
 	if dispatch.Stream {
 		delay += s.queue
 	}
+	if dispatch.Stream && delay > dispatch.ServerTimeout {
+		// Engines stop work at the deadline that they were given.
+		end(dispatch.ServerTimeout, forwarder.OutcomeInterrupted, 200)
+		return
+	}
 	end(delay+slower+c.firstEventDelays[r.kind], forwarder.OutcomeCompleted, status)
 }
 
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -48,9 +48,9 @@
 	query *query
 	// expectedStartMs is the expected time until the response starts, in milliseconds.
 	expectedStartMs float64
-	// weights are those with which the current attempt's server runs the request.
-	weights      weightsRun
-	triedServers map[string]bool
+	// weightsVersion is the version of the weights at the current attempt's server.
+	weightsVersion int64
+	triedServers   map[string]bool
 	// leftServers are the tried servers that a stream has left although they had not failed.
 	leftServers []string
 	// partDelivered reports whether the caller has received a part of the stream;
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -60,8 +60,11 @@
 
 // addWeights records published weights, of which this instance learned from the store or a peer.
 func (f *Forwarder) addWeights(model string, version int64, publishedAt clock.Millis, exact bool, from string) {
-	f.nextWithdrawal = f.now
-	if f.rollout.AddVersion(model, version, publishedAt, exact) {
+	newer, changed := f.rollout.AddVersion(model, version, publishedAt, exact)
+	if changed {
+		f.nextWithdrawal = f.now
+	}
+	if newer {
 		entry := eventlog.New(eventlog.WeightsNamed, "").With("model", model).With("version", version)
 		f.log(entry.With("fresh", exact).With("age", f.now.Since(publishedAt)).With("from", from))
 	}
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -49,13 +49,8 @@
 					}
 				})
 				c.after(clock.Second, func() { c.loadWeights(test.updated) })
-				confirm := func() {
-					for i := range c.instances {
-						c.step(i, forwarder.StateConfirmed{ConfirmedAt: c.now})
-					}
-				}
 				for end := c.now.Add(test.sentFor); c.now < end; {
-					confirm()
+					c.confirmAll()
 					for _, s := range c.servers {
 						s.queue = clock.Millis(c.random.IntN(4000))
 						if s.entry.WeightVersions[model] == 2 {
@@ -71,10 +66,7 @@
 				for _, s := range c.servers {
 					s.queue = 0
 				}
-				for range 24 {
-					confirm()
-					c.run(500)
-				}
+				c.runConfirmed(12 * clock.Second)
 				c.checkInvariants()
 				require.GreaterOrEqual(t, c.servedFraction(), test.served, "seed %d", seed)
 			}
@@ -93,3 +85,48 @@
 		}
 	}
 }
+
+// superseded returns an instance of six engines with a queue, whose weights were superseded some time
+// ago and that orders none to load others.
+func superseded(t *testing.T, queue, ago clock.Millis) *cluster {
+	c := newCluster(t, 1, 1)
+	c.timeout = 12 * clock.Second
+	c.settings[0].Bounds.RetryExtra = 1000
+	c.startInstance(0)
+	c.run(300)
+	c.storeCutOff[0] = true
+	for _, s := range c.servers {
+		s.queue = queue
+	}
+	c.publishedVersion, c.publishedAt[2] = 2, c.now
+	c.step(0, forwarder.WeightsPublished{Model: model, Version: 2, JustPublished: true})
+	c.runConfirmed(ago)
+	return c
+}
+
+// confirmAll confirms the state of all instances.
+func (c *cluster) confirmAll() {
+	for i := range c.instances {
+		c.step(i, forwarder.StateConfirmed{ConfirmedAt: c.now})
+	}
+}
+
+// runConfirmed advances the time while the instances' state is confirmed.
+func (c *cluster) runConfirmed(duration clock.Millis) {
+	for end := c.now.Add(duration); c.now < end; {
+		c.confirmAll()
+		c.run(min(500, end.Since(c.now)))
+	}
+}
+
+// TestBegunStreamIsNotCutAtLimitOfItsWeights sends streams that begin in time and outlast the limit.
+func TestBegunStreamIsNotCutAtLimitOfItsWeights(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"once", "stream"} {
+		c := superseded(t, 2*clock.Second, clock.Second)
+		c.streamDuration = 4 * clock.Second
+		id := c.sendRequest(0, kind)
+		c.runConfirmed(8 * clock.Second)
+		require.IsType(t, forwarder.ForwardResponse{}, c.requests[id].finalAction, c.logOf(id))
+	}
+}
--- a/internal/decision/rollout/versions.go
+++ b/internal/decision/rollout/versions.go
@@ -32,20 +32,21 @@
 // AddVersion records a published version of a model's weights. If no instance has
 // observed the publication, exact is false and publishedAt is an assumed early time; an
 // observed time replaces it, and an earlier observed time replaces a later one. AddVersion
-// reports whether the version is newer than all known ones.
-func (c *Controller) AddVersion(model string, version int64, publishedAt clock.Millis, exact bool) bool {
+// reports whether the version is newer than all known ones, and whether a time has changed.
+func (c *Controller) AddVersion(model string, version int64, publishedAt clock.Millis, exact bool) (newer, changed bool) {
 	known := c.versions[model]
 	index, found := slices.BinarySearchFunc(known, version, func(p publishedVersion, version int64) int { return cmp.Compare(p.version, version) })
 	if found {
 		if exact && (!known[index].exact || publishedAt < known[index].publishedAt) {
 			known[index].publishedAt, known[index].exact = publishedAt, true
+			return false, true
 		}
-		return false
+		return false, false
 	}
-	newer := version > known.newest().version
+	newer = version > known.newest().version
 	known = slices.Insert(known, index, publishedVersion{version: version, publishedAt: publishedAt, exact: exact})
 	c.versions[model] = known[max(0, len(known)-maxVersions):]
-	return newer
+	return newer, true
 }
 
 // VersionAges returns the time since the publication of each version, by model and
--- a/internal/decision/scheduler/choice.go
+++ b/internal/decision/scheduler/choice.go
@@ -63,7 +63,7 @@
 // startMargin is the safety factor on the expected start delay where it is limited.
 const startMargin = 2
 
-// StartMs returns the expected time until the request starts, in milliseconds, without penalties.
+// StartMs returns the expected time until the request starts, in milliseconds.
 func (c Choice) StartMs() float64 {
 	start := c.QueueMs + float64(c.UncachedTokens)/defaultPrefillRate
 	if c.Saturated {
