Check a silent attempt again after its alternative was withdrawn

A request at a silent server whose alternative was withdrawn for the age of its weights was not looked at again until its deadline, even when other servers had become free. withdraw now schedules the next check as the end of an alternative does. TestSilentStreamIsCheckedAfterItsAlternativeIsWithdrawn failed before and passes.

--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -152,6 +152,9 @@
 	if other := fl.alternative; other != nil && f.pastLimit(fl.request.Model, other.weightsVersion) {
 		f.logWithdrawal(fl, other.server, other.number, other.weightsVersion)
 		f.dropAlternative(fl)
+		if !fl.streamStarted {
+			fl.checkAt = min(fl.deadline, f.now.Add(silenceCheckInterval))
+		}
 	}
 	if !fl.attemptActive || fl.streamStarted || !f.pastLimit(fl.request.Model, fl.weightsVersion) {
 		return
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -130,3 +130,23 @@
 		require.IsType(t, forwarder.ForwardResponse{}, c.requests[id].finalAction, c.logOf(id))
 	}
 }
+
+// TestSilentStreamIsCheckedAfterItsAlternativeIsWithdrawn withdraws the alternative of a stream whose own
+// engine, which has new weights, stays silent.
+func TestSilentStreamIsCheckedAfterItsAlternativeIsWithdrawn(t *testing.T) {
+	t.Parallel()
+	c := superseded(t, 0, 0)
+	c.loadWeights(1)
+	c.runConfirmed(4 * clock.Second)
+	for _, s := range c.servers {
+		s.queue = 11 * clock.Second
+	}
+	id := c.sendRequest(0, "stream")
+	c.runConfirmed(1300)
+	c.loadWeights(len(c.servers))
+	for _, s := range c.servers {
+		s.queue = 0
+	}
+	c.runConfirmed(4 * clock.Second)
+	require.IsType(t, forwarder.ForwardResponse{}, c.requests[id].finalAction, c.logOf(id))
+}
