Do not forward the first event of an attempt that was withdrawn before it

The state machine now takes the first event and the cancellation in one order: an event of an attempt that was cancelled before is dropped and its claim given back, also of an alternative.

--- a/internal/runtime/edge/alternatives.go
+++ b/internal/runtime/edge/alternatives.go
@@ -48,10 +48,14 @@
 		return withOutcome(stream.result, h.outcomeOfStreamError(stream.firstErr), stream.firstErr)
 	}
 	stream.hasFirst, stream.started = true, true
+	before := h.forwarded()
 	if !h.takeOver(stream.result.Attempt) {
 		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
 	}
-	h.edge.machine.submit(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt})
+	if !h.edge.machine.begin(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt}) {
+		h.giveBack(stream.result.Attempt, before)
+		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
+	}
 	h.adopted <- stream
 	return stream.result
 }
@@ -74,6 +78,30 @@
 	return true
 }
 
+// forwardedPart is what of the response has been, or is about to be, forwarded, and the attempt whose
+// events are.
+type forwardedPart struct {
+	owner       int
+	claimed     bool
+	lastEventID string
+	unplaced    bool
+}
+
+func (h *requestHandler) forwarded() forwardedPart {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return forwardedPart{owner: h.owner, claimed: h.claimed, lastEventID: h.lastEventID, unplaced: h.unplaced}
+}
+
+// giveBack takes back the claim to an attempt's first event, which is not forwarded.
+func (h *requestHandler) giveBack(attempt int, before forwardedPart) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.owner == attempt {
+		h.owner, h.claimed, h.lastEventID, h.unplaced = before.owner, before.claimed, before.lastEventID, before.unplaced
+	}
+}
+
 // cancelAlternatives cancels the alternatives, as they would repeat the event that another
 // attempt has sent. The caller holds the lock.
 func (h *requestHandler) cancelAlternatives() {
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -218,6 +218,10 @@
 		ended := err == io.EOF && len(event) == 0
 		result.Delivered, result.LastEventID = h.streamStarted, h.lastEventID
 		unplaced := stream.checker.Unplaced() && !h.unplaced
+		var before forwardedPart
+		if !stream.started {
+			before = h.forwarded()
+		}
 		switch {
 		case err != nil && !ended:
 			return withOutcome(result, h.outcomeOfStreamError(err), err)
@@ -230,7 +234,10 @@
 		result.Events++
 		if !stream.started {
 			stream.started = true
-			h.edge.machine.submit(forwarder.StreamStarted{Request: result.Request, Attempt: result.Attempt})
+			if !h.edge.machine.begin(forwarder.StreamStarted{Request: result.Request, Attempt: result.Attempt}) {
+				h.giveBack(result.Attempt, before)
+				return withOutcome(result, forwarder.OutcomeSuperseded, nil)
+			}
 		} else if h.edge.draining.Load() && time.Since(progress) >= progressInterval {
 			progress = time.Now()
 			h.edge.machine.submit(forwarder.StreamProgressed{Request: result.Request, Attempt: result.Attempt, Events: result.Events})
--- a/internal/runtime/edge/statemachine.go
+++ b/internal/runtime/edge/statemachine.go
@@ -50,6 +50,11 @@
 func (m *stateMachine) submit(event forwarder.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.step(event)
+}
+
+// step does the same. The caller holds the lock.
+func (m *stateMachine) step(event forwarder.Event) {
 	if m.closed {
 		return
 	}
@@ -60,6 +65,18 @@
 	m.timer.Reset(max(0, m.forwarder.NextWake().Since(m.now)).Duration())
 }
 
+// begin reports the first event of an attempt, before it is forwarded. It reports false if the attempt
+// was cancelled before: the state machine has gone on without the event.
+func (m *stateMachine) begin(event forwarder.StreamStarted) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if request, ok := m.requests[event.Request]; ok && request.cancelled[event.Attempt] {
+		return false
+	}
+	m.step(event)
+	return true
+}
+
 // register adds a request and returns the queue of its actions. It reports false when the
 // state machine is closed or another request in flight has the same identifier.
 func (m *stateMachine) register(id string) (<-chan forwarder.Action, bool) {
