Keep a moving stream at its server until another has taken it

Cause: a stream that moves to another server (new weights, a server that stops) was cancelled first. The next server then refused it (421, as its weights had changed meanwhile, or 503), the queues of the others were longer than the time that was left, or the attempts were used up; the server that was left takes nothing back, as it has its order. What is certain was given up for what was not accepted yet.

Now a move is an alternative beside the running attempt. The caller's events wait from the moment at which the stream is sent to the next server, which therefore goes on after the last one passed on. With its first event it takes over, and the other attempt is cancelled at that moment. If it refuses, fails or sends nothing within 350 ms, the events that have waited are sent and the stream stays. It is tried again after 500 ms; the last attempt of a request is left for failures, and where the stream would begin later than in 350 ms, or must end sooner, it is not moved.

Cost: the load of new weights waits for streams that no server takes. They were cut before, or waited without a limit.

--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -63,6 +63,9 @@
 	// Alternative reports whether the attempt runs beside the current one. It forwards
 	// nothing if that one sends the next part of the response first.
 	Alternative bool
+	// HoldsEvents reports whether the events of the current attempt wait until this alternative has
+	// sent one or has ended.
+	HoldsEvents bool
 	// PartDelivered reports whether the caller had received a part of the stream when the
 	// server was selected.
 	PartDelivered bool
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -102,7 +102,7 @@
 // dispatch starts the next attempt at the selected server.
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
-	attempt, plan := f.startAttempt(fl, choice, false)
+	attempt, plan := f.startAttempt(fl, choice, currentAttempt)
 	fl.attempt, fl.weightsVersion = attempt, plan.weightsVersion
 	fl.server = choice.Server
 	fl.attemptOrigin = f.originOf(choice.Server)
@@ -112,9 +112,8 @@
 	f.scheduleCheck(fl)
 }
 
-// startAttempt sends the request to the selected server, as the next attempt or as an
-// alternative to the current one. It returns the attempt's number and its plan.
-func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, alternative bool) (int, attemptPlan) {
+// startAttempt sends the request to the selected server. It returns the attempt's number and its plan.
+func (f *Forwarder) startAttempt(fl *flight, choice scheduler.Choice, role attemptRole) (int, attemptPlan) {
 	server, _ := f.servers.Server(choice.Server)
 	fl.attempts++
 	fl.triedServers[choice.Server] = true
@@ -132,7 +131,7 @@
 	if !hop.Direct() {
 		entry = entry.With("via", hop.Instance)
 	}
-	entry = entry.With("attempt", fl.attempts).With("alternative", alternative).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
+	entry = entry.With("attempt", fl.attempts).With("alternative", role != currentAttempt).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
 	plan := f.planAttempt(fl, choice)
 	f.scheduleWithdrawal(fl.request.Model, plan.weightsVersion)
@@ -148,7 +147,7 @@
 		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: plan.weightsVersion,
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), ServerTimeout: plan.serverTimeout, SendBefore: plan.sendBefore, LastEventID: fl.lastEventID,
-		Stream: fl.route.Kind == desired.Stream, Resumable: fl.route.Resumable, SilenceLimit: f.silenceLimit(fl), Alternative: alternative, PartDelivered: fl.partDelivered,
+		Stream: fl.route.Kind == desired.Stream, Resumable: fl.route.Resumable, SilenceLimit: f.silenceLimit(fl), Alternative: role != currentAttempt, HoldsEvents: role == besideMoving, PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts, plan
 }
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -190,6 +190,8 @@
 	attempts      int
 	partDelivered bool
 	lastDispatch  forwarder.Dispatch
+	// owner is the attempt whose events are passed on, and heldFor the one for which they wait; 0 for none.
+	owner, heldFor int
 	// cancelled are the numbers of its cancelled attempts.
 	cancelled []int
 	// softwareVersions are those of the servers whose events it has received.
@@ -310,6 +312,9 @@
 		})
 		return
 	}
+	if ended, ok := event.(forwarder.AttemptEnded); ok && c.requests[ended.Request] != nil {
+		c.requests[ended.Request].endHold(ended.Attempt)
+	}
 	for _, action := range c.instances[i].Step(c.now, event) {
 		c.perform(i, action)
 	}
@@ -352,6 +357,7 @@
 	case forwarder.CancelAttempt:
 		run := c.requests[action.Request]
 		run.cancelled = append(run.cancelled, action.Attempt)
+		run.endHold(action.Attempt)
 		if c.parts != nil {
 			delete(c.parts.runs[run.lastDispatch.Server], fmt.Sprint(action.Request, "/", action.Attempt))
 		}
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -19,6 +19,11 @@
 	r := c.requests[dispatch.Request]
 	r.attempts++
 	r.lastDispatch = dispatch
+	if dispatch.HoldsEvents {
+		r.heldFor = dispatch.Attempt
+	} else {
+		r.owner = dispatch.Attempt
+	}
 	s, known := c.servers[dispatch.Server]
 	require.True(c.t, known)
 	require.Zero(c.t, r.finalActions, "%s is dispatched after its final response", dispatch.Request)
@@ -41,7 +46,7 @@
 	sender := c.instances[from]
 	end := func(delay clock.Millis, outcome forwarder.Outcome, status int) {
 		refused := outcome == forwarder.OutcomeNotSent && (s.down || isCut)
-		c.after(delay, func() {
+		c.afterHold(delay, r, dispatch.Attempt, func() {
 			ended := forwarder.AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Outcome: outcome, Status: status, Delivered: r.partDelivered, LastEventID: "1", ConnectionRefused: refused}
 			if interrupted || from != i && (c.instances[from] != sender || c.stopped[from] || (c.cut != nil && c.cut(i, from))) {
 				ended = forwarder.AttemptEnded{Request: ended.Request, Attempt: ended.Attempt, Outcome: forwarder.OutcomeInterrupted, Delivered: ended.Delivered, LastEventID: ended.LastEventID}
@@ -168,7 +173,7 @@
 	c.after(10+slower+c.firstEventDelays[r.kind]+c.servers[dispatch.Server].queue, func() {
 		c.checkBeginning(i, dispatch, r)
 		cut, isCut := c.cutFrom(from, dispatch.Server)
-		if r.lastDispatch.Attempt == dispatch.Attempt && r.finalActions == 0 && !(isCut && cut.breaks()) {
+		if r.takeOver(dispatch.Attempt) && r.finalActions == 0 && !(isCut && cut.breaks()) {
 			r.partDelivered = true
 			r.receiveEvent(c.servers[dispatch.Server])
 			c.step(i, forwarder.StreamStarted{Request: dispatch.Request, Attempt: dispatch.Attempt})
@@ -176,6 +181,32 @@
 	})
 }
 
+// takeOver reports whether the attempt passes its first event on. It ends the wait of another one's.
+func (r *request) takeOver(attempt int) bool {
+	if r.heldFor == attempt {
+		r.owner, r.heldFor = attempt, 0
+	}
+	return r.owner == attempt
+}
+
+// endHold lets the events of the current attempt go on if they wait for the given one.
+func (r *request) endHold(attempt int) {
+	if r.heldFor == attempt {
+		r.heldFor = 0
+	}
+}
+
+// afterHold calls run after the delay, and not while the attempt's events wait for another attempt.
+func (c *cluster) afterHold(delay clock.Millis, r *request, attempt int, run func()) {
+	c.after(delay, func() {
+		if r.heldFor != 0 && r.owner == attempt {
+			c.afterHold(5, r, attempt, run)
+			return
+		}
+		run()
+	})
+}
+
 // resumeGrace is the time after a pause in which an instance may act on outdated state.
 const resumeGrace = 300 * clock.Millisecond
 
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -36,8 +36,10 @@
 	// is retried; 0 for none. answeredStatus is the response's status.
 	answered       int
 	answeredStatus int
-	// alternative is an attempt beside the current one; nil for none.
+	// alternative is an attempt beside the current one; nil for none. From nextMoveAt on, the stream
+	// may move again.
 	alternative *alternative
+	nextMoveAt  clock.Millis
 	// waiting reports whether the request waits for a server; at waitDeadline it is
 	// refused if none is available.
 	waiting       bool
--- a/internal/decision/forwarder/moves_test.go
+++ b/internal/decision/forwarder/moves_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -64,3 +65,64 @@
 		})
 	}
 }
+
+// TestRefusedMoveDoesNotCutStream lets streams move from engines that are to load new weights, or that
+// leave, while no other engine takes them.
+func TestRefusedMoveDoesNotCutStream(t *testing.T) {
+	t.Parallel()
+	refusals := map[string]func(s *server){
+		"its weights have changed": func(s *server) { s.entry = s.entry.WithWeightVersion(model, 7) },
+		"it is full":               func(s *server) { s.room = &room{} },
+		"it is silent":             func(s *server) { s.queue = 10 * clock.Second },
+		"it is down":               func(s *server) { s.down = true },
+	}
+	for name, refuse := range refusals {
+		for _, test := range []struct {
+			name           string
+			leaves, drains bool
+		}{{name: "loading"}, {name: "loading, in a stop", drains: true}, {name: "leaving", leaves: true}, {name: "leaving, in a stop", leaves: true, drains: true}} {
+			t.Run(test.name+", "+name, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, 3, 1)
+				c.timeout = 12 * clock.Second
+				c.settings[0].Bounds.RetryRatio, c.settings[0].Bounds.RetryExtra = 1, 100
+				c.startInstance(0)
+				c.run(2 * clock.Second)
+				c.eventGap = func() clock.Millis { return 110 }
+				c.loadDuration = 3 * clock.Second
+				firstServer := map[string]string{}
+				for range 12 {
+					id := c.sendRequest(0, "stream")
+					firstServer[id] = c.requests[id].lastDispatch.Server
+				}
+				c.run(100)
+				left := map[string]bool{}
+				if test.leaves {
+					s := c.servers[firstServer["stream-0"]]
+					left[s.entry.ID] = true
+					c.step(0, forwarder.ServerNotice{Server: s.entry.ID, StartedAt: s.entry.StartedAt, Leaving: true})
+				} else {
+					c.publishWeights()
+				}
+				c.run(300)
+				if test.drains {
+					c.step(0, forwarder.DrainRequested{ListenUntil: c.now.Add(listenTime), StopAt: c.now.Add(4 * clock.Second)})
+				}
+				for id, s := range c.servers {
+					if left[id] = left[id] || s.acceptedOrders > 0; !left[id] {
+						refuse(s)
+					}
+				}
+				c.run(6 * clock.Second)
+				tried := 0
+				for id, server := range firstServer {
+					if left[server] {
+						tried += c.requests[id].attempts - 1
+						require.IsType(t, forwarder.ForwardResponse{}, c.requests[id].finalAction, c.logOf(id))
+					}
+				}
+				require.Positive(t, tried, "other engines are tried")
+			})
+		}
+	}
+}
--- a/internal/decision/forwarder/stops_simulation_test.go
+++ b/internal/decision/forwarder/stops_simulation_test.go
@@ -25,7 +25,7 @@
 	instance, startedAt, events := c.instances[i], c.now, 0
 	var send func()
 	send = func() {
-		if c.instances[i] != instance || c.stopped[i] || r.lastDispatch.Attempt != dispatch.Attempt || r.finalActions > 0 {
+		if c.instances[i] != instance || c.stopped[i] || (r.owner != dispatch.Attempt && r.heldFor != dispatch.Attempt) || r.finalActions > 0 {
 			closed()
 			return
 		}
@@ -38,13 +38,18 @@
 			return
 		}
 		if events == 1 {
+			left, moves := r.owner, r.heldFor == dispatch.Attempt
+			r.takeOver(dispatch.Attempt)
 			c.step(i, forwarder.StreamStarted{Request: dispatch.Request, Attempt: dispatch.Attempt})
+			if moves {
+				require.Contains(c.t, r.cancelled, left, "one server goes on\n%s", c.logOf(dispatch.Request))
+			}
 			r.partDelivered = r.finalActions == 0
 			r.receiveEvent(s)
 		} else if events%4 == 0 {
 			c.step(i, forwarder.StreamProgressed{Request: dispatch.Request, Attempt: dispatch.Attempt, Events: events})
 		}
-		c.after(c.eventGap(), send)
+		c.afterHold(c.eventGap(), r, dispatch.Attempt, send)
 	}
 	c.after(20+c.firstEventDelays[r.kind], send)
 }
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -99,6 +99,10 @@
 			f.assignServer(fl)
 			continue
 		}
+		if fl.moves() {
+			f.abandonMove(fl)
+			continue
+		}
 		if !f.tryAlternative(fl) {
 			fl.checkAt = min(fl.deadline, f.now.Add(silenceCheckInterval))
 		}
--- a/internal/runtime/edge/alternatives.go
+++ b/internal/runtime/edge/alternatives.go
@@ -19,6 +19,9 @@
 	}
 	if h.claimed == dispatch.PartDelivered && !h.unplaced {
 		h.alternatives[dispatch.Attempt] = cancel
+		if dispatch.HoldsEvents {
+			defer h.hold()()
+		}
 	} else {
 		// The server was selected before the first event, and may have other software than
 		// the one that sent it. After an event without identifier nobody can go on.
@@ -40,6 +43,33 @@
 	h.edge.machine.submit(result)
 }
 
+// hold makes the owner's events wait until the returned function is called. The caller holds the lock.
+func (h *requestHandler) hold() (release func()) {
+	held := make(chan struct{})
+	h.held = held
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.held == held {
+			h.held = nil
+		}
+		close(held)
+	}
+}
+
+// awaitRelease waits while the attempt's events are held. The caller holds the lock.
+func (h *requestHandler) awaitRelease(ctx context.Context, attempt int) {
+	for h.held != nil && h.owner == attempt && ctx.Err() == nil {
+		held := h.held
+		h.mu.Unlock()
+		select {
+		case <-held:
+		case <-ctx.Done():
+		}
+		h.mu.Lock()
+	}
+}
+
 // adopt reads the first event of an alternative and hands the stream over if no event of
 // the current attempt came before it. It returns no outcome then.
 func (h *requestHandler) adopt(stream *openStream) forwarder.AttemptEnded {
@@ -126,11 +156,12 @@
 }
 
 // claim reports whether the attempt may forward its next event, or its end, after which the
-// identifier of the last event is id, or unknown if it is unplaced. The alternatives are cancelled.
-func (h *requestHandler) claim(attempt int, id string, unplaced bool) bool {
+// identifier of the last event is id, or unknown if it is unplaced. The alternatives are cancelled,
+// except for one for which the events are held: its end is awaited.
+func (h *requestHandler) claim(ctx context.Context, attempt int, id string, unplaced bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.owner != attempt {
+	if h.awaitRelease(ctx, attempt); h.owner != attempt || h.held != nil {
 		return false
 	}
 	h.claimed = true
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -41,6 +41,7 @@
 	// framed reports whether the response has a length or chunks; else its end and a crash of the
 	// server look alike.
 	framed bool
+	ctx    context.Context    // ctx is the attempt's context.
 	cancel context.CancelFunc // cancel releases the attempt's context; nil for none.
 	// checker checks the next event.
 	checker streamchecker.Checker
@@ -127,7 +128,7 @@
 	if hasEvents && response.StatusCode == http.StatusOK && isUsable(head, response) {
 		events := &eventReader{reader: bufio.NewReaderSize(response.Body, eventBufferBytes)}
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-		stream := &openStream{result: result, head: head, events: events, exchange: exchange, silenceLimit: dispatch.SilenceLimit, framed: framed, checker: streamchecker.New("")}
+		stream := &openStream{ctx: ctx, result: result, head: head, events: events, exchange: exchange, silenceLimit: dispatch.SilenceLimit, framed: framed, checker: streamchecker.New("")}
 		if dispatch.Resumable {
 			stream.checker = streamchecker.New(dispatch.LastEventID)
 		}
@@ -225,7 +226,7 @@
 		switch {
 		case err != nil && !ended:
 			return withOutcome(result, h.outcomeOfStreamError(err), err)
-		case !h.claim(result.Attempt, stream.checker.LastID(), unplaced):
+		case !h.claim(stream.ctx, result.Attempt, stream.checker.LastID(), unplaced):
 			return withOutcome(result, forwarder.OutcomeSuperseded, nil)
 		case ended:
 			h.writeStreamHead(result.Status, stream.head)
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -90,6 +90,8 @@
 	owner        int
 	claimed      bool
 	alternatives map[int]context.CancelFunc
+	// held is closed when the owner's events need no longer wait for an alternative; nil for no wait.
+	held chan struct{}
 	// buffered are the responses by attempt. They are held back until the state machine
 	// decides whether to forward one or to retry the request.
 	buffered map[int]*bufferedResponse
