Send a begun stream on although the queues are estimated to be too long

A stream whose server failed or refused it was cut at once (cannotEndInTime, passed=true) when the estimated queue of the best other server was longer than the time that was left. Cause: the check that refuses new requests early, so that callers can turn elsewhere, was applied to streams of which the caller has a part. For these a refusal is the cut that it is to avoid, and the estimate is often too long. They are sent to that server now; it ends what has not begun by the deadline that it gets.

TestBegunStreamIsTriedThoughQueuesAreLong failed before in the case "begun" (requestRefused cannotEndInTime, one attempt); a stream that has not begun is refused as before.

--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -146,5 +146,10 @@
 	fl.supersededRuns++
 }
 
+// isAlternative reports whether the attempt is the flight's alternative.
+func (fl *flight) isAlternative(attempt int) bool {
+	return fl.alternative != nil && fl.alternative.number == attempt
+}
+
 // attemptKey identifies an attempt in the scheduler.
 func (fl *flight) attemptKey(number int) string { return fl.id() + "/" + strconv.Itoa(number) }
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -75,9 +75,10 @@
 }
 
 // dispatchInTime sends the request to the selected server, unless it would wait there until its
-// deadline, or this instance may stop before the end of the response.
+// deadline, or this instance may stop before the end of the response. To refuse a stream that has begun
+// would cut it, so that it is sent whatever is estimated.
 func (f *Forwarder) dispatchInTime(fl *flight, choice scheduler.Choice) {
-	if fl.queueTooLong(choice, f.now) {
+	if !fl.partDelivered && fl.queueTooLong(choice, f.now) {
 		f.refuse(fl, ReasonDeadlineTooClose, clock.Millis(choice.QueueMs)/2+f.jitteredRetryAfter())
 		return
 	}
@@ -202,11 +203,6 @@
 	}
 }
 
-// isAlternative reports whether the attempt is the flight's alternative.
-func (fl *flight) isAlternative(attempt int) bool {
-	return fl.alternative != nil && fl.alternative.number == attempt
-}
-
 // currentAttempt returns the flight if the given attempt is its active one.
 func (f *Forwarder) currentAttempt(id string, attempt int) (*flight, bool) {
 	fl, ok := f.flights[id]
--- a/internal/decision/forwarder/moves_test.go
+++ b/internal/decision/forwarder/moves_test.go
@@ -126,3 +126,32 @@
 		}
 	}
 }
+
+// TestBegunStreamIsTriedThoughQueuesAreLong interrupts a stream while the queues of the other engines
+// are estimated to be longer than its time. To refuse it would cut it.
+func TestBegunStreamIsTriedThoughQueuesAreLong(t *testing.T) {
+	t.Parallel()
+	for name, begun := range map[string]bool{"begun": true, "not begun": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3, 1)
+			c.settings[0].Bounds.RetryRatio, c.settings[0].Bounds.RetryExtra = 1, 100
+			c.startInstance(0)
+			c.run(300)
+			c.timeout, c.streamDuration, c.firstEventDelays = 2*clock.Second, clock.Second, map[string]clock.Millis{"once": 8 * clock.Second}
+			if !begun {
+				c.firstEventDelays["stream"] = 400
+			}
+			id := c.sendRequest(0, "stream")
+			c.run(100)
+			c.fillQueues(2100)
+			c.run(10)
+			r := c.requests[id]
+			c.step(0, forwarder.AttemptEnded{Request: id, Attempt: r.lastDispatch.Attempt, Outcome: forwarder.OutcomeInterrupted, Delivered: begun, LastEventID: "1"})
+			c.run(2 * clock.Second)
+			require.Equal(t, begun, r.attempts > 1, c.logOf(id))
+			if begun {
+				require.IsType(t, forwarder.ForwardResponse{}, r.finalAction, c.logOf(id))
+			}
+		})
+	}
+}
