Resume unnamed streams only where another software version is ruled out

During a release, callers whose streams had begun at servers of the new version, and who resumed them without naming them at an instance that had been cut off or suspended, got the rest from servers of the old version.

Cause: the instance took the only version that it had listed for the origin, if it had seen no other for 30 s, without evidence that it would have seen one. The age of its list is none: in calm it is confirmed every 5 s, and a stream begins, breaks and comes back within 0.5 s.

That version is now a presumption. The instances that may know a stream are asked whether they have seen another one, and the assignment is read from the store; both after the request has arrived. If no assignment can show it, more than half of the instances must have replied without contradiction. Else the request is refused as not run. Named streams are resumed as before.

--- a/internal/decision/forwarder/assignment_store_test.go
+++ b/internal/decision/forwarder/assignment_store_test.go
@@ -27,13 +27,21 @@
 	})
 }
 
+// assignmentEra returns the era of the store; 0 for a cluster without one.
+func (c *cluster) assignmentEra() int64 {
+	if c.objects == nil {
+		return 0
+	}
+	return c.objects.position.Era
+}
+
 func (c *cluster) readAssignment(i int, service string) {
 	serve := func() objectstore.Response {
 		stored, found := c.assignments[service]
 		if !found {
-			return objectstore.Response{Outcome: objectstore.NotFound}
+			return objectstore.Response{Outcome: objectstore.NotFound, Era: c.assignmentEra()}
 		}
-		return objectstore.Response{Outcome: objectstore.Done, Version: stored.Position.Revision, Value: stored.Record.Encode()}
+		return objectstore.Response{Outcome: objectstore.Done, Era: c.assignmentEra(), Version: stored.Position.Revision, Value: stored.Record.Encode()}
 	}
 	c.callAssignments(i, serve, func(response objectstore.Response) {
 		c.step(i, forwarder.AssignmentRead{Service: service, Response: response})
@@ -46,11 +54,11 @@
 			return objectstore.Response{Outcome: objectstore.Refused}
 		}
 		if stored := c.assignments[write.Service]; stored.Position.Revision != write.IfRevision {
-			return objectstore.Response{Outcome: objectstore.Conflict, Version: stored.Position.Revision, Value: stored.Record.Encode()}
+			return objectstore.Response{Outcome: objectstore.Conflict, Era: c.assignmentEra(), Version: stored.Position.Revision, Value: stored.Record.Encode()}
 		}
 		c.assignmentRevision++
 		c.assignmentWrites++
-		c.assignments[write.Service] = forwarder.Assignment{Record: write.Record, Position: storeposition.Position{Revision: c.assignmentRevision}}
+		c.assignments[write.Service] = forwarder.Assignment{Record: write.Record, Position: storeposition.Position{Era: c.assignmentEra(), Revision: c.assignmentRevision}}
 		for other, instance := range c.instances {
 			c.after(clock.Millis(c.faultRandom.IntN(400)), func() {
 				if c.instances[other] == instance && !c.storeCutOff[other] {
@@ -58,7 +66,7 @@
 				}
 			})
 		}
-		return objectstore.Response{Outcome: objectstore.Done, Version: c.assignmentRevision}
+		return objectstore.Response{Outcome: objectstore.Done, Era: c.assignmentEra(), Version: c.assignmentRevision}
 	}
 	c.callAssignments(i, serve, func(response objectstore.Response) {
 		c.step(i, forwarder.AssignmentWritten{Service: write.Service, Record: write.Record, Response: response})
@@ -68,6 +76,6 @@
 // listAssignments delivers the assignments in the store.
 func (c *cluster) listAssignments(i int) {
 	if c.assignments != nil && !c.storeCutOff[i] {
-		c.step(i, forwarder.AssignmentsListed{Assignments: maps.Clone(c.assignments), Position: storeposition.Position{Revision: c.assignmentRevision}})
+		c.step(i, forwarder.AssignmentsListed{Assignments: maps.Clone(c.assignments), Position: storeposition.Position{Era: c.assignmentEra(), Revision: c.assignmentRevision}})
 	}
 }
--- a/internal/decision/forwarder/assignments.go
+++ b/internal/decision/forwarder/assignments.go
@@ -247,6 +247,11 @@
 		}
 		origin, known := f.assignedOrigin(fl, record)
 		if err != nil || !known {
+			origin, presumed := f.presumedOrigin(fl.lookup)
+			if presumed && f.showsAssignment(read.Response) && record.NamesOnly(origin.SoftwareVersion) {
+				f.resumePresumed(fl, origin)
+				continue
+			}
 			f.awaitOrigin(fl, record, age)
 			continue
 		}
@@ -261,6 +266,11 @@
 	}
 }
 
+// showsAssignment reports whether the response shows which assignment is in the store, if any.
+func (f *Forwarder) showsAssignment(response objectstore.Response) bool {
+	return response.Era == f.eras.Era() && (response.Outcome == objectstore.Done || response.Outcome == objectstore.NotFound)
+}
+
 // awaitOrigin lets a request wait until the record shows its origin, if that is soon, or
 // refuses it.
 func (f *Forwarder) awaitOrigin(fl *flight, record versionassigner.Record, age clock.Millis) {
--- a/internal/decision/forwarder/eras_simulation_test.go
+++ b/internal/decision/forwarder/eras_simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/objectcache"
@@ -26,7 +27,7 @@
 // newStoreCluster returns a cluster whose instances read from a store.
 func newStoreCluster(t *testing.T, seed uint64, instances int) *cluster {
 	c := &cluster{
-		domains: 3, subjects: 7, traffic: map[int]traffic{}, objects: newObjectStore(),
+		domains: 3, subjects: 7, traffic: map[int]traffic{}, objects: newObjectStore(), originMessages: map[originmessage.Kind]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
 		requestLines: map[string][]string{}, limitsReceived: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -31,6 +31,10 @@
 	// read is the number of the read of the assignment that the request waits for, of the
 	// service; 0 for none.
 	read uint64
+	// presumed is the origin of a stream that its caller does not name, without a service if there
+	// is none. contradicted reports whether an instance has seen another possible one.
+	presumed     originkeeper.Origin
+	contradicted bool
 	// waited reports whether it has waited for the time from which an assignment shows it.
 	waited  bool
 	service string
@@ -138,11 +142,10 @@
 		f.resumeStream(fl, origin, f.settings.Name)
 		return
 	}
-	if origin, known := f.soleOrigin(fl.service); known && fl.route.Resumable && fl.request.ResumedRequest == "" {
-		f.resumeStream(fl, origin, "servers")
-		return
-	}
 	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}}
+	if fl.route.Resumable && fl.request.ResumedRequest == "" {
+		fl.lookup.presumed, _ = f.soleOrigin(fl.service)
+	}
 	f.lookups[fl.lookup.id] = fl
 	if f.origins.Conflicting(f.now, fl.streamID()) {
 		f.refuseUnknownOrigin(fl)
@@ -162,7 +165,8 @@
 	for _, address := range f.addressesOf(f.possibleOriginKeepers(fl.streamID())) {
 		lookup.asked[address] = true
 	}
-	if lookup.queries == maxOriginQueries || (f.havePeers && len(lookup.replied) == len(lookup.asked)) {
+	_, presumed := f.presumedOrigin(lookup)
+	if lookup.queries == maxOriginQueries || (f.havePeers && len(lookup.replied) == len(lookup.asked)) || (lookup.queries > 0 && presumed) {
 		f.resolveUnknownOrigin(fl)
 		return
 	}
@@ -170,16 +174,28 @@
 	lookup.queries++
 	for _, address := range sortedKeys(lookup.asked) {
 		if !lookup.replied[address] {
-			f.sendOriginMessage(originmessage.Message{Kind: originmessage.Query, ID: lookup.id, Stream: fl.streamID()}, address)
+			f.sendOriginMessage(originmessage.Message{Kind: originmessage.Query, ID: lookup.id, Stream: fl.streamID(), Origin: lookup.presumed}, address)
 		}
 	}
 }
 
-// resolveUnknownOrigin looks for an origin that no keeper knows in the assignment.
+// resolveUnknownOrigin looks for an origin that no keeper knows in the assignment, or takes the
+// presumed one where no assignment can show it.
 func (f *Forwarder) resolveUnknownOrigin(fl *flight) {
-	if !f.readAssignment(fl) {
-		f.refuseUnknownOrigin(fl)
+	if f.readAssignment(fl) {
+		return
 	}
+	if origin, presumed := f.presumedOrigin(fl.lookup); presumed && fl.lookup.read == 0 {
+		f.resumePresumed(fl, origin)
+		return
+	}
+	f.refuseUnknownOrigin(fl)
+}
+
+// resumePresumed resumes a stream that its caller does not name at the presumed origin.
+func (f *Forwarder) resumePresumed(fl *flight, origin originkeeper.Origin) {
+	f.endLookup(fl)
+	f.resumeStream(fl, origin, "servers")
 }
 
 // refuseUnknownOrigin refuses a request that resumes a stream whose origin nobody knows: at
@@ -215,7 +231,7 @@
 	case originmessage.Query:
 		reply := originmessage.Message{Kind: originmessage.Reply, ID: message.ID, Stream: message.Stream}
 		reply.Origin, reply.Known = f.origins.Find(f.now, message.Stream)
-		reply.Conflicting = f.origins.Conflicting(f.now, message.Stream)
+		reply.Conflicting = f.origins.Conflicting(f.now, message.Stream) || (message.Origin.Service != "" && f.contradicts(message.Origin))
 		f.sendOriginMessage(reply, message.Address)
 	case originmessage.Reply:
 		f.handleOriginReply(message)
@@ -224,7 +240,12 @@
 
 func (f *Forwarder) handleOriginReply(reply originmessage.Message) {
 	fl, ok := f.lookups[reply.ID]
-	if !ok || (fl.lookup.read != 0 && !reply.Known) || reply.Stream != fl.streamID() {
+	if !ok || reply.Stream != fl.streamID() {
+		return
+	}
+	presumes := fl.lookup.presumed.Service != ""
+	fl.lookup.contradicted = fl.lookup.contradicted || (presumes && reply.Conflicting)
+	if fl.lookup.read != 0 && !reply.Known {
 		return
 	}
 	if reply.Known {
@@ -233,7 +254,7 @@
 		f.resumeStream(fl, reply.Origin, reply.Address)
 		return
 	}
-	if reply.Conflicting {
+	if reply.Conflicting && !presumes {
 		f.refuseUnknownOrigin(fl)
 		return
 	}
--- a/internal/decision/forwarder/origins_test.go
+++ b/internal/decision/forwarder/origins_test.go
@@ -29,7 +29,12 @@
 
 // resumeStream sends a request that resumes a stream to an instance.
 func (c *cluster) resumeStream(i int, id, kind, resumed, lastEventID string) *request {
-	r := &request{instance: i, kind: kind}
+	return c.resumeStreamOf(nil, i, id, kind, resumed, lastEventID)
+}
+
+// resumeStreamOf does the same for a caller that holds events of some software versions.
+func (c *cluster) resumeStreamOf(versions map[string]bool, i int, id, kind, resumed, lastEventID string) *request {
+	r := &request{instance: i, kind: kind, sentAt: c.now, softwareVersions: versions}
 	c.requests[id] = r
 	arrived := forwarder.Request{
 		ID: id, Host: host, Method: "POST", Path: "/" + kind + "/x", Key: secret.New(goodKey), CallerTimeout: 2500, Fingerprint: id,
--- a/internal/decision/forwarder/soleversions.go
+++ b/internal/decision/forwarder/soleversions.go
@@ -15,8 +15,9 @@
 	// mixed is set if they have several.
 	mixed bool
 	// since is the time of the latest change that this instance has seen, or of its first list;
-	// 0 if no server can have been listed before.
-	since clock.Millis
+	// 0 if no server can have been listed before. changed reports whether it has seen one.
+	since   clock.Millis
+	changed bool
 }
 
 // updateSoleVersions records which services have servers of one software version only.
@@ -31,6 +32,7 @@
 		if known && before.mixed == sole.mixed && (sole.mixed || before.version == sole.version) {
 			continue
 		}
+		sole.changed = known
 		// Servers of another version may have left just before this instance started.
 		if known || !f.settings.FirstStart {
 			sole.since = f.now
@@ -39,12 +41,34 @@
 	}
 }
 
-// soleOrigin returns the origin of a stream that its caller does not name. It is known only
-// if no other software version of the service was listed while the stream can have begun.
+// soleOrigin returns the origin of a stream that its caller does not name, as far as this
+// instance has seen: no other software version of the service was listed while the stream can
+// have begun. It may not have seen one that was.
 func (f *Forwarder) soleOrigin(service string) (originkeeper.Origin, bool) {
 	sole, known := f.soleVersions[service]
-	if !known || sole.mixed || (sole.since != 0 && f.now.Since(sole.since) < maxStreamTime) {
+	origin := originkeeper.Origin{Service: service, SoftwareVersion: sole.version}
+	if !known || (sole.since != 0 && f.now.Since(sole.since) < maxStreamTime) || f.contradicts(origin) {
 		return originkeeper.Origin{}, false
 	}
-	return originkeeper.Origin{Service: service, SoftwareVersion: sole.version}, true
+	return origin, true
+}
+
+// contradicts reports whether this instance has seen that streams of the service may have begun
+// at another software version.
+func (f *Forwarder) contradicts(origin originkeeper.Origin) bool {
+	view, assigned := f.assignments[origin.Service]
+	if assigned && !view.Record.NamesOnly(origin.SoftwareVersion) {
+		return true
+	}
+	sole, known := f.soleVersions[origin.Service]
+	return known && (sole.mixed || sole.version != origin.SoftwareVersion || (sole.changed && f.now.Since(sole.since) < maxStreamTime))
+}
+
+// presumedOrigin returns the origin that was presumed when the lookup began, if this instance
+// still presumes it and more than half of the instances that were asked, with this one, have
+// replied without contradiction.
+func (f *Forwarder) presumedOrigin(lookup *originLookup) (originkeeper.Origin, bool) {
+	origin, known := f.soleOrigin(lookup.presumed.Service)
+	agreed := f.havePeers && 2*(len(lookup.replied)+1) > len(lookup.asked)+1
+	return origin, known && origin == lookup.presumed && agreed && !lookup.contradicted
 }
--- a/internal/decision/forwarder/store_client_test.go
+++ b/internal/decision/forwarder/store_client_test.go
@@ -28,6 +28,9 @@
 	members  map[string]forwarder.Member
 	// watch differs for each start of the watches; those of another number have ended.
 	watch int
+	// serversHangUntil is the time until which it gets no list of servers: its watch waits on a
+	// connection that is gone.
+	serversHangUntil clock.Millis
 }
 
 type orderReceived struct {
@@ -149,6 +152,9 @@
 // apply applies what was read to the copy, and passes it on.
 func (h *storeClient) apply(kind replicator.Kind, full bool, confirmedAt clock.Millis, source uint32, read watcher.Listing) {
 	name := watchedKinds[kind]
+	if kind == replicator.Servers && h.cluster.now < h.serversHangUntil {
+		return
+	}
 	if full && !h.cache.Replace(name, read) || !full && !h.cache.Apply(name, read) {
 		return
 	}
--- a/internal/decision/originmessage/originmessage.go
+++ b/internal/decision/originmessage/originmessage.go
@@ -34,7 +34,10 @@
 	PassOn bool
 	// Known reports whether the sender of a reply knows the origin.
 	Known bool
-	// Conflicting reports whether it knows two different ones.
+	// Conflicting reports whether it knows two different ones, or that the origin which the
+	// query presumes is not the only possible one.
 	Conflicting bool
-	Origin      originkeeper.Origin
+	// Origin is that of the stream. In a query it is the presumed one, without a service if there
+	// is none.
+	Origin originkeeper.Origin
 }
--- a/internal/decision/versionassigner/versionassigner.go
+++ b/internal/decision/versionassigner/versionassigner.go
@@ -164,6 +164,23 @@
 	return versions[0], true
 }
 
+// NamesOnly reports whether the record names no version but the given one.
+func (r Record) NamesOnly(version string) bool {
+	for _, shares := range append(slices.Clip(r.earlier), r.current) {
+		for named := range shares {
+			if named != version {
+				return false
+			}
+		}
+	}
+	for _, versions := range r.exceptions {
+		if slices.ContainsFunc(versions, func(named string) bool { return named != version }) {
+			return false
+		}
+	}
+	return true
+}
+
 // WithCurrent returns the record with another current assignment.
 func (r Record) WithCurrent(shares map[string]int) Record {
 	earlier := append(slices.Clip(r.earlier), r.current)
--- a/internal/decision/versionassigner/versionassigner_test.go
+++ b/internal/decision/versionassigner/versionassigner_test.go
@@ -68,17 +68,19 @@
 	for name, test := range map[string]struct {
 		record versionassigner.Record
 		sole   bool
+		onlyV1 bool
 	}{
-		"settled":              {settled(v1), true},
-		"no assignment before": {versionassigner.New(era, routes, v1), false},
-		"another version":      {settled(v1).WithCurrent(v2), false},
-		"another era":          {settled(v1).WithOrigin(era+1, routes), false},
-		"too many earlier":     {settled(v1).WithCurrent(v1).WithCurrent(v1).WithCurrent(v1).WithCurrent(v1).WithCurrent(v1), false},
-		"the time has passed":  {settled(v1).WithCurrent(v2).WithLeft(clock.Second).At(clock.Second), true},
-		"the time is left":     {settled(v1).WithCurrent(v2).WithLeft(clock.Second).At(900), false},
-		"the time is unknown":  {settled(v1).WithCurrent(v2).At(clock.Minute), false},
+		"settled":              {settled(v1), true, true},
+		"no assignment before": {versionassigner.New(era, routes, v1), false, true},
+		"another version":      {settled(v1).WithCurrent(v2), false, false},
+		"another era":          {settled(v1).WithOrigin(era+1, routes), false, true},
+		"too many earlier":     {settled(v1).WithCurrent(v1).WithCurrent(v1).WithCurrent(v1).WithCurrent(v1).WithCurrent(v1), false, true},
+		"the time has passed":  {settled(v1).WithCurrent(v2).WithLeft(clock.Second).At(clock.Second), true, false},
+		"the time is left":     {settled(v1).WithCurrent(v2).WithLeft(clock.Second).At(900), false, false},
+		"the time is unknown":  {settled(v1).WithCurrent(v2).At(clock.Minute), false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.onlyV1, test.record.NamesOnly("v1"))
 			_, sole := test.record.Sole()
 			require.Equal(t, test.sole, sole)
 			_, ok := test.record.Resolve("stream")
