Begin streams after a start only once their assignments are known

Callers could get the rest of a stream, which they named, from servers of another software version: an instance that had just started, and had the desired state and the servers but not yet its copy of the assignments, began streams at any version. If no keeper had learned of one, because the instance was cut off then, another instance computed its version from the settled assignment in the store.

Now such an instance is not ready, and refuses new resumable streams as not run, until it has had a list, except at the cluster's first start and where no assignment applies.

The simulated store now also lists that it has no assignments, as the platform's does.

--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -63,6 +63,10 @@
 			return
 		}
 	}
+	if request.ResumedRequest == "" && request.LastEventID == "" && !f.mayBeginStream(route) {
+		f.refuseOnArrival(request, statusUnavailable, ReasonNotReady, defaultRetryAfter)
+		return
+	}
 	f.admit(request, route, team)
 }
 
--- a/internal/decision/forwarder/assignment_store_test.go
+++ b/internal/decision/forwarder/assignment_store_test.go
@@ -75,7 +75,7 @@
 
 // listAssignments delivers the assignments in the store.
 func (c *cluster) listAssignments(i int) {
-	if c.assignments != nil && !c.storeCutOff[i] {
+	if !c.storeCutOff[i] {
 		c.step(i, forwarder.AssignmentsListed{Assignments: maps.Clone(c.assignments), Position: storeposition.Position{Era: c.assignmentEra(), Revision: c.assignmentRevision}})
 	}
 }
--- a/internal/decision/forwarder/assignments.go
+++ b/internal/decision/forwarder/assignments.go
@@ -73,8 +73,10 @@
 type streamAssignments struct {
 	// assignments are the assignments of streams by service. streamRoutes identifies the routes
 	// of resumable streams, streamServices their services, and streamLifetime is the longest time
-	// for which a caller resumes a stream.
+	// for which a caller resumes a stream. assignmentsListed reports whether the instance has had a
+	// list of the stored ones.
 	assignments         map[string]assignmentView
+	assignmentsListed   bool
 	nextAssignments     clock.Millis
 	nextFirstAssignment clock.Millis
 	streamRoutes        string
@@ -107,6 +109,7 @@
 
 // handleAssignmentsListed takes over the stored assignments that are newer.
 func (f *Forwarder) handleAssignmentsListed(listed AssignmentsListed) {
+	f.assignmentsListed = true
 	for service, stored := range listed.Assignments {
 		f.seeAssignment(service, stored)
 	}
@@ -144,6 +147,19 @@
 	}
 }
 
+// awaitsAssignments reports whether the store may have assignments that this instance, which has
+// just started, does not know yet.
+func (f *Forwarder) awaitsAssignments() bool {
+	return !f.assignmentsListed && !f.settings.FirstStart && f.vouchesForStreams() && len(f.streamServices) > 0
+}
+
+// mayBeginStream reports whether it is known at which version a stream of the route may begin.
+func (f *Forwarder) mayBeginStream(route desired.Route) bool {
+	service, single := route.SoleService()
+	_, known := f.assignments[service]
+	return route.Kind != desired.Stream || !route.Resumable || !single || known || !f.awaitsAssignments()
+}
+
 // assignVersion limits a stream that begins to the version that the assignment gives it.
 // Before there is an assignment, it may begin anywhere.
 func (f *Forwarder) assignVersion(fl *flight) {
--- a/internal/decision/forwarder/readiness.go
+++ b/internal/decision/forwarder/readiness.go
@@ -5,7 +5,7 @@
 // ReadyAt reports whether a load balancer should send requests to this instance at now.
 func (f *Forwarder) ReadyAt(now clock.Millis) bool {
 	f.now = now
-	return !f.draining && f.desired.Version > 0 && f.haveServers && !f.keysStale()
+	return !f.draining && f.desired.Version > 0 && f.haveServers && !f.keysStale() && !f.awaitsAssignments()
 }
 
 // InFlight returns the number of in-flight requests and of tunnels.
