Resume unnamed streams long after a release that interrupted none

After a release, callers that did not name their streams were refused until the next one: the assignment lists the streams that ran during the release as exceptions and keeps them, so that it named two versions for ever.

The exceptions of a settled assignment that an instance has had for longer than a stream may be resumed do not count any more.

TestUnnamedStreamLongAfterRelease failed before ("later" refused with unknownOrigin 34 s after the release, "Should be true").

--- a/internal/decision/forwarder/assignments.go
+++ b/internal/decision/forwarder/assignments.go
@@ -264,7 +264,7 @@
 		origin, known := f.assignedOrigin(fl, record)
 		if err != nil || !known {
 			origin, presumed := f.presumedOrigin(fl.lookup)
-			if presumed && f.showsAssignment(read.Response) && record.NamesOnly(origin.SoftwareVersion) {
+			if presumed && f.showsAssignment(read.Response) && f.namesOnly(record, age, origin.SoftwareVersion) {
 				f.resumePresumed(fl, origin)
 				continue
 			}
--- a/internal/decision/forwarder/out_of_step_test.go
+++ b/internal/decision/forwarder/out_of_step_test.go
@@ -243,3 +243,29 @@
 		})
 	}
 }
+
+// TestUnnamedStreamLongAfterRelease guards against an assignment that lists streams which have ended
+// long ago: no stream that is not named would go on until the next release.
+func TestUnnamedStreamLongAfterRelease(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.assignments = map[string]forwarder.Assignment{}
+	c.streamDuration = clock.Second
+	c.setSoftwareVersions("v1")
+	c.run(3 * clock.Second)
+	for i := range 12 {
+		c.sendRequest(i%3, "stream")
+	}
+	c.run(100)
+	c.setSoftwareVersions("v2")
+	c.run(2 * clock.Second)
+	record := c.assignments["engines"].Record
+	require.True(t, record.Settled())
+	_, sole := record.Sole()
+	require.False(t, sole, "streams of the earlier version are listed")
+	refused := c.resumeStream(0, "soon", "stream", "", "1")
+	c.run(31 * clock.Second)
+	require.False(t, refused.partDelivered)
+	r := c.resumeStream(0, "later", "stream", "", "1")
+	c.run(500)
+	require.True(t, r.partDelivered, c.logOf("later"))
+}
--- a/internal/decision/forwarder/soleversions.go
+++ b/internal/decision/forwarder/soleversions.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/versionassigner"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -57,13 +58,23 @@
 // at another software version.
 func (f *Forwarder) contradicts(origin originkeeper.Origin) bool {
 	view, assigned := f.assignments[origin.Service]
-	if assigned && !view.Record.NamesOnly(origin.SoftwareVersion) {
+	if assigned && !f.namesOnly(view.Record, f.now.Since(view.since), origin.SoftwareVersion) {
 		return true
 	}
 	sole, known := f.soleVersions[origin.Service]
 	return known && (sole.mixed || sole.version != origin.SoftwareVersion || (sole.changed && f.now.Since(sole.since) < maxStreamTime))
 }
 
+// namesOnly reports whether a record of the age names no other version for streams that callers may
+// still resume.
+func (f *Forwarder) namesOnly(record versionassigner.Record, age clock.Millis, version string) bool {
+	if record.Settled() && age >= max(maxStreamTime, f.streamLifetime) {
+		// Its exceptions began before it was written.
+		record = record.WithoutExceptions()
+	}
+	return record.NamesOnly(version)
+}
+
 // presumedOrigin returns the origin that was presumed when the lookup began, if this instance
 // still presumes it and more than half of the instances that were asked, with this one, have
 // replied without contradiction.
--- a/internal/decision/versionassigner/versionassigner.go
+++ b/internal/decision/versionassigner/versionassigner.go
@@ -164,6 +164,9 @@
 	return versions[0], true
 }
 
+// WithoutExceptions returns the record without its exceptions.
+func (r Record) WithoutExceptions() Record { return r.withExceptions(nil) }
+
 // NamesOnly reports whether the record names no version but the given one.
 func (r Record) NamesOnly(version string) bool {
 	for _, shares := range append(slices.Clip(r.earlier), r.current) {
