--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -49,7 +49,7 @@
 	if !ok || fl.queueTooLong(choice, f.now) || !f.fitsBeforeStop(fl, choice) {
 		return scheduler.Choice{}, false
 	}
-	if move != "" && clock.Millis(choice.StartMs()) >= moveTimeout {
+	if move == moveForWeights && clock.Millis(choice.StartMs()) >= moveTimeout {
 		return scheduler.Choice{}, false
 	}
 	return choice, f.retryBudget.AcquireRetry(f.now, fl.service, f.instanceCount())
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -14,7 +14,7 @@
 	moveStreamsAfter = 800 * clock.Millisecond
 	// moveCheckInterval is the time between two checks for streams to move.
 	moveCheckInterval = 50 * clock.Millisecond
-	// moveTimeout is the time in which another server must send an event of a stream that moves to it: the
+	// moveTimeout is the time in which another server must send an event of a stream that could stay: the
 	// caller gets none meanwhile, and two servers may work on one request for 400 ms.
 	moveTimeout = 350 * clock.Millisecond
 	// moveRetryDelay is the time from one attempt to move a stream to the next.
@@ -82,7 +82,11 @@
 	fl.nextMoveAt = f.now.Add(moveRetryDelay)
 	number, plan := f.startAttempt(fl, choice, besideMoving)
 	fl.alternative = &alternative{number: number, move: reason, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weightsVersion: plan.weightsVersion}
-	fl.checkAt = min(fl.deadline, f.now.Add(moveTimeout))
+	timeout := moveTimeout
+	if reason == moveForLeaving {
+		timeout = max(moveTimeout, clock.Millis(choice.CostMs*silenceFactor))
+	}
+	fl.checkAt = min(fl.deadline, f.now.Add(timeout))
 }
 
 // moves reports whether another server is asked to resume the stream instead of its own one.
