Refuse engines' responses that are longer than the limit

Cause: Stream read it with a limit of its own and did not ask whether something was left; Exchange, for calls, did. Both now read in one place, where a longer body is a malformed response, as for calls.

TestLongAnswerOfStreamIsNotShortened failed before: "101 bytes: {Failure: Progress: Cancelled:false LastEventNumber:0 Status:404 ..." with 100 bytes of body. TestCutResponsesAreNotComplete cuts responses to calls and streams at each byte (with a length, chunks, neither, after an interim response; ended in order and by a reset): none is complete, none "not sent"; it passed before too.

--- a/internal/standalone/runtime/dispatcher/exchange.go
+++ b/internal/standalone/runtime/dispatcher/exchange.go
@@ -37,6 +37,11 @@
 		return a.failure(ctx, retrier.Sent, err)
 	}
 	defer response.Body.Close()
+	return d.readResponse(ctx, a, response)
+}
+
+// readResponse reads the whole response. One that is longer than the limit is a failure.
+func (d *Dispatcher) readResponse(ctx context.Context, a *attempt, response *http.Response) Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.maxResponseBytes+1))
 	if err != nil {
 		return a.failure(ctx, retrier.Sent, err)
--- a/internal/standalone/runtime/dispatcher/stream.go
+++ b/internal/standalone/runtime/dispatcher/stream.go
@@ -101,11 +101,7 @@
 	case response.StatusCode >= http.StatusInternalServerError:
 		return Result{Progress: retrier.Sent, Failure: retrier.ServerError}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, d.maxResponseBytes))
-	if err != nil {
-		return a.failure(ctx, retrier.Sent, err)
-	}
-	return Result{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}
+	return d.readResponse(ctx, a, response)
 }
 
 // streamReader reads the event stream of one attempt.
