Take a head that is cut inside a line for an interruption

Cause: the parser takes the part of a line at the end of the connection for a whole line. So the byte at which a server ended decided what it meant.

Evidence: of the cut responses of TestCutResponses, those cut inside the status line or a field's name were logged failure=spoilt ("malformed MIME header: missing colon: X-Hyssopd", "malformed HTTP response HTTP/"). TestCutHeadIsNotMalformed failed before ("...Content": malformed MIME header: missing colon).

Now the error is that of the connection if it has ended and what came before began as a response; bytes that are none stay spoilt. Both tests pass.

--- a/internal/runtime/httpclient/cut_test.go
+++ b/internal/runtime/httpclient/cut_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
@@ -56,7 +55,6 @@
 							_, _ = http.ReadRequest(reader)
 							_, _ = io.WriteString(conn, sent[len(greeting):length])
 						}
-						time.Sleep(time.Millisecond)
 					})
 					tunnelled := request
 					tunnelled.Tunnel = &httpclient.Tunnel{Address: address, Server: "i", Timeout: 1000}
@@ -73,6 +71,29 @@
 	}
 }
 
+// TestCutHeadIsNotMalformed guards against a head that was cut inside a line and counted as one that
+// is no response: a crash of its server was not suspected.
+func TestCutHeadIsNotMalformed(t *testing.T) {
+	const head = "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"
+	tests := map[string]bool{"no\x00nsense": false, "HTTP/1.1 200 OK\r\nno field\r\n\r\n": false, "HTTP/1.1 2x0 OK\r\n\r\n": false, "HTTP/3": false}
+	for length := range head {
+		tests[head[:length]] = true
+	}
+	for sent, isCut := range tests {
+		address, _ := listen(t, func(conn net.Conn) {
+			defer conn.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, sent)
+		})
+		exchange, err := httpclient.Send(t.Context(), address, request)
+		require.NoError(t, err)
+		_, err = exchange.ReadResponse()
+		exchange.Close()
+		require.Error(t, err)
+		require.Equal(t, isCut, errors.Is(err, io.ErrUnexpectedEOF), "%q: %v", sent, err)
+	}
+}
+
 // exchange sends a request and reads the whole response.
 func exchange(t *testing.T, request httpclient.Request) (string, error) {
 	sent, err := httpclient.Send(t.Context(), "127.0.0.1:1", request)
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -47,10 +48,15 @@
 // ErrHeadTooLong means that the head of a response has no end within the limit.
 var ErrHeadTooLong = errors.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
 
+// responseStart begins each response.
+const responseStart = "HTTP/1."
+
 // headReader limits the bytes that are read until the head is complete.
 type headReader struct {
 	conn      net.Conn
-	remaining int // remaining is negative without a limit.
+	remaining int    // remaining is negative without a limit.
+	start     string // start has the first bytes that were read.
+	end       error  // end is the error after which no more can be read.
 }
 
 // Read reads from the connection.
@@ -65,9 +71,24 @@
 	if r.remaining > 0 {
 		r.remaining -= n
 	}
+	r.start += string(buffer[:min(n, len(responseStart)-len(r.start))])
+	r.end = err
 	return n, err
 }
 
+// cause returns the cause of an error of the parser. It takes the part of a line at the end of the
+// connection for a whole line, which may be malformed; the head was cut, if it began as one.
+func (r *headReader) cause(parseErr error) error {
+	switch {
+	case r.end == nil || !strings.HasPrefix(responseStart, r.start):
+		return parseErr
+	case r.end == io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return r.end
+	}
+}
+
 // keepAlive detects a connection that has become unresponsive while the client waits for a
 // response. The kernel's unit is a second; the detection takes about the ack timeout, but
 // at least two seconds.
@@ -223,13 +244,14 @@
 }
 
 // ReadResponse reads the head of the response and skips interim responses (status 1xx). It
-// returns ErrHeadTooLong if they have no end within 64 KB. Reading the body returns an error if
-// the connection ends before the body is complete.
+// returns ErrHeadTooLong if they have no end within 64 KB, and io.ErrUnexpectedEOF if the connection
+// ends before they do. Reading the body returns an error if the connection ends before the body is
+// complete.
 func (e *Exchange) ReadResponse() (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(e.reader, &http.Request{Method: e.method})
 		if err != nil {
-			return nil, errors.Wrap(err, "read the response")
+			return nil, errors.Wrap(e.head.cause(err), "read the response")
 		}
 		if response.StatusCode >= http.StatusOK {
 			e.head.remaining = -1
