Count the age of superseded weights from their publication

Requests could begin on weights that had been replaced for longer than the bound (VERSION) at instances that learned of the newer ones late.

Cause: each change that a watch or a neighbor's copy brought counted as published just now, also the first one after a failed watch, a takeover of the watch, a partition or a suspension; a digest's age counted until it was read, also after a suspension. A list counted as MaxWeightsAge old.

Now a publication counts as observed only if this instance's watch had been requested before a time at which the store did not have the revision, and nothing delayed the answer: answers of all kinds name the revision of the whole store, so that those of the desired state date it to half a second (package revisiondater). Otherwise the time is a lower bound: that time, or for lists and copies, which lack earlier changes, the last confirmation of the instance's own copy. Digests have both for a second after they are new. A later change of the object of a known version (its status) no longer sets the time anew.

TestAgeOfWeightsCountsFromTheirPublication failed before in all 12 cases (go test ./internal/decision/forwarder -run AgeOfWeightsCounts: "6055ms" is not less than or equal to "6000ms", begins on weights 1 although 2 were published; after an era change the old weights were dropped at once), and passes. The simulated watch polls each 350 ms, so that its undisturbed case failed as well.

In tests of the forwarder, an event that said "published just now" is now a change under a waiting watch; after a cut it no longer says so.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -97,6 +97,9 @@
 	// WeightsAges are the times since versions of weights were published, by model and
 	// version.
 	WeightsAges map[string]map[int64]clock.Millis
+	// WeightsBounds are the longest possible times of versions of which the sender knows no
+	// instance that has observed the publication.
+	WeightsBounds map[string]map[int64]clock.Millis
 	// CrashedServers are the servers that crashed, by the fingerprint of a request that
 	// ran there.
 	CrashedServers map[string][]string
--- a/internal/decision/forwarder/broadcast.go
+++ b/internal/decision/forwarder/broadcast.go
@@ -148,8 +148,9 @@
 	if full {
 		message.AccusedParts, message.ServerLimits, message.ServerRooms = f.parts.Snapshot(f.now), f.limits.Snapshot(), f.rooms.Snapshot()
 		message.BucketLevels = f.idsOfTeams(f.limiter.Levels(f.now))
-		message.WeightsAges, message.CrashedServers = f.rollout.VersionAges(f.now), f.crashedServers
+		message.CrashedServers = f.crashedServers
 	}
+	f.fillWeightsAges(&message, full)
 	return message
 }
 
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -183,11 +183,7 @@
 			f.addCacheDelta(change, origin)
 		}
 	}
-	for model, ages := range message.WeightsAges {
-		for version, age := range ages {
-			f.addWeights(model, version, f.now.Add(-age), true, "peer")
-		}
-	}
+	f.mergeWeightsAges(message)
 	f.mergeOrders(message, origin)
 	for _, reported := range message.ReportedWeights {
 		server, ok := f.servers.Server(reported.Server)
--- a/internal/decision/forwarder/eras_simulation_test.go
+++ b/internal/decision/forwarder/eras_simulation_test.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/objectcache"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -28,6 +29,7 @@
 func newStoreCluster(t *testing.T, seed uint64, instances int) *cluster {
 	c := &cluster{
 		domains: 3, subjects: 7, traffic: map[int]traffic{}, objects: newObjectStore(), originMessages: map[originmessage.Kind]int{},
+		tunnels: map[string]simulatedTunnel{}, verdicts: map[tunnelverdict.Verdict]int{},
 		t: t, now: clock.Second, random: rand.New(rand.NewPCG(seed, 7)), stopped: map[int]bool{}, storeCutOff: map[int]bool{}, pausedUntil: map[int]clock.Millis{},
 		servers: map[string]*server{}, requests: map[string]*request{}, publishedVersion: 1, publishedAt: map[int64]clock.Millis{1: 0}, faultPercents: map[forwarder.Outcome]int{},
 		requestLines: map[string][]string{}, limitsReceived: map[callKey]clock.Millis{}, loadDuration: 320, cacheReads: map[string]int{}, faultRandom: rand.New(rand.NewPCG(seed, 11)),
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -160,13 +161,16 @@
 	Removed bool
 }
 
-// WeightsPublished reports the newest published version of a model's weights.
-// JustPublished reports whether it was published just now; otherwise the time is
-// unknown.
+// WeightsPublished reports the newest published version of a model's weights. Watched reports
+// whether a watch of this instance has returned the change at the position; RequestedAt is the
+// time of the watch's request. Otherwise the version is from a list, or from the copy of
+// another instance, which lacks earlier changes.
 type WeightsPublished struct {
-	Model         string
-	Version       int64
-	JustPublished bool
+	Model       string
+	Version     int64
+	Watched     bool
+	Position    storeposition.Position
+	RequestedAt clock.Millis
 }
 
 // StoreFailed and StoreResponded report the result of the latest call to the store.
--- a/internal/decision/forwarder/faults_test.go
+++ b/internal/decision/forwarder/faults_test.go
@@ -112,7 +112,7 @@
 		c.storeCutOff[i] = false
 		c.step(i, forwarder.StoreResponded{})
 		c.step(i, forwarder.StateConfirmed{ConfirmedAt: c.now})
-		c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion, JustPublished: true})
+		c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
 		c.listServers(i)
 	})
 }
@@ -140,7 +140,7 @@
 		}
 		c.storeCutOff[i] = false
 		c.step(i, forwarder.StateConfirmed{ConfirmedAt: c.now})
-		c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion, JustPublished: true})
+		c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion})
 		c.listServers(i)
 	})
 }
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -243,6 +243,7 @@
 	flights map[string]*flight
 	// nextWithdrawal is the time of the next check for requests that have not begun in time.
 	nextWithdrawal clock.Millis
+	weightsAges    weightsAges
 }
 
 // New returns the state of an instance that has just started.
@@ -284,9 +285,9 @@
 		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, groupCeilings: map[roomGroup]groupCeiling{}, startsSeen: map[string]clock.Millis{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		admitter:   admitter.New(),
-		drainState: newDrainState(),
-		rollouts:   newRollouts(settings.Bounds.LimitsExposure()),
-		flights:    map[string]*flight{},
+		drainState: newDrainState(), weightsAges: newWeightsAges(),
+		rollouts: newRollouts(settings.Bounds.LimitsExposure()),
+		flights:  map[string]*flight{},
 	}
 }
 
--- a/internal/decision/forwarder/permissions.go
+++ b/internal/decision/forwarder/permissions.go
@@ -51,6 +51,9 @@
 func (f *Forwarder) detectPause() {
 	before := f.lastStepAt
 	f.lastStepAt = f.now
+	if f.now.Since(before) >= maxStall {
+		f.weightsAges.stalledAt = f.now
+	}
 	if before == 0 || f.now.Since(before) < tokenbucket.PeerTimeout {
 		return
 	}
--- a/internal/decision/forwarder/replicas.go
+++ b/internal/decision/forwarder/replicas.go
@@ -18,6 +18,9 @@
 		offer := replicator.Offer{Kind: replicator.Kind(replica.Kind), Neighbor: message.Name, Copy: replicator.Copy{Era: replica.Era, Revision: replica.Revision, Through: replica.Through, Source: replica.Source}}
 		if echoed {
 			offer.Copy.ConfirmedAt = sums.SentAt.Add(-replica.Age)
+			if replica.Source == digest.ID(message.Name) {
+				f.confirmRevision(offer.Copy)
+			}
 		}
 		offer.SourceRank = f.rankOfID(replica.Source)
 		if f.replicas.Offer(f.now, offer, f.arrangement.Rank(f.settings.Name)) && offer.Kind == replicator.State {
@@ -53,6 +56,7 @@
 	before := f.replicas.Copy(updated.Kind).Position()
 	read := updated.Copy
 	if read.Source == 0 {
+		f.confirmRevision(read)
 		read.Source = digest.ID(f.settings.Name)
 	}
 	f.replicas.Updated(updated.Kind, read)
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -47,29 +47,6 @@
 	}
 }
 
-// handleWeightsPublished records newer weights. A version that was published before
-// this instance watched the store has an unknown age. Until a peer reports it, the age
-// is assumed to be MaxWeightsAge, so that older versions are not used.
-func (f *Forwarder) handleWeightsPublished(published WeightsPublished) {
-	publishedAt := f.now
-	if !published.JustPublished {
-		publishedAt = f.now.Add(-f.settings.Bounds.MaxWeightsAge)
-	}
-	f.addWeights(published.Model, published.Version, publishedAt, published.JustPublished, "store")
-}
-
-// addWeights records published weights, of which this instance learned from the store or a peer.
-func (f *Forwarder) addWeights(model string, version int64, publishedAt clock.Millis, exact bool, from string) {
-	newer, changed := f.rollout.AddVersion(model, version, publishedAt, exact)
-	if changed {
-		f.nextWithdrawal = f.now
-	}
-	if newer {
-		entry := eventlog.New(eventlog.WeightsNamed, "").With("model", model).With("version", version)
-		f.log(entry.With("fresh", exact).With("age", f.now.Since(publishedAt)).With("from", from))
-	}
-}
-
 // withWeights adds the version of the weights to the entry, and the time since a newer one was
 // published.
 func (f *Forwarder) withWeights(entry eventlog.Entry, model string, version int64) eventlog.Entry {
--- a/internal/decision/forwarder/silence_test.go
+++ b/internal/decision/forwarder/silence_test.go
@@ -130,7 +130,7 @@
 		// The instance can't write to the store, so it orders no engine to load them.
 		for i := range c.instances {
 			c.storeCutOff[i] = true
-			c.step(i, forwarder.WeightsPublished{Model: model, Version: 2, JustPublished: true})
+			c.publishTo(i, 2)
 		}
 		c.run(300)
 	}
--- a/internal/decision/forwarder/store_test.go
+++ b/internal/decision/forwarder/store_test.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -111,7 +113,14 @@
 	c.publishedAt[c.publishedVersion] = c.now
 	for i := range c.instances {
 		if !c.storeCutOff[i] {
-			c.step(i, forwarder.WeightsPublished{Model: model, Version: c.publishedVersion, JustPublished: true})
+			c.publishTo(i, c.publishedVersion)
 		}
 	}
 }
+
+// publishTo delivers the change to an instance that watches the store: the watch was waiting.
+func (c *cluster) publishTo(i int, version int64) {
+	revision := 2 * version
+	c.step(i, forwarder.ReplicaUpdated{Kind: replicator.Rollouts, Copy: replicator.Copy{Revision: revision - 1, ConfirmedAt: c.now}})
+	c.step(i, forwarder.WeightsPublished{Model: model, Version: version, Watched: true, Position: storeposition.Position{Revision: revision}, RequestedAt: c.now})
+}
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -45,7 +45,7 @@
 				c.after(100, func() {
 					c.publishedVersion, c.publishedAt[2] = 2, c.now
 					for i := range c.instances {
-						c.step(i, forwarder.WeightsPublished{Model: model, Version: 2, JustPublished: true})
+						c.publishTo(i, 2)
 					}
 				})
 				c.after(clock.Second, func() { c.loadWeights(test.updated) })
@@ -99,7 +99,7 @@
 		s.queue = queue
 	}
 	c.publishedVersion, c.publishedAt[2] = 2, c.now
-	c.step(0, forwarder.WeightsPublished{Model: model, Version: 2, JustPublished: true})
+	c.publishTo(0, 2)
 	c.runConfirmed(ago)
 	return c
 }
--- /dev/null
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -0,0 +1,160 @@
+package forwarder_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/instancesettings"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+// storeWatcher returns the instance that watches the store.
+func (c *cluster) storeWatcher() int {
+	for i := range c.instances {
+		if digest.ID(c.settings[i].Name) == c.instances[i].Replica(replicator.State).Source {
+			return i
+		}
+	}
+	return 0
+}
+
+// TestAgeOfWeightsCountsFromTheirPublication disturbs instances as weights are published that no engine
+// loads in time. The cluster verifies that no engine begins a request on the old ones too late.
+func TestAgeOfWeightsCountsFromTheirPublication(t *testing.T) {
+	t.Parallel()
+	cutOff := func(c *cluster, duration clock.Millis, instances ...int) {
+		for _, i := range instances {
+			c.storeCutOff[i] = true
+			c.after(duration, func() { c.storeCutOff[i] = false })
+		}
+	}
+	partition := func(c *cluster, duration clock.Millis, one int) {
+		cutOff(c, duration, one)
+		c.cut = func(from, to int) bool { return from == one || to == one }
+		c.after(duration, func() { c.cut = nil })
+	}
+	all := []int{0, 1, 2, 3, 4, 5, 6}
+	for name, test := range map[string]struct {
+		disturb func(c *cluster)
+		// usableFor is the least time for which the old weights must be used, if the disturbance allows it.
+		usableFor clock.Millis
+	}{
+		"undisturbed":                              {disturb: func(*cluster) {}, usableFor: 4 * clock.Second},
+		"the watcher is killed":                    {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second},
+		"the watcher is cut off from the store":    {disturb: func(c *cluster) { cutOff(c, 4*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
+		"the store is away for a while":            {disturb: func(c *cluster) { cutOff(c, 1500, all...) }, usableFor: 2 * clock.Second},
+		"the watcher is suspended":                 {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
+		"the watcher is suspended for a moment":    {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(700) }, usableFor: 3 * clock.Second},
+		"an instance without a watch is suspended": {disturb: func(c *cluster) { c.pausedUntil[(c.storeWatcher()+1)%7] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
+		"all instances are suspended": {disturb: func(c *cluster) {
+			for _, i := range all {
+				c.pausedUntil[i] = c.now.Add(3 * clock.Second)
+			}
+		}},
+		"an instance without a watch is cut off":        {disturb: func(c *cluster) { partition(c, 3*clock.Second, (c.storeWatcher()+1)%7) }, usableFor: 3 * clock.Second},
+		"the watcher is cut off from all":               {disturb: func(c *cluster) { partition(c, 3*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
+		"the store comes back older, and all list anew": {disturb: func(c *cluster) { c.after(300, func() { c.objects.goBack(c.now.Add(-200)) }) }, usableFor: 2 * clock.Second},
+		"the store comes back older while it is away":   {disturb: func(c *cluster) { cutOff(c, 1200, all...); c.after(300, func() { c.objects.goBack(c.now.Add(-2000)) }) }, usableFor: 2 * clock.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				c := newStoreCluster(t, seed, 7)
+				c.loadDuration = 30 * clock.Second
+				for i := range c.settings {
+					c.settings[i].Bounds.RetryExtra = 1000
+				}
+				o := &observer{cluster: c, versions: map[*forwarder.Forwarder]int64{}}
+				o.run(8*clock.Second + clock.Millis(c.random.IntN(500)))
+				o.requireCurrent()
+				test.disturb(c)
+				c.run(20)
+				c.publishedVersion, c.publishedAt[2] = 2, c.now
+				c.objects.sync(c)
+				for c.now < c.publishedAt[2].Add(8*clock.Second) {
+					for _, s := range c.servers {
+						s.queue = clock.Millis(c.random.IntN(1500))
+					}
+					c.sendRequest(c.random.IntN(len(c.instances)), "stream")
+					c.run(25)
+					c.objects.sync(c)
+				}
+				last := clock.Millis(0)
+				for _, r := range c.requests {
+					if r.attempts > 0 {
+						last = max(last, r.sentAt)
+					}
+				}
+				require.GreaterOrEqual(t, last.Since(c.publishedAt[2]), test.usableFor, "seed %d: the old weights are in use", seed)
+			}
+		})
+	}
+}
+
+// TestAgeOfWeightsOfOneInstance verifies how old weights count that one instance learns of at 20 s, and
+// whether their publication counts as observed.
+func TestAgeOfWeightsOfOneInstance(t *testing.T) {
+	t.Parallel()
+	const learnedAt = 20 * clock.Second
+	position := func(revision int64) storeposition.Position {
+		return storeposition.Position{Era: 1, Revision: revision}
+	}
+	read := func(kind replicator.Kind, confirmedAt clock.Millis, revision int64) forwarder.Event {
+		return forwarder.ReplicaUpdated{Kind: kind, Copy: replicator.Copy{Era: 1, Revision: revision, Through: revision, ConfirmedAt: confirmedAt}}
+	}
+	watched := func(requestedAt clock.Millis) forwarder.Event {
+		return forwarder.WeightsPublished{Model: model, Version: 2, Watched: true, Position: position(72), RequestedAt: requestedAt}
+	}
+	listed := forwarder.WeightsPublished{Model: model, Version: 2, Position: position(72)}
+	for name, test := range map[string]struct {
+		// confirmed is what was confirmed before 20 s, and learned what happens then.
+		confirmed []forwarder.Event
+		learned   []forwarder.Event
+		stall     clock.Millis
+		age       clock.Millis
+		exact     bool
+	}{
+		"a waiting watch":              {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_700, 71)}, learned: []forwarder.Event{watched(16_010)}, exact: true},
+		"the first after a failure":    {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_100, 71)}, learned: []forwarder.Event{watched(19_990)}, age: 900},
+		"a watch just begun":           {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_700, 71)}, learned: []forwarder.Event{watched(19_990)}, age: 300},
+		"a watcher that takes over":    {confirmed: []forwarder.Event{read(replicator.Weights, 15_500, 60), read(replicator.State, 18_800, 71)}, learned: []forwarder.Event{read(replicator.State, 19_900, 80), watched(19_990)}, age: 1200},
+		"no answer for too long":       {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 18_000, 71)}, learned: []forwarder.Event{watched(16_010)}, age: 2000},
+		"a suspended instance":         {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_600, 71)}, stall: 390, learned: []forwarder.Event{watched(16_010)}, age: 400},
+		"a revision of another era":    {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70)}, learned: []forwarder.Event{forwarder.WeightsPublished{Model: model, Version: 2, Watched: true, Position: storeposition.Position{Era: 2, Revision: 9}, RequestedAt: 17_010}}, age: 3000},
+		"a list after a gap":           {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70), read(replicator.State, 19_700, 71)}, learned: []forwarder.Event{listed}, age: 3000},
+		"a list after a long gap":      {confirmed: []forwarder.Event{read(replicator.Weights, 9_000, 70)}, learned: []forwarder.Event{listed}, age: 6000},
+		"the first list":               {learned: []forwarder.Event{listed}, age: 6000},
+		"a later change of known ones": {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70), read(replicator.State, 19_700, 71)}, learned: []forwarder.Event{listed, watched(17_010)}, age: 3000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := instancesettings.Defaults()
+			settings.Name = "edge-0"
+			instance := forwarder.New(settings, "start", 1)
+			for now := clock.Second; now < learnedAt-test.stall; now += 50 {
+				instance.Step(now, forwarder.Tick{})
+			}
+			instance.Step(learnedAt-max(5, test.stall-1), forwarder.Tick{})
+			for _, event := range test.confirmed {
+				instance.Step(learnedAt-max(5, test.stall-1), event)
+			}
+			for _, event := range test.learned {
+				instance.Step(learnedAt, event)
+			}
+			ages, bounds := instance.WeightsAges(learnedAt)
+			want := map[string]map[int64]clock.Millis{model: {2: test.age}}
+			if test.exact {
+				require.Equal(t, want, ages)
+				require.Empty(t, bounds[model])
+				return
+			}
+			require.Empty(t, ages[model], "a bound must not be sent as an age")
+			if test.age < settings.Bounds.MaxWeightsAge {
+				require.Equal(t, want, bounds)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decision/forwarder/weightsages.go
@@ -0,0 +1,145 @@
+package forwarder
+
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/revisiondater"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/storeposition"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
+
+const (
+	// maxStall is the time between two steps from which what has arrived may have waited to be read.
+	maxStall = 250 * clock.Millisecond
+	// answerMargin is the time that an answer of the store takes beyond the wait of a watch.
+	answerMargin = 250 * clock.Millisecond
+	// agesRepeated is the time for which all digests have the ages of weights that are new.
+	agesRepeated = clock.Second
+)
+
+// weightsAges has what the ages of published weights are found from. The age must not count from when
+// an instance learns of a version: it may have missed the publication.
+type weightsAges struct {
+	// revisions dates the store's revisions.
+	revisions *revisiondater.Dater
+	// stalledAt is the time of the latest step that came late, and repeatUntil the time until which all
+	// digests have the ages.
+	stalledAt   clock.Millis
+	repeatUntil clock.Millis
+}
+
+func newWeightsAges() weightsAges { return weightsAges{revisions: revisiondater.New()} }
+
+// handleWeightsPublished records newer weights. A later change of a known version says nothing about its
+// publication.
+func (f *Forwarder) handleWeightsPublished(published WeightsPublished) {
+	if known, _ := f.rollout.Knows(published.Model, published.Version); known {
+		return
+	}
+	publishedAt, exact := f.datePublication(published)
+	f.addWeights(published.Model, published.Version, publishedAt, exact, "store")
+}
+
+// datePublication returns the time of a publication if this instance has observed it, otherwise the
+// earliest possible time. It has observed what the store did not have yet when the watch was waiting, and
+// what came without delay.
+func (f *Forwarder) datePublication(published WeightsPublished) (publishedAt clock.Millis, exact bool) {
+	earliest := f.earliestPublication()
+	if !published.Watched {
+		return earliest, false
+	}
+	notBefore, ok := f.weightsAges.revisions.NotBefore(published.Position)
+	if !ok || notBefore < earliest {
+		return earliest, false
+	}
+	wait := replicator.NewTiming(f.settings.Bounds.ConfigApply, f.settings.Bounds.KeyWithdrawal).Wait
+	delayed := f.weightsAges.stalledAt > notBefore || f.now.Since(notBefore) > wait+answerMargin
+	if published.RequestedAt > notBefore || delayed {
+		return notBefore, false
+	}
+	return f.now, true
+}
+
+// earliestPublication returns the earliest possible time of publication of weights that are new to this
+// instance. Its copy was current, without them, when it was last confirmed. Versions that are older than
+// MaxWeightsAge are all the same.
+func (f *Forwarder) earliestPublication() clock.Millis {
+	earliest, confirmedAt := f.now.Add(-f.settings.Bounds.MaxWeightsAge), f.replicas.Copy(replicator.Weights).ConfirmedAt
+	if confirmedAt == 0 {
+		return earliest
+	}
+	return max(earliest, confirmedAt)
+}
+
+// addWeights records published weights, of which this instance learned from the store or a peer.
+func (f *Forwarder) addWeights(model string, version int64, publishedAt clock.Millis, exact bool, from string) {
+	known, wasExact := f.rollout.Knows(model, version)
+	newer, changed := f.rollout.AddVersion(model, version, publishedAt, exact)
+	if changed {
+		f.nextWithdrawal = f.now
+	}
+	dated := exact || f.now.Since(publishedAt) < f.settings.Bounds.MaxWeightsAge
+	if dated && (!known || (exact && !wasExact)) {
+		f.weightsAges.repeatUntil = f.now.Add(agesRepeated)
+		if !f.arrangement.Flat() {
+			f.expediteRelay()
+		}
+	}
+	if newer {
+		entry := eventlog.New(eventlog.WeightsNamed, "").With("model", model).With("version", version)
+		f.log(entry.With("fresh", exact).With("age", f.now.Since(publishedAt)).With("from", from))
+	}
+}
+
+// mergeWeightsAges records the ages that a peer has stated. Ages count until now, unless the digest
+// may have waited to be read: then from when this instance sent what the peer had received before.
+func (f *Forwarder) mergeWeightsAges(message digest.Digest) {
+	sums, echoed := f.sent.Find(f.now, message.Echo)
+	bound := func(model string, version int64, age clock.Millis) {
+		earliest := sums.SentAt.Add(-age)
+		switch known, _ := f.rollout.Knows(model, version); {
+		case known && !echoed:
+			return
+		case !known && !echoed:
+			earliest = f.earliestPublication()
+		case !known:
+			earliest = max(earliest, f.earliestPublication())
+		}
+		f.addWeights(model, version, earliest, false, "peer")
+	}
+	observe := func(model string, version int64, age clock.Millis) {
+		f.addWeights(model, version, f.now.Add(-age), true, "peer")
+	}
+	if !echoed || sums.SentAt < f.weightsAges.stalledAt {
+		observe = bound
+	}
+	forEachAge(message.WeightsAges, observe)
+	forEachAge(message.WeightsBounds, bound)
+}
+
+func forEachAge(byModel map[string]map[int64]clock.Millis, do func(model string, version int64, age clock.Millis)) {
+	for model, ages := range byModel {
+		for version, age := range ages {
+			do(model, version, age)
+		}
+	}
+}
+
+// fillWeightsAges adds the ages of weights to a digest: to each one while they are new, and to full ones.
+func (f *Forwarder) fillWeightsAges(message *digest.Digest, full bool) {
+	if full || f.now < f.weightsAges.repeatUntil {
+		message.WeightsAges, message.WeightsBounds = f.WeightsAges(f.now)
+	}
+}
+
+// WeightsAges returns the times since weights were published, by model and version, and the longest
+// possible times where no instance has observed the publication.
+func (f *Forwarder) WeightsAges(now clock.Millis) (ages, bounds map[string]map[int64]clock.Millis) {
+	return f.rollout.VersionAges(now), f.rollout.VersionBounds(now, f.settings.Bounds.MaxWeightsAge)
+}
+
+// confirmRevision records that the store had no later revision than a copy that was read from it.
+func (f *Forwarder) confirmRevision(read replicator.Copy) {
+	f.weightsAges.revisions.Confirm(read.ConfirmedAt, storeposition.Position{Era: read.Era, Revision: max(read.Revision, read.Through)})
+}
--- a/internal/decision/rollout/versions.go
+++ b/internal/decision/rollout/versions.go
@@ -11,8 +11,8 @@
 type publishedVersion struct {
 	version     int64
 	publishedAt clock.Millis
-	// exact is set if an instance observed the publication. Otherwise publishedAt is
-	// assumed: so early that the previous version has reached its age limit.
+	// exact is set if an instance observed the publication. Otherwise publishedAt is the
+	// earliest possible time.
 	exact bool
 }
 
@@ -29,16 +29,23 @@
 	return h[len(h)-1]
 }
 
+// search returns the index of the version, or of the next newer one, and whether it is known.
+func (h versionHistory) search(version int64) (int, bool) {
+	return slices.BinarySearchFunc(h, version, func(p publishedVersion, version int64) int { return cmp.Compare(p.version, version) })
+}
+
 // AddVersion records a published version of a model's weights. If no instance has
-// observed the publication, exact is false and publishedAt is an assumed early time; an
-// observed time replaces it, and an earlier observed time replaces a later one. AddVersion
-// reports whether the version is newer than all known ones, and whether a time has changed.
+// observed the publication, exact is false and publishedAt is the earliest possible time. A
+// later bound replaces an earlier one, an observed time replaces a bound, and an earlier
+// observed time replaces a later one. AddVersion reports whether the version is newer than
+// all known ones, and whether a time has changed.
 func (c *Controller) AddVersion(model string, version int64, publishedAt clock.Millis, exact bool) (newer, changed bool) {
 	known := c.versions[model]
-	index, found := slices.BinarySearchFunc(known, version, func(p publishedVersion, version int64) int { return cmp.Compare(p.version, version) })
+	index, found := known.search(version)
 	if found {
-		if exact && (!known[index].exact || publishedAt < known[index].publishedAt) {
-			known[index].publishedAt, known[index].exact = publishedAt, true
+		before := known[index]
+		if (exact && (!before.exact || publishedAt < before.publishedAt)) || (!exact && !before.exact && publishedAt > before.publishedAt) {
+			known[index].publishedAt, known[index].exact = publishedAt, exact
 			return false, true
 		}
 		return false, false
@@ -49,14 +56,33 @@
 	return newer, true
 }
 
+// Knows reports whether the version of the model's weights was recorded, and whether its
+// publication was observed.
+func (c *Controller) Knows(model string, version int64) (known, exact bool) {
+	index, found := c.versions[model].search(version)
+	return found, found && c.versions[model][index].exact
+}
+
 // VersionAges returns the time since the publication of each version, by model and
 // version, where the publication was observed.
 func (c *Controller) VersionAges(now clock.Millis) map[string]map[int64]clock.Millis {
+	return c.ages(now, func(published publishedVersion) bool { return published.exact })
+}
+
+// VersionBounds returns the longest possible times since the publications of the other
+// versions, up to the limit.
+func (c *Controller) VersionBounds(now, limit clock.Millis) map[string]map[int64]clock.Millis {
+	return c.ages(now, func(published publishedVersion) bool {
+		return !published.exact && now.Since(published.publishedAt) < limit
+	})
+}
+
+func (c *Controller) ages(now clock.Millis, includes func(publishedVersion) bool) map[string]map[int64]clock.Millis {
 	byModel := map[string]map[int64]clock.Millis{}
 	for model, known := range c.versions {
 		ages := map[int64]clock.Millis{}
 		for _, published := range known {
-			if published.exact {
+			if includes(published) {
 				ages[published.version] = now.Since(published.publishedAt)
 			}
 		}
@@ -65,13 +91,20 @@
 	return byModel
 }
 
-// SupersededAt returns the publication time of the next newer version of the model's
-// weights. It reports false if the version is the newest.
+// SupersededAt returns the time of publication, or the earliest possible one, of the first
+// newer version of the model's weights. It reports false if the version is the newest.
 func (c *Controller) SupersededAt(model string, version int64) (clock.Millis, bool) {
-	for _, known := range c.versions[model] {
-		if known.version > version {
-			return known.publishedAt, true
+	known := c.versions[model]
+	first, found := known.search(version + 1)
+	if !found && first == len(known) {
+		return 0, false
+	}
+	at := known[first].publishedAt
+	for _, later := range known[first+1:] {
+		// A version that a restored store names for the first time is not newer than these.
+		if later.exact {
+			at = min(at, later.publishedAt)
 		}
 	}
-	return 0, false
+	return at, true
 }
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -114,11 +114,17 @@
 	for _, leaving := range d.LeavingServers {
 		message.LeavingServers = append(message.LeavingServers, &edgev1.LeavingServer{Server: leaving.Server, StartedAt: leaving.StartedAt})
 	}
-	for _, model := range slices.Sorted(maps.Keys(d.WeightsAges)) {
-		for _, version := range slices.Sorted(maps.Keys(d.WeightsAges[model])) {
-			message.PublishedWeights = append(message.PublishedWeights, &edgev1.PublishedWeights{Model: model, Version: version, AgeMs: int64(d.WeightsAges[model][version])})
+	message.PublishedWeights, message.BoundedWeights = encodeAges(d.WeightsAges), encodeAges(d.WeightsBounds)
+}
+
+func encodeAges(byModel map[string]map[int64]clock.Millis) []*edgev1.PublishedWeights {
+	var encoded []*edgev1.PublishedWeights
+	for _, model := range slices.Sorted(maps.Keys(byModel)) {
+		for _, version := range slices.Sorted(maps.Keys(byModel[model])) {
+			encoded = append(encoded, &edgev1.PublishedWeights{Model: model, Version: version, AgeMs: int64(byModel[model][version])})
 		}
 	}
+	return encoded
 }
 
 // AppendEcho returns the digest's datagram with the echo. It does not change the argument.
@@ -151,7 +157,7 @@
 		AssignedRevision: max(0, message.GetAssignedRevision()), AssignedLeft: age(message.GetAssignedLeftMs()),
 
 		Admitted: map[uint32]int64{}, BucketLevels: map[uint32]int64{}, Loads: map[uint32][3]int64{}, SentParts: map[uint32][][2]uint64{},
-		WeightsAges: map[string]map[int64]clock.Millis{}, CrashedServers: map[string][]string{},
+		CrashedServers: map[string][]string{},
 	}
 	for i, team := range message.GetTeams() {
 		d.Admitted[team] = bounded(message.GetAdmitted()[i])
@@ -214,12 +220,18 @@
 	for _, leaving := range message.GetLeavingServers() {
 		d.LeavingServers = append(d.LeavingServers, digest.LeavingServer{Server: leaving.GetServer(), StartedAt: leaving.GetStartedAt()})
 	}
-	for _, published := range message.GetPublishedWeights() {
-		if d.WeightsAges[published.GetModel()] == nil {
-			d.WeightsAges[published.GetModel()] = map[int64]clock.Millis{}
+	d.WeightsAges, d.WeightsBounds = decodeAges(message.GetPublishedWeights()), decodeAges(message.GetBoundedWeights())
+}
+
+func decodeAges(encoded []*edgev1.PublishedWeights) map[string]map[int64]clock.Millis {
+	byModel := map[string]map[int64]clock.Millis{}
+	for _, published := range encoded {
+		if byModel[published.GetModel()] == nil {
+			byModel[published.GetModel()] = map[int64]clock.Millis{}
 		}
-		d.WeightsAges[published.GetModel()][published.GetVersion()] = age(published.GetAgeMs())
+		byModel[published.GetModel()][published.GetVersion()] = age(published.GetAgeMs())
 	}
+	return byModel
 }
 
 // validate reports what makes a message unusable.
