--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -158,3 +158,66 @@
 		})
 	}
 }
+
+// TestAgesOfPeers verifies how old weights count that an instance learns of from a digest or a copy.
+func TestAgesOfPeers(t *testing.T) {
+	t.Parallel()
+	type ages = map[string]map[int64]clock.Millis
+	of := func(age clock.Millis) ages { return ages{model: {2: age}} }
+	copied := forwarder.WeightsPublished{Model: model, Version: 2, Position: storeposition.Position{Era: 1, Revision: 72}}
+	for name, test := range map[string]struct {
+		// echoedAfter is the time from the digest that the peer has received to what is read, 0 for none.
+		echoedAfter clock.Millis
+		// read are digests and copies.
+		read         []any
+		age, longest clock.Millis
+	}{
+		"an age":                                 {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"a bound":                                {echoedAfter: 20, read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 320},
+		"a bound without an echo":                {read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
+		"an age without an echo":                 {read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
+		"an age that is read after a suspension": {echoedAfter: 600, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 900},
+		"an age read after a long suspension":    {echoedAfter: 2000, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
+		"a copy":                                 {echoedAfter: 20, read: []any{copied}, longest: 3000},
+		"a copy, then an age":                    {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"a copy, then a bound":                   {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 320},
+		"an age, then a copy and a bound":        {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}, copied, digest.Digest{WeightsBounds: of(200)}}, age: 300},
+		"a copy, then a bound without an echo":   {read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := instancesettings.Defaults()
+			settings.Name, settings.Domain = "edge-0", "a"
+			instance, now := forwarder.New(settings, "start", 1), 20*clock.Second
+			peer := digest.Digest{Name: "edge-1", Domain: "a", Address: "edge-1", Incarnation: 7, Scope: digest.Subtree, Members: 1}
+			receive := func(message digest.Digest) []forwarder.Action {
+				peer.Sequence++
+				peer.WeightsAges, peer.WeightsBounds = message.WeightsAges, message.WeightsBounds
+				return instance.Step(now, forwarder.DigestReceived{Digest: peer})
+			}
+			instance.Step(now, forwarder.Tick{})
+			instance.Step(now, forwarder.ReplicaUpdated{Kind: replicator.Weights, Copy: replicator.Copy{Era: 1, Revision: 70, ConfirmedAt: now.Add(test.echoedAfter - 3000)}})
+			for _, action := range receive(digest.Digest{}) {
+				if sent, ok := action.(forwarder.SendDigest); ok && test.echoedAfter > 0 {
+					peer.Echo = digest.Echo{Incarnation: sent.Digest.Incarnation, Sequence: sent.Digest.Sequence}
+				}
+			}
+			now = now.Add(test.echoedAfter)
+			for _, read := range test.read {
+				switch read := read.(type) {
+				case digest.Digest:
+					receive(read)
+				case forwarder.Event:
+					instance.Step(now, read)
+				}
+			}
+			observed, bounds := instance.WeightsAges(now)
+			if test.age > 0 {
+				require.Equal(t, of(test.age), observed)
+				require.Empty(t, bounds[model])
+				return
+			}
+			require.Empty(t, observed[model], "a bound must not be sent as an age")
+			require.Equal(t, of(test.longest), bounds)
+		})
+	}
+}
--- a/internal/runtime/edge/replicas_test.go
+++ b/internal/runtime/edge/replicas_test.go
@@ -25,8 +25,11 @@
 	return s.listing, nil
 }
 
-// namesSink has the names that are listed.
-type namesSink struct{ names map[string]bool }
+// namesSink has the names that are listed, and the latest item of each.
+type namesSink struct {
+	names map[string]bool
+	items map[string]watcher.Item
+}
 
 func (s namesSink) Listed(_ clock.Millis, items []watcher.Item) {
 	clear(s.names)
@@ -36,6 +39,9 @@
 func (s namesSink) Changed(_ clock.Millis, items []watcher.Item) {
 	for _, item := range items {
 		s.names[item.Name] = !item.Deleted
+		if s.items != nil {
+			s.items[item.Name] = item
+		}
 	}
 }
 
@@ -96,3 +102,19 @@
 		})
 	}
 }
+
+// TestItemsOfCopiesAreMarked guards against ages that count from when a copy is read.
+func TestItemsOfCopiesAreMarked(t *testing.T) {
+	sink := namesSink{names: map[string]bool{}, items: map[string]watcher.Item{}}
+	kind := WatchedKind{ID: replicator.Weights, Kind: "weights", Sink: sink}
+	e := &Edge{meter: meter.New(), objects: objectcache.New(), kinds: []WatchedKind{kind}}
+	e.machine = newStateMachine(forwarder.New(instancesettings.Defaults(), "i", 1), func(forwarder.Action) {})
+	defer e.machine.close()
+	for revision, full := range map[int64]bool{5: true, 6: false} {
+		e.apply(kind, watcher.Listing{Era: 1, Revision: revision - 4, Items: []watcher.Item{{Name: "m", Era: 1, Revision: revision - 4}}}, true, replicator.Copy{})
+		require.False(t, sink.items["m"].Copied)
+		e.applySnapshot(bootclock.Now(), &edgev1.Snapshot{Kind: uint32(replicator.Weights), Full: full, Era: 1, Revision: revision, Through: revision, Items: []*edgev1.Item{{Name: "m", Revision: revision}}})
+		require.True(t, sink.items["m"].Copied, "full: %t", full)
+		e.objects = objectcache.New()
+	}
+}
