Count the runs of simulated streams when they begin, and list that a store has no assignments

Two faults of the simulation, seen when the parts were joined. Runs count from the end of the queue now, unless the attempt was cancelled before; the check stays. And the simulated store did not say that it has no assignments, as the platform's does with its list of instances: instances that had started anew began no streams at all (TestAgeOfWeightsCountsFromTheirPublication, 12 of 12).

--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -136,7 +136,7 @@
 		end(dispatch.ServerTimeout, forwarder.OutcomeDeclined, 503)
 		return
 	}
-	r.runs++
+	c.runAfterQueue(dispatch, s, r)
 	s.addToCache(dispatch.CacheSalt, r.parts, c.cacheFaultPercent > 0)
 	if dispatch.Stream && c.eventGap != nil {
 		c.runPacedStream(i, from, dispatch, s, r, closed)
@@ -164,6 +164,20 @@
 	end(delay+slower+c.firstEventDelays[r.kind], forwarder.OutcomeCompleted, status)
 }
 
+// runAfterQueue counts a run of the request when it begins: an engine drops a stream that is cancelled
+// while it waits.
+func (c *cluster) runAfterQueue(dispatch forwarder.Dispatch, s *server, r *request) {
+	if !dispatch.Stream || s.queue == 0 {
+		r.runs++
+		return
+	}
+	c.after(s.queue, func() {
+		if r.finalActions == 0 && !slices.Contains(r.cancelled, dispatch.Attempt) {
+			r.runs++
+		}
+	})
+}
+
 func (c *cluster) startStream(i, from int, dispatch forwarder.Dispatch, r *request) {
 	c.startStreamAfter(0, i, from, dispatch, r)
 }
--- a/internal/decision/forwarder/store_client_test.go
+++ b/internal/decision/forwarder/store_client_test.go
@@ -212,6 +212,10 @@
 		h.members[item.Name] = member
 	}
 	if full || len(items) > 0 {
+		if h.cluster.assignments == nil {
+			// The store's list of instances shows that it has no assignments.
+			h.cluster.step(h.index, forwarder.AssignmentsListed{})
+		}
 		h.cluster.step(h.index, forwarder.PeersListed{Members: h.members})
 	}
 }
