Compute the age of superseded weights where it is compared

Read as a newcomer: weightsPenalty derived the age back from the remaining time. No decision changes.

--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -61,9 +61,9 @@
 	return withReserve(longest)
 }
 
-// planAttempt returns what the attempt at the chosen server may use. Where the response shows no beginning, the
-// server gets no more time than until the limit of its weights: its refusal shows that nothing has run.
-// Streams get all the time that is left, as it would also end those that have begun.
+// planAttempt returns what the attempt at the chosen server may use. Where the response shows no beginning,
+// the server's deadline is before the limit of its weights: its refusal shows that nothing has run. Streams get
+// all the time that is left, as the deadline would also end those that have begun.
 func (f *Forwarder) planAttempt(fl *flight, choice scheduler.Choice) attemptPlan {
 	plan := attemptPlan{serverTimeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
 	if !fl.hasPrompt() {
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -96,16 +96,15 @@
 
 // weightsPenalty returns the penalty for the version of the weights, and whether it is still usable.
 func (f *Forwarder) weightsPenalty(model string, version int64) (penaltyMs float64, usable bool) {
-	limit, superseded := f.beginLimit(model, version)
+	supersededAt, superseded := f.rollout.SupersededAt(model, version)
 	if !superseded {
 		return 0, true
 	}
-	maxAge := f.settings.Bounds.MaxWeightsAge
-	remaining := limit.Since(f.now) - sendMargin
+	age, maxAge := f.now.Since(supersededAt), f.settings.Bounds.MaxWeightsAge
 	switch {
-	case remaining <= 0:
+	case age >= maxAge-beginMargin-sendMargin:
 		return 0, false
-	case maxAge-beginMargin-sendMargin-remaining > maxAge*fullPenaltyAgeSixths/6:
+	case age > maxAge*fullPenaltyAgeSixths/6:
 		return fullPenaltyMs, true
 	default:
 		return slightPenaltyMs, true
