Wait until a process is stopped before its silence is relied on

Cause: the kernel hands SIGSTOP to one thread of a process; until that one is scheduled, the others go on. On this machine, at a load of 23, 4 of 40 processes still answered a request that was sent after the signal. The tests now wait until all threads are stopped.

--- a/cmd/hyssopdoor/cluster_test.go
+++ b/cmd/hyssopdoor/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -132,6 +133,26 @@
 	require.NoError(p.t, p.command.Process.Signal(signal))
 }
 
+// pause stops the process with SIGSTOP and waits until it runs no more: the kernel hands the signal to one
+// thread, and the others go on until that one is scheduled.
+func (p *process) pause() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	require.Eventually(p.t, p.allThreadsStopped, startTimeout, time.Millisecond)
+}
+
+func (p *process) allThreadsStopped() bool {
+	names, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	for _, name := range names {
+		stat, err := os.ReadFile(name)
+		// The state follows the name of the program in parentheses.
+		if err != nil || !strings.HasPrefix(string(stat[bytes.LastIndexByte(stat, ')')+1:]), " T") {
+			return false
+		}
+	}
+	return len(names) > 0
+}
+
 // instanceProcess is a process that runs one instance.
 type instanceProcess struct {
 	*process
--- a/cmd/hyssopdoor/guarantees_test.go
+++ b/cmd/hyssopdoor/guarantees_test.go
@@ -56,7 +56,7 @@
 // must still be served, and orders must be rejected as not run until it continues.
 func TestServingContinuesDuringPlatformOutage(t *testing.T) {
 	c := startCluster(t, "split-a", "split-b")
-	c.platform.signal(syscall.SIGSTOP)
+	c.platform.pause()
 	deadline := time.Now().Add(6 * time.Second)
 	sent := 0
 	for time.Now().Before(deadline) {
--- a/cmd/hyssopdoor/orders_test.go
+++ b/cmd/hyssopdoor/orders_test.go
@@ -93,7 +93,7 @@
 		var status int
 		wg.Go(func() { status, _ = c.sendOrder("ikeja-1", "paused", "paused order") })
 		require.Eventually(t, func() bool { return c.recordCount("paused order") == 1 }, startTimeout, 10*time.Millisecond)
-		c.instances["ikeja-1"].signal(syscall.SIGSTOP)
+		c.instances["ikeja-1"].pause()
 		retryStatus, responseBody := c.sendOrder("yaba-1", "paused", "paused order")
 		require.Equal(t, http.StatusConflict, retryStatus, responseBody)
 		time.Sleep(4 * time.Second)
--- a/cmd/hyssopdoor/stop_test.go
+++ b/cmd/hyssopdoor/stop_test.go
@@ -99,8 +99,8 @@
 		response, _ := c.mustSendOrder("split-a-1", "before", "order")
 		return response.StatusCode == http.StatusCreated
 	}, startTimeout, 50*time.Millisecond)
-	c.servers["ordering-split-a"].signal(syscall.SIGSTOP)
-	c.servers["engine-split-a"].signal(syscall.SIGSTOP)
+	c.servers["ordering-split-a"].pause()
+	c.servers["engine-split-a"].pause()
 	orderHeader := c.authHeader()
 	orderHeader.Set("Idempotency-Key", "unfinished")
 	requests := map[string]string{
@@ -135,7 +135,7 @@
 func TestStoppingInstanceAnswersUnrecordedOrder(t *testing.T) {
 	c := startClusterWith(t, "[timeouts]\ndrain = 2s\n", "split-a", "split-b")
 	stopped := c.instances["split-a-1"]
-	c.platform.signal(syscall.SIGSTOP)
+	c.platform.pause()
 	stopped.signal(syscall.SIGTERM)
 	time.Sleep(300 * time.Millisecond)
 	conn, err := net.Dial("tcp", stopped.callerAddress)
@@ -166,7 +166,7 @@
 // completed. The operator must learn whether it may have taken effect.
 func TestStoppingInstanceAnswersOperators(t *testing.T) {
 	c := startClusterWith(t, "[timeouts]\ndrain = 2s\n", "split-a")
-	c.platform.signal(syscall.SIGSTOP)
+	c.platform.pause()
 	result := make(chan error)
 	go func() {
 		_, err := c.operatorClient("split-a-1").IssueKey(context.Background(), "crew")
