--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -19,7 +19,7 @@
 	maxWithdrawalInterval = clock.Second
 )
 
-// attemptPlan is what an attempt may use.
+// attemptPlan has the weights and the times of an attempt.
 type attemptPlan struct {
 	// weightsVersion is that of the server; 0 without a prompt.
 	weightsVersion int64
@@ -61,9 +61,9 @@
 	return withReserve(longest)
 }
 
-// planAttempt returns what the attempt at the chosen server may use. Where the response shows no beginning,
-// the server's deadline is before the limit of its weights: its refusal shows that nothing has run. Streams get
-// all the time that is left, as the deadline would also end those that have begun.
+// planAttempt returns the times for an attempt at the selected server. The first event of a stream marks its
+// beginning; other responses have no such mark, so that their server gets a deadline before the limit of its
+// weights. A stream gets all the time that is left, as a deadline would also end it after it has begun.
 func (f *Forwarder) planAttempt(fl *flight, choice scheduler.Choice) attemptPlan {
 	plan := attemptPlan{serverTimeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
 	if !fl.hasPrompt() {
