Show that ages of an earlier build let requests begin on superseded weights

Instances that state ages as builds up to do, from when they heard of a version, stand beside today's.

--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -155,6 +155,8 @@
 	objects *objectStore
 	// rollout is the roll-out of a service's software; nil for none.
 	rollout *softwareRollout
+	// earlierBuilds are the instances that state ages of weights as an earlier build.
+	earlierBuilds map[int]earlierBuild
 }
 
 type server struct {
--- a/internal/decision/forwarder/network_test.go
+++ b/internal/decision/forwarder/network_test.go
@@ -15,10 +15,17 @@
 func (c *cluster) sendDigest(from int, send forwarder.SendDigest) {
 	encoded, err := datagram.EncodeDigest(send.Digest)
 	require.NoError(c.t, err)
+	if earlier, ok := c.earlierBuilds[from]; ok {
+		earlier.hear(c.now, c.instances[from])
+		encoded = earlier.restate(c.t, c.now, encoded)
+	}
 	for _, recipient := range send.Recipients {
 		withEcho, err := datagram.AppendEcho(encoded, recipient.Echo)
 		require.NoError(c.t, err)
 		c.deliver(from, recipient.Address, len(withEcho), func(to int) {
+			if earlier, ok := c.earlierBuilds[to]; ok {
+				earlier.receive(c.t, c.now, withEcho)
+			}
 			received, err := datagram.DecodeDigest(withEcho)
 			require.NoError(c.t, err)
 			c.step(to, forwarder.DigestReceived{Digest: received})
--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -43,14 +43,19 @@
 		disturb func(c *cluster)
 		// usableFor is the least time for which the old weights must be used, if the disturbance allows it.
 		usableFor clock.Millis
+		// earlierBuilds is the number of instances of an earlier build.
+		earlierBuilds int
 	}{
-		"undisturbed":                              {disturb: func(*cluster) {}, usableFor: 4 * clock.Second},
-		"the watcher is killed":                    {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second},
-		"the watcher is cut off from the store":    {disturb: func(c *cluster) { cutOff(c, 4*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
-		"the store is away for a while":            {disturb: func(c *cluster) { cutOff(c, 1500, all...) }, usableFor: 2 * clock.Second},
-		"the watcher is suspended":                 {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
-		"the watcher is suspended for a moment":    {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(700) }, usableFor: 3 * clock.Second},
-		"an instance without a watch is suspended": {disturb: func(c *cluster) { c.pausedUntil[(c.storeWatcher()+1)%7] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
+		"undisturbed":                                      {disturb: func(*cluster) {}, usableFor: 4 * clock.Second},
+		"undisturbed beside an earlier build":              {disturb: func(*cluster) {}, usableFor: 4 * clock.Second, earlierBuilds: 5},
+		"the watcher is killed beside an earlier build":    {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second, earlierBuilds: 5},
+		"the watcher is suspended beside an earlier build": {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second, earlierBuilds: 5},
+		"the watcher is killed":                            {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second},
+		"the watcher is cut off from the store":            {disturb: func(c *cluster) { cutOff(c, 4*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
+		"the store is away for a while":                    {disturb: func(c *cluster) { cutOff(c, 1500, all...) }, usableFor: 2 * clock.Second},
+		"the watcher is suspended":                         {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
+		"the watcher is suspended for a moment":            {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(700) }, usableFor: 3 * clock.Second},
+		"an instance without a watch is suspended":         {disturb: func(c *cluster) { c.pausedUntil[(c.storeWatcher()+1)%7] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
 		"all instances are suspended": {disturb: func(c *cluster) {
 			for _, i := range all {
 				c.pausedUntil[i] = c.now.Add(3 * clock.Second)
@@ -68,6 +73,10 @@
 				for i := range c.settings {
 					c.settings[i].Bounds.RetryExtra = 1000
 				}
+				c.earlierBuilds = map[int]earlierBuild{}
+				for i := range test.earlierBuilds {
+					c.earlierBuilds[i] = earlierBuild{1: c.now}
+				}
 				o := &observer{cluster: c, versions: map[*forwarder.Forwarder]int64{}}
 				o.run(8*clock.Second + clock.Millis(c.random.IntN(500)))
 				o.requireCurrent()
