--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -95,11 +95,14 @@
 	Lease           rollout.Observation
 	ReportedWeights []ReportedWeights
 	// WeightsAges are the times since versions of weights were published, by model and
-	// version.
+	// version, where an instance has observed the publication.
 	WeightsAges map[string]map[int64]clock.Millis
 	// WeightsBounds are the longest possible times of versions of which the sender knows no
 	// instance that has observed the publication.
 	WeightsBounds map[string]map[int64]clock.Millis
+	// EarlierAges are the times for builds that know neither of both. Those of such a sender
+	// count from when it heard of the versions.
+	EarlierAges map[string]map[int64]clock.Millis
 	// CrashedServers are the servers that crashed, by the fingerprint of a request that
 	// ran there.
 	CrashedServers map[string][]string
