Count bounds of weights before the newest from when they may have been published

An instance that started after version 3 learned of version 2 later, and took its copy's last confirmation (at version 3) for a time without version 2; the others took that bound over. The same can happen without an earlier build: bounds of two versions within the limit, and a start. Change: a copy shows nothing about versions before the newest. Three new cases of TestAgesOfPeers fail before (2,980 or 3,000 ms in place of 4,020 and more) and pass.

--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -173,7 +173,9 @@
 	t.Parallel()
 	type ages = map[string]map[int64]clock.Millis
 	of := func(age clock.Millis) ages { return ages{model: {2: age}} }
+	limit := instancesettings.Defaults().Bounds.MaxWeightsAge
 	copied := forwarder.WeightsPublished{Model: model, Version: 2, Position: storeposition.Position{Era: 1, Revision: 72}}
+	later := forwarder.WeightsPublished{Model: model, Version: 3, Position: storeposition.Position{Era: 1, Revision: 75}}
 	for name, test := range map[string]struct {
 		// echoedAfter is the time from the digest that the peer has received to what is read, 0 for none.
 		echoedAfter clock.Millis
@@ -181,17 +183,22 @@
 		read         []any
 		age, longest clock.Millis
 	}{
-		"an age":                                 {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}}, age: 300},
-		"a bound":                                {echoedAfter: 20, read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 320},
-		"a bound without an echo":                {read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
-		"an age without an echo":                 {read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
-		"an age that is read after a suspension": {echoedAfter: 600, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 900},
-		"an age read after a long suspension":    {echoedAfter: 2000, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
-		"a copy":                                 {echoedAfter: 20, read: []any{copied}, longest: 3000},
-		"a copy, then an age":                    {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsAges: of(300)}}, age: 300},
-		"a copy, then a bound":                   {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 320},
-		"an age, then a copy and a bound":        {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}, copied, digest.Digest{WeightsBounds: of(200)}}, age: 300},
-		"a copy, then a bound without an echo":   {read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
+		"an age":                                  {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"a bound":                                 {echoedAfter: 20, read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 320},
+		"a bound without an echo":                 {read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
+		"an age without an echo":                  {read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
+		"an age that is read after a suspension":  {echoedAfter: 600, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 900},
+		"an age read after a long suspension":     {echoedAfter: 2000, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
+		"a copy":                                  {echoedAfter: 20, read: []any{copied}, longest: 3000},
+		"a copy, then an age":                     {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"a copy, then a bound":                    {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 320},
+		"an age, then a copy and a bound":         {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}, copied, digest.Digest{WeightsBounds: of(200)}}, age: 300},
+		"a bound after a later version":           {echoedAfter: 20, read: []any{later, digest.Digest{WeightsBounds: of(4000)}}, longest: 4020},
+		"an unechoed bound after a later version": {read: []any{later, digest.Digest{WeightsBounds: of(300)}}, longest: limit},
+		"an age of an earlier build":              {echoedAfter: 20, read: []any{digest.Digest{EarlierAges: of(300)}}, longest: 3000},
+		"that after a later version":              {echoedAfter: 20, read: []any{later, digest.Digest{EarlierAges: of(300)}}, longest: limit},
+		"a copy, then an age of an earlier build": {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierAges: of(300)}}, longest: 3000},
+		"a copy, then a bound without an echo":    {read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
 	} {
 		t.Run(name, func(t *testing.T) {
 			settings := instancesettings.Defaults()
@@ -200,7 +207,7 @@
 			peer := digest.Digest{Name: "edge-1", Domain: "a", Address: "edge-1", Incarnation: 7, Scope: digest.Subtree, Members: 1}
 			receive := func(message digest.Digest) []forwarder.Action {
 				peer.Sequence++
-				peer.WeightsAges, peer.WeightsBounds = message.WeightsAges, message.WeightsBounds
+				peer.WeightsAges, peer.WeightsBounds, peer.EarlierAges = message.WeightsAges, message.WeightsBounds, message.EarlierAges
 				return instance.Step(now, forwarder.DigestReceived{Digest: peer})
 			}
 			instance.Step(now, forwarder.Tick{})
@@ -226,6 +233,11 @@
 				return
 			}
 			require.Empty(t, observed[model], "a bound must not be sent as an age")
+			delete(bounds[model], 3)
+			if test.longest == limit {
+				require.Empty(t, bounds[model], "versions that are older than the limit are all the same")
+				return
+			}
 			require.Equal(t, of(test.longest), bounds)
 		})
 	}
--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -45,7 +45,7 @@
 // earliest possible time. It has observed what the store did not have yet when the watch was waiting, and
 // what came without delay.
 func (f *Forwarder) datePublication(published WeightsPublished) (publishedAt clock.Millis, exact bool) {
-	earliest := f.earliestPublication()
+	earliest := f.earliestPublication(published.Model, published.Version)
 	if !published.Watched {
 		return earliest, false
 	}
@@ -61,12 +61,12 @@
 	return f.now, true
 }
 
-// earliestPublication returns the earliest possible time of publication of weights that are new to this
-// instance. Its copy was current, without them, when it was last confirmed. Versions that are older than
-// MaxWeightsAge are all the same.
-func (f *Forwarder) earliestPublication() clock.Millis {
+// earliestPublication returns the earliest possible time of publication of a version that is new to this
+// instance. Its copy was current, without the version, when it was last confirmed; of a version before the
+// newest one it shows nothing. Versions that are older than MaxWeightsAge are all the same.
+func (f *Forwarder) earliestPublication(model string, version int64) clock.Millis {
 	earliest, confirmedAt := f.now.Add(-f.settings.Bounds.MaxWeightsAge), f.replicas.Copy(replicator.Weights).ConfirmedAt
-	if confirmedAt == 0 {
+	if confirmedAt == 0 || version < f.rollout.Newest(model) {
 		return earliest
 	}
 	return max(earliest, confirmedAt)
@@ -103,9 +103,9 @@
 		case known && !echoed:
 			return
 		case !known && !echoed:
-			earliest = f.earliestPublication()
+			earliest = f.earliestPublication(model, version)
 		case !known:
-			earliest = max(earliest, f.earliestPublication())
+			earliest = max(earliest, f.earliestPublication(model, version))
 		}
 		f.addWeights(model, version, earliest, false, "peer")
 	}
@@ -119,7 +119,7 @@
 	forEachAge(message.WeightsBounds, bound)
 	forEachAge(message.EarlierAges, func(model string, version int64, _ clock.Millis) {
 		if known, _ := f.rollout.Knows(model, version); !known {
-			f.addWeights(model, version, f.earliestPublication(), false, "earlierBuild")
+			f.addWeights(model, version, f.earliestPublication(model, version), false, "earlierBuild")
 		}
 	})
 }
--- a/internal/decision/rollout/versions.go
+++ b/internal/decision/rollout/versions.go
@@ -63,6 +63,9 @@
 	return found, found && c.versions[model][index].exact
 }
 
+// Newest returns the newest known version of the model's weights; 0 for none.
+func (c *Controller) Newest(model string) int64 { return c.versions[model].newest().version }
+
 // VersionAges returns the time since the publication of each version, by model and
 // version, where the publication was observed.
 func (c *Controller) VersionAges(now clock.Millis) map[string]map[int64]clock.Millis {
