Count ages of weights from when the store is known not to have had them

Copies and lists had a bound up to 5 s too early, as weights are confirmed with waits of 5 s. Change: a publication is dated by the latest time at which the store's revision was below that of the object, whoever brought it, and counts as observed if that is within a second. It relies on weights' objects changing only by a publication: the platform lets nobody else write them.

--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -161,16 +161,12 @@
 	Removed bool
 }
 
-// WeightsPublished reports the newest published version of a model's weights. Watched reports
-// whether a watch of this instance has returned the change at the position; RequestedAt is the
-// time of the watch's request. Otherwise the version is from a list, or from the copy of
-// another instance, which lacks earlier changes.
+// WeightsPublished reports the newest published version of a model's weights, from the store or from the
+// copy of another instance. Position is that of the object's latest change.
 type WeightsPublished struct {
-	Model       string
-	Version     int64
-	Watched     bool
-	Position    storeposition.Position
-	RequestedAt clock.Millis
+	Model    string
+	Version  int64
+	Position storeposition.Position
 }
 
 // StoreFailed and StoreResponded report the result of the latest call to the store.
--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -12,8 +12,9 @@
 const (
 	// maxStall is the time between two steps from which what has arrived may have waited to be read.
 	maxStall = 250 * clock.Millisecond
-	// answerMargin is the time that an answer of the store takes beyond the wait of a watch.
-	answerMargin = 250 * clock.Millisecond
+	// maxUncertainty is the time to within which a publication must be known to count as observed: the
+	// store is confirmed more often, unless an answer or this instance is late.
+	maxUncertainty = clock.Second
 	// agesRepeated is the time for which all digests have the ages of weights that are new.
 	agesRepeated = clock.Second
 )
@@ -41,24 +42,15 @@
 	f.addWeights(published.Model, published.Version, publishedAt, exact, "store")
 }
 
-// datePublication returns the time of a publication if this instance has observed it, otherwise the
-// earliest possible time. It has observed what the store did not have yet when the watch was waiting, and
-// what came without delay.
-func (f *Forwarder) datePublication(published WeightsPublished) (publishedAt clock.Millis, exact bool) {
-	earliest := f.earliestPublication(published.Model, published.Version)
-	if !published.Watched {
-		return earliest, false
+// datePublication returns the earliest possible time of a publication, and whether that is close enough to
+// count as observed. The store did not have the object's latest change when its revision was still lower; only a
+// publication changes the object. What arrives late has a lower bound, and is not observed.
+func (f *Forwarder) datePublication(published WeightsPublished) (publishedAt clock.Millis, observed bool) {
+	publishedAt = f.earliestPublication(published.Model, published.Version)
+	if notBefore, ok := f.weightsAges.revisions.NotBefore(published.Position); ok {
+		publishedAt = max(publishedAt, notBefore)
 	}
-	notBefore, ok := f.weightsAges.revisions.NotBefore(published.Position)
-	if !ok || notBefore < earliest {
-		return earliest, false
-	}
-	wait := replicator.NewTiming(f.settings.Bounds.ConfigApply, f.settings.Bounds.KeyWithdrawal).Wait
-	delayed := f.weightsAges.stalledAt > notBefore || f.now.Since(notBefore) > wait+answerMargin
-	if published.RequestedAt > notBefore || delayed {
-		return notBefore, false
-	}
-	return f.now, true
+	return publishedAt, f.now.Since(publishedAt) <= maxUncertainty
 }
 
 // earliestPublication returns the earliest possible time of publication of a version that is new to this
--- a/internal/runtime/edge/replicas.go
+++ b/internal/runtime/edge/replicas.go
@@ -243,7 +243,7 @@
 	}
 	listing := watcher.Listing{Era: snapshot.GetEra(), Revision: snapshot.GetRevision()}
 	for _, item := range snapshot.GetItems() {
-		listing.Items = append(listing.Items, watcher.Item{Name: item.GetName(), Era: snapshot.GetEra(), Revision: item.GetRevision(), Value: item.GetValue(), Deleted: item.GetDeleted(), Copied: true})
+		listing.Items = append(listing.Items, watcher.Item{Name: item.GetName(), Era: snapshot.GetEra(), Revision: item.GetRevision(), Value: item.GetValue(), Deleted: item.GetDeleted()})
 	}
 	confirmedAt := requestedAt.Add(-clock.Millis(snapshot.GetAgeMs()))
 	for _, kind := range e.kinds {
--- a/internal/runtime/watcher/watcher.go
+++ b/internal/runtime/watcher/watcher.go
@@ -44,9 +44,6 @@
 	Deleted  bool
 	// Unreadable says why the object can't be read, empty if it can. Such an object has no value.
 	Unreadable string
-	// Copied is set if the item is from the copy of another instance, which lacks earlier changes of
-	// the object.
-	Copied bool
 }
 
 // Listing is a list of objects or of changes.
