State ages to earlier builds that include the wait at servers

Change: published_weights, which later builds only take for names, has the age plus half of the limit, longer than callers wait for a first event. Earlier builds keep the earliest observed age, so that they stop in time as soon as one instance of today's build runs. TestAgesForEarlierBuildsIncludeTheWait fails before (2,035 ms stated for an age of 2,000) and passes.

--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -242,3 +242,24 @@
 		})
 	}
 }
+
+// TestAgesForEarlierBuildsIncludeTheWait verifies what an instance states to builds that check the limit only
+// when they choose a server, and that it does not take it back for the true age.
+func TestAgesForEarlierBuildsIncludeTheWait(t *testing.T) {
+	t.Parallel()
+	c := newStoreCluster(t, 1, 3)
+	c.run(3 * clock.Second)
+	c.earlierBuilds = map[int]earlierBuild{2: {1: c.now}}
+	c.publishedVersion, c.publishedAt[2] = 2, c.now
+	c.objects.sync(c)
+	c.run(2 * clock.Second)
+	age, limit := c.now.Since(c.publishedAt[2]), c.settings[0].Bounds.MaxWeightsAge
+	stated := c.now.Since(c.earlierBuilds[2][2])
+	require.GreaterOrEqual(t, stated, age+limit/2)
+	require.Less(t, stated, age+limit/2+clock.Second)
+	for i := range 2 {
+		ages, _ := c.instances[i].WeightsAges(c.now)
+		require.GreaterOrEqual(t, ages[model][2], age, "instance %d", i)
+		require.Less(t, ages[model][2], age+clock.Second, "instance %d", i)
+	}
+}
--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -15,6 +15,9 @@
 	// maxUncertainty is the time to within which a publication must be known to count as observed: the
 	// store is confirmed more often, unless an answer or this instance is late.
 	maxUncertainty = clock.Second
+	// maxServerWaitDivisor sets the longest wait of a request at a server to the age limit divided by this:
+	// callers leave, or are answered, before that.
+	maxServerWaitDivisor = 2
 	// agesRepeated is the time for which all digests have the ages of weights that are new.
 	agesRepeated = clock.Second
 )
@@ -128,10 +131,24 @@
 func (f *Forwarder) fillWeightsAges(message *digest.Digest, full bool) {
 	if full || f.now < f.weightsAges.repeatUntil {
 		message.WeightsAges, message.WeightsBounds = f.WeightsAges(f.now)
-		message.EarlierAges = message.WeightsAges
+		message.EarlierAges = f.agesWithWait(message.WeightsAges)
 	}
 }
 
+// agesWithWait returns ages for builds that check the limit only when they choose a server: what waits there
+// begins later, so that the wait counts as age.
+func (f *Forwarder) agesWithWait(byModel map[string]map[int64]clock.Millis) map[string]map[int64]clock.Millis {
+	wait := f.settings.Bounds.MaxWeightsAge / maxServerWaitDivisor
+	withWait := map[string]map[int64]clock.Millis{}
+	forEachAge(byModel, func(model string, version int64, age clock.Millis) {
+		if withWait[model] == nil {
+			withWait[model] = map[int64]clock.Millis{}
+		}
+		withWait[model][version] = age + wait
+	})
+	return withWait
+}
+
 // WeightsAges returns the times since weights were published, by model and version, and the longest
 // possible times where no instance has observed the publication.
 func (f *Forwarder) WeightsAges(now clock.Millis) (ages, bounds map[string]map[int64]clock.Millis) {
