Withdraw requests early enough for an age that is too small by a stall

A peer's age counts until it is read; a stall of up to 250 ms in between goes unnoticed (maxStall), and the whole margin was meant for the cancellation (DESIGN part 19: why is the margin of observation larger than the margin that it protects?). The margin is now the sum of both, so that nothing is sent from 0.75 s before the limit on, and requests are withdrawn 0.5 s before it.

--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -11,8 +11,8 @@
 
 const (
 	// beginMargin is the time from the withdrawal of a request to the age limit of weights: the
-	// cancellation must reach the server.
-	beginMargin = 250 * clock.Millisecond
+	// cancellation must reach the server, and a peer's age may be too small by a stall that goes unnoticed.
+	beginMargin = 250*clock.Millisecond + maxStall
 	// sendMargin is added for a request that is yet to be sent: a connect takes as long at most.
 	sendMargin = 250 * clock.Millisecond
 	// maxWithdrawalInterval is the time between two checks if no limit is known.
