Count weights as superseded since the first version that may have followed

Cause: the time since which weights are superseded was that of the first newer version that the instance knew. a-1 started when version 4, of which all instances had only a bound (it was named while the store's watches were deaf), was older than the limit, so that no digest had it any more. a-1 knew 3 and 5, and counted version 3 as superseded since 5. Change: each version has the earliest time at which others may have been published between it and the one before; an instance that has just started knows none, and leaves such weights alone. Where versions are numbered with gaps, weights count as superseded since the last confirmation without the newer one (up to 5 s early).

--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -263,3 +263,23 @@
 		require.Less(t, ages[model][2], age+clock.Second, "instance %d", i)
 	}
 }
+
+// TestStartedInstanceUsesNoWeightsFromBeforeAGap starts an instance that learns when the newest version was
+// published, but not of the one before. No engine loads either in time.
+func TestStartedInstanceUsesNoWeightsFromBeforeAGap(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 2)
+	for i := range c.instances {
+		c.storeCutOff[i] = true
+	}
+	c.publishedVersion, c.publishedAt[2], c.publishedAt[3] = 3, c.now.Add(-7*clock.Second), c.now
+	c.publishTo(0, 3)
+	c.startInstance(1)
+	for end := c.now.Add(4 * clock.Second); c.now < end; {
+		c.confirmAll()
+		c.sendRequest(1, "once")
+		c.run(50)
+	}
+	ages, _ := c.instances[1].WeightsAges(c.now)
+	require.Contains(t, ages[model], int64(3))
+}
--- a/internal/decision/rollout/rollout_test.go
+++ b/internal/decision/rollout/rollout_test.go
@@ -211,4 +211,15 @@
 	require.Equal(t, 4*clock.Second, since, "a peer observed the publication")
 	since, _ = late.SupersededAt(model, 1)
 	require.Equal(t, clock.Second, since)
+
+	started := rollout.New("started", minHandover)
+	started.AddVersion(model, 1, -9000, false)
+	started.AddVersionAfterGap(model, 3, 4000, -2000, true)
+	since, _ = started.SupersededAt(model, 1)
+	require.Equal(t, -2*clock.Second, since, "another version may have come first")
+	since, _ = started.SupersededAt(model, 2)
+	require.Equal(t, 4*clock.Second, since)
+	started.AddVersion(model, 2, 1000, true)
+	since, _ = started.SupersededAt(model, 1)
+	require.Equal(t, clock.Second, since, "it was version 2")
 }
--- a/internal/decision/rollout/versions.go
+++ b/internal/decision/rollout/versions.go
@@ -14,6 +14,9 @@
 	// exact is set if an instance observed the publication. Otherwise publishedAt is the
 	// earliest possible time.
 	exact bool
+	// gapSince is the earliest possible time of publication of versions between the one before and
+	// this one, of which this instance does not know.
+	gapSince clock.Millis
 }
 
 // versionHistory are the latest versions of a model's weights, the oldest first.
@@ -40,6 +43,12 @@
 // observed time replaces a later one. AddVersion reports whether the version is newer than
 // all known ones, and whether a time has changed.
 func (c *Controller) AddVersion(model string, version int64, publishedAt clock.Millis, exact bool) (newer, changed bool) {
+	return c.AddVersionAfterGap(model, version, publishedAt, publishedAt, exact)
+}
+
+// AddVersionAfterGap does the same for a version before which others may have been published that are not
+// known, but not before gapSince.
+func (c *Controller) AddVersionAfterGap(model string, version int64, publishedAt, gapSince clock.Millis, exact bool) (newer, changed bool) {
 	known := c.versions[model]
 	index, found := known.search(version)
 	if found {
@@ -51,7 +60,7 @@
 		return false, false
 	}
 	newer = version > known.newest().version
-	known = slices.Insert(known, index, publishedVersion{version: version, publishedAt: publishedAt, exact: exact})
+	known = slices.Insert(known, index, publishedVersion{version: version, publishedAt: publishedAt, exact: exact, gapSince: gapSince})
 	c.versions[model] = known[max(0, len(known)-maxVersions):]
 	return newer, true
 }
@@ -95,7 +104,7 @@
 }
 
 // SupersededAt returns the time of publication, or the earliest possible one, of the first
-// newer version of the model's weights. It reports false if the version is the newest.
+// newer version of the model's weights, known or not. It reports false if the version is the newest.
 func (c *Controller) SupersededAt(model string, version int64) (clock.Millis, bool) {
 	known := c.versions[model]
 	first, found := known.search(version + 1)
@@ -103,6 +112,9 @@
 		return 0, false
 	}
 	at := known[first].publishedAt
+	if known[first].version > version+1 {
+		at = min(at, known[first].gapSince)
+	}
 	for _, later := range known[first+1:] {
 		// A version that a restored store names for the first time is not newer than these.
 		if later.exact {
