Take no bound of weights from an earlier build

Same class as: what another process says is taken for what this build would say. TestTimesOfEarlierBuildsOnlyNameVersions failed before (a bound of 700 ms was taken) and passes.

--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -100,9 +100,10 @@
 	// WeightsBounds are the longest possible times of versions of which the sender knows no
 	// instance that has observed the publication.
 	WeightsBounds map[string]map[int64]clock.Millis
-	// EarlierAges are the times for builds that know neither of both. Those of such a sender
-	// count from when it heard of the versions.
-	EarlierAges map[string]map[int64]clock.Millis
+	// EarlierAges and EarlierBounds are the times for builds that know neither of both. Those of
+	// such a sender count from when it heard of the versions, or from a later confirmation.
+	EarlierAges   map[string]map[int64]clock.Millis
+	EarlierBounds map[string]map[int64]clock.Millis
 	// CrashedServers are the servers that crashed, by the fingerprint of a request that
 	// ran there.
 	CrashedServers map[string][]string
--- a/internal/decision/forwarder/earlier_builds_test.go
+++ b/internal/decision/forwarder/earlier_builds_test.go
@@ -38,7 +38,7 @@
 // restate returns the digest as the earlier build would send it.
 func (e earlierBuild) restate(t require.TestingT, now clock.Millis, encoded []byte) []byte {
 	message := decodeDigest(t, encoded)
-	message.PublishedWeights, message.ObservedWeights, message.BoundedWeights = nil, nil, nil
+	message.PublishedWeights, message.BoundedWeights, message.ObservedWeights, message.UnobservedWeights = nil, nil, nil, nil
 	for version, heardAt := range e {
 		message.PublishedWeights = append(message.PublishedWeights, &edgev1.PublishedWeights{Model: model, Version: version, AgeMs: int64(now.Since(heardAt))})
 	}
--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -198,6 +198,8 @@
 		"an age of an earlier build":              {echoedAfter: 20, read: []any{digest.Digest{EarlierAges: of(300)}}, longest: 3000},
 		"that after a later version":              {echoedAfter: 20, read: []any{later, digest.Digest{EarlierAges: of(300)}}, longest: limit},
 		"a copy, then an age of an earlier build": {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierAges: of(300)}}, longest: 3000},
+		"a copy, then a bound of one":             {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierBounds: of(300)}}, longest: 3000},
+		"a bound of one":                          {echoedAfter: 20, read: []any{digest.Digest{EarlierBounds: of(300)}}, longest: 3000},
 		"a copy, then a bound without an echo":    {read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -207,7 +209,8 @@
 			peer := digest.Digest{Name: "edge-1", Domain: "a", Address: "edge-1", Incarnation: 7, Scope: digest.Subtree, Members: 1}
 			receive := func(message digest.Digest) []forwarder.Action {
 				peer.Sequence++
-				peer.WeightsAges, peer.WeightsBounds, peer.EarlierAges = message.WeightsAges, message.WeightsBounds, message.EarlierAges
+				peer.WeightsAges, peer.WeightsBounds = message.WeightsAges, message.WeightsBounds
+				peer.EarlierAges, peer.EarlierBounds = message.EarlierAges, message.EarlierBounds
 				return instance.Step(now, forwarder.DigestReceived{Digest: peer})
 			}
 			instance.Step(now, forwarder.Tick{})
--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -89,7 +89,7 @@
 
 // mergeWeightsAges records the ages that a peer has stated. Ages count until now, unless the digest
 // may have waited to be read: then from when this instance sent what the peer had received before. The
-// ages of an earlier build may be too small by any time, so that they only name the versions.
+// times of an earlier build may be too small by any time, so that they only name the versions.
 func (f *Forwarder) mergeWeightsAges(message digest.Digest) {
 	sums, echoed := f.sent.Find(f.now, message.Echo)
 	bound := func(model string, version int64, age clock.Millis) {
@@ -112,11 +112,13 @@
 	}
 	forEachAge(message.WeightsAges, observe)
 	forEachAge(message.WeightsBounds, bound)
-	forEachAge(message.EarlierAges, func(model string, version int64, _ clock.Millis) {
+	name := func(model string, version int64, _ clock.Millis) {
 		if known, _ := f.rollout.Knows(model, version); !known {
 			f.addWeights(model, version, f.earliestPublication(model, version), false, "earlierBuild")
 		}
-	})
+	}
+	forEachAge(message.EarlierAges, name)
+	forEachAge(message.EarlierBounds, name)
 }
 
 func forEachAge(byModel map[string]map[int64]clock.Millis, do func(model string, version int64, age clock.Millis)) {
@@ -131,7 +133,7 @@
 func (f *Forwarder) fillWeightsAges(message *digest.Digest, full bool) {
 	if full || f.now < f.weightsAges.repeatUntil {
 		message.WeightsAges, message.WeightsBounds = f.WeightsAges(f.now)
-		message.EarlierAges = f.agesWithWait(message.WeightsAges)
+		message.EarlierAges, message.EarlierBounds = f.agesWithWait(message.WeightsAges), message.WeightsBounds
 	}
 }
 
--- a/internal/runtime/datagram/datagram_test.go
+++ b/internal/runtime/datagram/datagram_test.go
@@ -34,7 +34,7 @@
 		}},
 		Lease: rollout.Observation{Era: 2, Revision: 44, Holder: "edge-2", Writes: 2}, ReportedWeights: []digest.ReportedWeights{{Server: "e1", Model: "m", Version: 3}},
 		LeavingServers: []digest.LeavingServer{{Server: "e2", StartedAt: 9}},
-		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, WeightsBounds: map[string]map[int64]clock.Millis{"m": {4: 900}, "n": {7: 2}}, EarlierAges: map[string]map[int64]clock.Millis{"m": {3: 700}}, CrashedServers: map[string][]string{"f": {"s3"}},
+		WeightsAges:    map[string]map[int64]clock.Millis{"m": {3: 500}}, WeightsBounds: map[string]map[int64]clock.Millis{"m": {4: 900}, "n": {7: 2}}, EarlierAges: map[string]map[int64]clock.Millis{"m": {3: 700}}, EarlierBounds: map[string]map[int64]clock.Millis{"m": {4: 900}}, CrashedServers: map[string][]string{"f": {"s3"}},
 		AccusedParts: []partquarantine.Evidence{{Part: 1 << 60, Generation: 4, Cleared: 1, Convicted: 4, Server: 15}},
 		ServerRooms:  []limitsharer.RoomNotice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Rejections: 4, Room: 20, Ceiling: 30, Slots: 64}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Rejections: limitsharer.Lifted}},
 		ServerLimits: []limitsharer.Notice{{Start: limitsharer.Start{Server: "e3", StartedAt: 8}, Version: 2, Limit: 1100}, {Start: limitsharer.Start{Server: "e4", StartedAt: 8}, Version: 3, Limit: limitsharer.None}},
@@ -74,6 +74,17 @@
 }
 
 // TestInvalidDigests verifies that digests which can't be used are errors.
+// TestTimesOfEarlierBuildsOnlyNameVersions guards against ages and bounds of builds that count them from too late.
+func TestTimesOfEarlierBuildsOnlyNameVersions(t *testing.T) {
+	stated := []*edgev1.PublishedWeights{{Model: "m", Version: 3, AgeMs: 700}}
+	encoded, err := proto.Marshal(&edgev1.Digest{Format: 1, Name: "edge-1", Incarnation: 1, Sequence: 1, Scope: edgev1.Scope_SCOPE_SUBTREE, PublishedWeights: stated, BoundedWeights: stated})
+	require.NoError(t, err)
+	received, err := datagram.DecodeDigest(encoded)
+	require.NoError(t, err)
+	require.Empty(t, received.WeightsAges)
+	require.Empty(t, received.WeightsBounds)
+}
+
 func TestInvalidDigests(t *testing.T) {
 	tests := map[string]func(message *edgev1.Digest){
 		"another format":             func(m *edgev1.Digest) { m.Format = 2 },
--- a/internal/runtime/datagram/digest.go
+++ b/internal/runtime/datagram/digest.go
@@ -114,8 +114,8 @@
 	for _, leaving := range d.LeavingServers {
 		message.LeavingServers = append(message.LeavingServers, &edgev1.LeavingServer{Server: leaving.Server, StartedAt: leaving.StartedAt})
 	}
-	message.ObservedWeights, message.BoundedWeights = encodeAges(d.WeightsAges), encodeAges(d.WeightsBounds)
-	message.PublishedWeights = encodeAges(d.EarlierAges)
+	message.ObservedWeights, message.UnobservedWeights = encodeAges(d.WeightsAges), encodeAges(d.WeightsBounds)
+	message.PublishedWeights, message.BoundedWeights = encodeAges(d.EarlierAges), encodeAges(d.EarlierBounds)
 }
 
 func encodeAges(byModel map[string]map[int64]clock.Millis) []*edgev1.PublishedWeights {
@@ -221,8 +221,8 @@
 	for _, leaving := range message.GetLeavingServers() {
 		d.LeavingServers = append(d.LeavingServers, digest.LeavingServer{Server: leaving.GetServer(), StartedAt: leaving.GetStartedAt()})
 	}
-	d.WeightsAges, d.WeightsBounds = decodeAges(message.GetObservedWeights()), decodeAges(message.GetBoundedWeights())
-	d.EarlierAges = decodeAges(message.GetPublishedWeights())
+	d.WeightsAges, d.WeightsBounds = decodeAges(message.GetObservedWeights()), decodeAges(message.GetUnobservedWeights())
+	d.EarlierAges, d.EarlierBounds = decodeAges(message.GetPublishedWeights()), decodeAges(message.GetBoundedWeights())
 }
 
 func decodeAges(encoded []*edgev1.PublishedWeights) map[string]map[int64]clock.Millis {
