Log the version of the weights that a server's response names

Change: StreamStarted carries the version in the response's head, also of an alternative. attemptFirstToken logs it as served; event 1113, otherWeightsServed, is written if it is not the one that was sent, and the server counts as having it from the first event on, not from the end. A version as sent is not recorded again at the first event: a report of the server since then is newer than the head. Responses without events are compared when they are complete. Not covered: an event may begin with a line that names another version (PROTOCOL.md); it is not read.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -24,6 +24,7 @@
 	CapacityAwaited      Number = 1110
 	CapacityRefused      Number = 1111
 	AttemptWithdrawn     Number = 1112
+	OtherWeightsServed   Number = 1113
 	TokensTaken          Number = 1201
 	TokensRefused        Number = 1202
 	TokensReturned       Number = 1203
@@ -112,6 +113,7 @@
 	CapacityAwaited:      "capacityAwaited",
 	CapacityRefused:      "capacityRefused",
 	AttemptWithdrawn:     "attemptWithdrawn",
+	OtherWeightsServed:   "otherWeightsServed",
 	TokensTaken:          "tokensTaken",
 	TokensRefused:        "tokensRefused",
 	TokensReturned:       "tokensReturned",
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -193,8 +193,13 @@
 	f.dropAlternative(fl)
 	f.scheduler.ResponseStarted(f.now, fl.attemptKey(fl.attempt))
 	f.scheduleCheck(fl)
+	f.recordServed(fl, event.WeightsVersion)
 	entry := eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
-	f.log(f.withWeights(entry, fl.request.Model, fl.weightsVersion).With("after", f.now.Since(fl.arrivedAt)))
+	entry = f.withWeights(entry, fl.request.Model, fl.weightsVersion)
+	if event.WeightsVersion > 0 && fl.hasPrompt() {
+		entry = entry.With("served", event.WeightsVersion)
+	}
+	f.log(entry.With("after", f.now.Since(fl.arrivedAt)))
 }
 
 func (f *Forwarder) handleStreamUnplaced(event StreamUnplaced) {
@@ -234,6 +239,9 @@
 	if event.LastEventID != "" {
 		fl.lastEventID = event.LastEventID
 	}
+	if !fl.streamStarted && !event.Outcome.NotRun() {
+		f.recordServed(fl, event.WeightsVersion)
+	}
 	if event.WeightsVersion > 0 && fl.hasPrompt() {
 		f.recordWeights(fl.server, fl.request.Model, event.WeightsVersion)
 	}
--- a/internal/decision/forwarder/event.go
+++ b/internal/decision/forwarder/event.go
@@ -67,6 +67,8 @@
 type StreamStarted struct {
 	Request string
 	Attempt int
+	// WeightsVersion is the version of the weights named in the response; 0 if none.
+	WeightsVersion int64
 }
 
 // StreamSilent reports that an attempt that has started has sent no event for its silence
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -60,6 +60,21 @@
 	return entry
 }
 
+// recordServed records the version that the response to the current attempt names, if it is not the one that
+// was sent. That one is no news: the server may have loaded others since it wrote the head.
+func (f *Forwarder) recordServed(fl *flight, version int64) {
+	if version == 0 || !fl.hasPrompt() || version == fl.weightsVersion {
+		return
+	}
+	entry := eventlog.New(eventlog.OtherWeightsServed, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
+	entry = entry.With("sent", fl.weightsVersion).With("served", version)
+	if supersededAt, superseded := f.rollout.SupersededAt(fl.request.Model, version); superseded {
+		entry = entry.With("supersededFor", f.now.Since(supersededAt))
+	}
+	f.log(entry)
+	f.recordWeights(fl.server, fl.request.Model, version)
+}
+
 // recordWeights records the version that a server itself reported.
 func (f *Forwarder) recordWeights(id, model string, version int64) {
 	server, ok := f.servers.Server(id)
--- a/internal/runtime/edge/alternatives.go
+++ b/internal/runtime/edge/alternatives.go
@@ -82,7 +82,7 @@
 	if !h.takeOver(stream.result.Attempt) {
 		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
 	}
-	if !h.edge.machine.begin(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt}) {
+	if !h.edge.machine.begin(forwarder.StreamStarted{Request: stream.result.Request, Attempt: stream.result.Attempt, WeightsVersion: stream.result.WeightsVersion}) {
 		h.giveBack(stream.result.Attempt, before)
 		return withOutcome(stream.result, forwarder.OutcomeSuperseded, nil)
 	}
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -235,7 +235,7 @@
 		result.Events++
 		if !stream.started {
 			stream.started = true
-			if !h.edge.machine.begin(forwarder.StreamStarted{Request: result.Request, Attempt: result.Attempt}) {
+			if !h.edge.machine.begin(forwarder.StreamStarted{Request: result.Request, Attempt: result.Attempt, WeightsVersion: result.WeightsVersion}) {
 				h.giveBack(result.Attempt, before)
 				return withOutcome(result, forwarder.OutcomeSuperseded, nil)
 			}
