Log how old the copy of the published versions is where weights are logged

Change: routeChosen, attemptFirstToken and attemptWithdrawn of requests with a prompt have versionsAge, the time since the instance's copy of the published versions was last known to be current, or never. Evidence: TestAgeOfPublishedVersionsIsLogged (4 cases).

--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/relayer"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -47,8 +48,8 @@
 	}
 }
 
-// withWeights adds the version of the weights to the entry, and the time since a newer one was
-// published.
+// withWeights adds the version of the weights to the entry, the time since a newer one was published, and
+// the age of this instance's copy of the published versions.
 func (f *Forwarder) withWeights(entry eventlog.Entry, model string, version int64) eventlog.Entry {
 	if version == 0 {
 		return entry
@@ -57,7 +58,11 @@
 	if supersededAt, superseded := f.rollout.SupersededAt(model, version); superseded {
 		entry = entry.With("supersededFor", f.now.Since(supersededAt))
 	}
-	return entry
+	confirmedAt := f.replicas.Copy(replicator.Weights).ConfirmedAt
+	if confirmedAt == 0 {
+		return entry.With("versionsAge", "never")
+	}
+	return entry.With("versionsAge", f.now.Since(confirmedAt))
 }
 
 // recordServed records the version that the response to the current attempt names, if it is not the one that
--- a/internal/decision/forwarder/served_weights_test.go
+++ b/internal/decision/forwarder/served_weights_test.go
@@ -1,11 +1,13 @@
 package forwarder_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -26,10 +28,10 @@
 		want, not []string
 		next      int64
 	}{
-		"as sent":                    {served: 1, want: []string{"attemptFirstToken request=stream-0 server=e0 attempt=1 weights=1 supersededFor=1000ms served=1 "}, not: []string{differs}, next: 1},
-		"no version":                 {want: []string{"attemptFirstToken request=stream-0 server=e0 attempt=1 weights=1 supersededFor=1000ms after="}, not: []string{differs}, next: 1},
-		"a newer one":                {served: 2, want: []string{differs + " request=stream-0 server=e0 attempt=1 sent=1 served=2", "weights=1 supersededFor=1000ms served=2 "}, not: []string{"served=2 supersededFor"}, next: 2},
-		"an older one":               {sent: 2, served: 1, want: []string{differs + " request=stream-0 server=e0 attempt=1 sent=2 served=1 supersededFor=1000ms", "weights=2 served=1 "}, next: 1},
+		"as sent":                    {served: 1, want: []string{"attemptFirstToken request=stream-0 server=e0 attempt=1 weights=1 supersededFor=1000ms versionsAge=never served=1 "}, not: []string{differs}, next: 1},
+		"no version":                 {want: []string{"attemptFirstToken request=stream-0 server=e0 attempt=1 weights=1 supersededFor=1000ms versionsAge=never after="}, not: []string{differs}, next: 1},
+		"a newer one":                {served: 2, want: []string{differs + " request=stream-0 server=e0 attempt=1 sent=1 served=2", "weights=1 supersededFor=1000ms versionsAge=never served=2 "}, not: []string{"served=2 supersededFor"}, next: 2},
+		"an older one":               {sent: 2, served: 1, want: []string{differs + " request=stream-0 server=e0 attempt=1 sent=2 served=1 supersededFor=1000ms", "weights=2 versionsAge=never served=1 "}, next: 1},
 		"as sent, loaded since":      {served: 1, loaded: 2, want: []string{"served=1 "}, not: []string{differs}, next: 2},
 		"no events":                  {served: 2, ended: true, want: []string{differs + " request=stream-0 server=e0 attempt=1 sent=1 served=2"}, not: []string{"attemptFirstToken"}, next: 2},
 		"of an alternative":          {alternative: true, served: 2, want: []string{differs + " request=stream-0 server=e1 attempt=2 sent=1 served=2"}},
@@ -77,3 +79,43 @@
 		})
 	}
 }
+
+// TestAgeOfPublishedVersionsIsLogged confirms the copy of the published versions before a request is sent,
+// and between the choice of its server and its first event.
+func TestAgeOfPublishedVersionsIsLogged(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		kind string
+		// before and between are the ages of the confirmations; 0 for none.
+		before, between clock.Millis
+		chosen, began   string
+	}{
+		"no copy":                  {kind: "stream", chosen: "versionsAge=never", began: "versionsAge=never"},
+		"an old copy":              {kind: "stream", before: 4000, chosen: "versionsAge=4000ms", began: "versionsAge=4500ms"},
+		"one that is confirmed":    {kind: "stream", before: 4000, between: 20, chosen: "versionsAge=4000ms", began: "versionsAge=20ms"},
+		"a request without prompt": {kind: "lookup", before: 4000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := superseded(t, 11*clock.Second, 5*clock.Second)
+			confirm := func(age clock.Millis) {
+				if age > 0 {
+					c.step(0, forwarder.ReplicaUpdated{Kind: replicator.Weights, Copy: replicator.Copy{Revision: 9, Through: 9, ConfirmedAt: c.now.Add(-age)}})
+				}
+			}
+			c.loadWeights(len(c.servers))
+			confirm(test.before)
+			id := c.sendRequest(0, test.kind)
+			require.Contains(t, c.logOf(id), test.chosen)
+			if test.began == "" {
+				require.NotContains(t, c.logOf(id), "versionsAge")
+				return
+			}
+			c.now = c.now.Add(500)
+			confirm(test.between)
+			c.step(0, forwarder.StreamStarted{Request: id, Attempt: 1})
+			_, began, _ := strings.Cut(c.logOf(id), "attemptFirstToken")
+			require.Contains(t, began, test.began)
+		})
+	}
+}
