Measure the time from the cancellation of an attempt to its closed connection

Change: httpclient reports when the connection of a request is closed, or opening it has failed, also while the request is still connecting, is asking another instance for a connection, or is being written. The time since the state machine's decision is in the metrics (millis, cancellation); event 1114, connectionClosedLate, is written above 50 ms. An attempt whose connection ended before the decision is not counted.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -25,6 +25,7 @@
 	CapacityRefused      Number = 1111
 	AttemptWithdrawn     Number = 1112
 	OtherWeightsServed   Number = 1113
+	ConnectionClosedLate Number = 1114
 	TokensTaken          Number = 1201
 	TokensRefused        Number = 1202
 	TokensReturned       Number = 1203
@@ -114,6 +115,7 @@
 	CapacityRefused:      "capacityRefused",
 	AttemptWithdrawn:     "attemptWithdrawn",
 	OtherWeightsServed:   "otherWeightsServed",
+	ConnectionClosedLate: "connectionClosedLate",
 	TokensTaken:          "tokensTaken",
 	TokensRefused:        "tokensRefused",
 	TokensReturned:       "tokensReturned",
--- a/internal/runtime/edge/alternatives.go
+++ b/internal/runtime/edge/alternatives.go
@@ -12,7 +12,8 @@
 // handler's goroutine if it sends the next event of the response.
 func (h *requestHandler) runAlternative(dispatch forwarder.Dispatch) {
 	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
-	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, cancel)
+	c := newCancellation(cancel, dispatch)
+	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, c)
 	h.mu.Lock()
 	if h.lastEventID != "" {
 		dispatch.LastEventID = h.lastEventID
@@ -28,7 +29,7 @@
 		cancel()
 	}
 	h.mu.Unlock()
-	result, stream := h.attempt(ctx, dispatch)
+	result, stream := h.attempt(ctx, c, dispatch)
 	if stream != nil {
 		stream.cancel = cancel
 		if result = h.adopt(stream); result.Outcome == 0 {
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -93,13 +93,14 @@
 
 // attempt sends the request to a server and reads the response. It returns the event for
 // the state machine, or a stream whose head has been read.
-func (h *requestHandler) attempt(ctx context.Context, dispatch forwarder.Dispatch) (forwarder.AttemptEnded, *openStream) {
+func (h *requestHandler) attempt(ctx context.Context, c *cancellation, dispatch forwarder.Dispatch) (forwarder.AttemptEnded, *openStream) {
 	result := forwarder.AttemptEnded{Request: h.request.ID, Attempt: dispatch.Attempt}
 	request := h.edge.platform.EncodeRequest(h.inbound, dispatch)
 	if request.Tunnel = tunnelOf(dispatch.Via, dispatch.Server, dispatch.StartedAt); request.Tunnel != nil {
 		request.Tunnel.Timeout, request.Tunnel.Limited, request.Tunnel.RequestID = dispatch.Timeout, dispatch.Limited, h.callerRequestID
 	}
 	request.Allowed = before(dispatch.SendBefore)
+	request.Closed = func() { h.edge.closed(c) }
 	exchange, err := httpclient.Send(ctx, dispatch.Address, request)
 	if errors.Is(err, httpclient.ErrExpired) {
 		return withOutcome(result, forwarder.OutcomeExpired, err), nil
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -205,7 +205,8 @@
 func (h *requestHandler) dispatch(dispatch forwarder.Dispatch) {
 	ctx, cancel := context.WithTimeout(h.edge.ctx, dispatch.Timeout.Duration()+attemptGrace)
 	defer cancel()
-	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, cancel)
+	c := newCancellation(cancel, dispatch)
+	h.edge.machine.setCancel(h.request.ID, dispatch.Attempt, c)
 	h.mu.Lock()
 	h.owner = dispatch.Attempt
 	unplaced := h.unplaced
@@ -218,7 +219,7 @@
 		h.edge.machine.submit(forwarder.AttemptEnded{Request: h.request.ID, Attempt: dispatch.Attempt, Outcome: forwarder.OutcomeExpired})
 		return
 	}
-	result, stream := h.attempt(ctx, dispatch)
+	result, stream := h.attempt(ctx, c, dispatch)
 	if stream == nil {
 		h.edge.machine.submit(result)
 		return
--- a/internal/runtime/edge/statemachine.go
+++ b/internal/runtime/edge/statemachine.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -32,7 +31,7 @@
 	actions chan forwarder.Action
 	// cancels end the running attempts, by number. cancelled are the numbers of those
 	// whose cancellation was requested.
-	cancels   map[int]context.CancelFunc
+	cancels   map[int]*cancellation
 	cancelled map[int]bool
 	// ended reports whether the request's last action is queued.
 	ended bool
@@ -85,7 +84,7 @@
 	if _, ok := m.requests[id]; ok || m.closed {
 		return nil, false
 	}
-	request := &pendingRequest{actions: make(chan forwarder.Action, maxActions), cancels: map[int]context.CancelFunc{}, cancelled: map[int]bool{}}
+	request := &pendingRequest{actions: make(chan forwarder.Action, maxActions), cancels: map[int]*cancellation{}, cancelled: map[int]bool{}}
 	m.requests[id] = request
 	return request.actions, true
 }
@@ -99,25 +98,25 @@
 	}
 }
 
-// setCancel sets the function that cancels an attempt of the request. It calls the
-// function at once if the attempt was cancelled before it began.
-func (m *stateMachine) setCancel(id string, attempt int, cancel context.CancelFunc) {
+// setCancel sets what cancels an attempt of the request. It cancels the attempt at once if
+// that was requested before it began.
+func (m *stateMachine) setCancel(id string, attempt int, c *cancellation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	request, ok := m.requests[id]
 	if !ok || request.cancelled[attempt] {
-		cancel()
+		c.cancel()
 		return
 	}
-	request.cancels[attempt] = cancel
+	request.cancels[attempt] = c
 }
 
 // unregister removes a request and cancels its attempts.
 func (m *stateMachine) unregister(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, cancel := range m.requests[id].cancels {
-		cancel()
+	for _, c := range m.requests[id].cancels {
+		c.cancel()
 	}
 	delete(m.requests, id)
 }
@@ -147,7 +146,7 @@
 	}
 	request.cancelled[cancel.Attempt] = true
 	if running, ok := request.cancels[cancel.Attempt]; ok {
-		running()
+		running.decide(m.now)
 	}
 }
 
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -110,6 +110,8 @@
 	// Allowed reports whether the request may still be sent; nil if it always may. It is called
 	// immediately before the first byte: the process may have been paused since the decision.
 	Allowed func() bool
+	// Closed is called when the connection has been closed, or opening it has failed; nil for no call.
+	Closed func()
 }
 
 // ErrExpired is the cause of a NotSentError for a request that was not allowed any more.
@@ -139,6 +141,7 @@
 	reader              *bufio.Reader
 	method              string
 	stopWatchingContext func() bool
+	closed              func()
 	closeOnce           sync.Once
 }
 
@@ -183,12 +186,17 @@
 // Send opens a connection and sends the request. The connection is closed when the
 // context ends.
 func Send(ctx context.Context, address string, request Request) (*Exchange, error) {
+	closed := request.Closed
+	if closed == nil {
+		closed = func() {}
+	}
 	conn, err := connect(ctx, address, request)
 	if err != nil {
+		closed()
 		return nil, err
 	}
 	head := &headReader{conn: conn, remaining: maxHeadBytes}
-	exchange := &Exchange{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), method: request.Method}
+	exchange := &Exchange{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), method: request.Method, closed: closed}
 	exchange.stopWatchingContext = context.AfterFunc(ctx, exchange.closeConn)
 	if ctx.Err() != nil {
 		exchange.Close()
@@ -271,8 +279,11 @@
 // closeConn closes the connection. It may run when the context ends before Send has set
 // stopWatchingContext, so it must not read that field.
 func (e *Exchange) closeConn() {
-	// The error is ignored: the connection is not used again.
-	e.closeOnce.Do(func() { _ = e.conn.Close() })
+	e.closeOnce.Do(func() {
+		// The error is ignored: the connection is not used again.
+		_ = e.conn.Close()
+		e.closed()
+	})
 }
 
 // Fetch sends a request and returns the body of its response, which must have the status
