End responses that wait in a server's queue before the earliest limit of its weights

Callers of responses that are no streams (routes of kind safe or unsafe, with a prompt) could get a response that began on superseded weights: a request that was sent while the weights were the newest waited in the server's queue until its own deadline, whatever was published meanwhile.

Engines of the simulation now have queues for all requests, refuse what waits there until its deadline, and answer 504 to what runs until then.

Change: the server of such a response always gets a deadline before the limit of its weights, or, if they are the newest, before the earliest possible one: MaxWeightsAge less both margins from now. The caller's remaining time still bounds it. The request must be sent early enough that this deadline ends before the limit; before, within 250 ms, also if the caller's deadline was sooner. Streams are unchanged.

A request that waited until then is refused by the server as not run, and may be sent again, unsafe ones too; one that runs at the deadline gets the server's 504. The cost: a response that takes more than 5.5 s (with the usual 6 s) can't be completed any more.

--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -63,7 +63,8 @@
 
 // planAttempt returns the times for an attempt at the selected server. The first event of a stream marks its
 // beginning; other responses have no such mark, so that their server gets a deadline before the limit of its
-// weights. A stream gets all the time that is left, as a deadline would also end it after it has begun.
+// weights, or before the earliest one if they are the newest. A stream gets all the time that is left, as a
+// deadline would also end it after it has begun.
 func (f *Forwarder) planAttempt(fl *flight, choice scheduler.Choice) attemptPlan {
 	plan := attemptPlan{serverTimeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
 	if !fl.hasPrompt() {
@@ -72,14 +73,17 @@
 	server, _ := f.servers.Server(choice.Server)
 	plan.weightsVersion = server.Entry.WeightVersions[fl.request.Model]
 	limit, limited := f.beginLimit(fl.request.Model, plan.weightsVersion)
-	if !limited {
+	if fl.route.Kind == desired.Stream {
+		if limited {
+			plan.sendBefore = min(plan.sendBefore, limit)
+		}
 		return plan
 	}
-	plan.sendBefore = min(plan.sendBefore, limit)
-	if fl.route.Kind != desired.Stream {
-		plan.serverTimeout = min(plan.serverTimeout, limit.Since(f.now)-sendMargin)
-		plan.sendBefore = min(plan.sendBefore, f.now.Add(sendMargin))
+	if !limited {
+		limit = f.now.Add(f.settings.Bounds.MaxWeightsAge - beginMargin)
 	}
+	plan.serverTimeout = min(plan.serverTimeout, limit.Since(f.now)-sendMargin)
+	plan.sendBefore = min(plan.sendBefore, limit.Add(-plan.serverTimeout))
 	return plan
 }
 
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -42,6 +42,7 @@
 		Routes: []desired.Route{
 			route("filing", desired.Unsafe, "records", 1, false), route("lookup", desired.Safe, "records", 2, false),
 			route("stream", desired.Stream, "engines", 2, true), route("once", desired.Stream, "engines", 1, false),
+			route("answer", desired.Safe, "engines", 2, false), route("act", desired.Unsafe, "engines", 1, false),
 		},
 		Services: map[string]desired.Service{
 			"records": {Name: "records", HealthPath: "/health"},
@@ -169,7 +170,7 @@
 	// the time until which it declines everything.
 	leaving     bool
 	pausedUntil clock.Millis
-	// queue is the time for which streams wait there before they begin.
+	// queue is the time for which streams, and all requests of engines, wait there before they begin.
 	queue clock.Millis
 	// limit is the limit that it names in its responses; nil for none.
 	limit *limitPeriod
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -132,11 +132,15 @@
 			return
 		}
 	}
-	if dispatch.Stream && s.queue > dispatch.ServerTimeout {
+	var queue clock.Millis
+	if dispatch.Stream || s.entry.Service == "engines" {
+		queue = s.queue
+	}
+	if queue > dispatch.ServerTimeout {
 		end(dispatch.ServerTimeout, forwarder.OutcomeDeclined, 503)
 		return
 	}
-	c.runAfterQueue(dispatch, s, r)
+	c.runAfterQueue(i, queue, dispatch, r)
 	s.addToCache(dispatch.CacheSalt, r.parts, c.cacheFaultPercent > 0)
 	if dispatch.Stream && c.eventGap != nil {
 		c.runPacedStream(i, from, dispatch, s, r, closed)
@@ -153,27 +157,34 @@
 	if dispatch.Stream && c.streamDuration > 0 {
 		delay = c.streamDuration
 	}
-	if dispatch.Stream {
-		delay += s.queue
-	}
-	if dispatch.Stream && delay > dispatch.ServerTimeout {
-		// Engines stop work at the deadline that they were given.
+	delay += queue
+	switch {
+	// Engines stop work at the deadline that they were given.
+	case delay <= dispatch.ServerTimeout:
+	case dispatch.Stream:
 		end(dispatch.ServerTimeout, forwarder.OutcomeInterrupted, 200)
 		return
+	case queue > 0:
+		end(dispatch.ServerTimeout, forwarder.OutcomeCompleted, 504)
+		return
 	}
 	end(delay+slower+c.firstEventDelays[r.kind], forwarder.OutcomeCompleted, status)
 }
 
-// runAfterQueue counts a run of the request when it begins: an engine drops a stream that is cancelled
+// runAfterQueue counts a run of the request when it begins: an engine drops a request that is cancelled
 // while it waits.
-func (c *cluster) runAfterQueue(dispatch forwarder.Dispatch, s *server, r *request) {
-	if !dispatch.Stream || s.queue == 0 {
+func (c *cluster) runAfterQueue(i int, queue clock.Millis, dispatch forwarder.Dispatch, r *request) {
+	if queue == 0 {
 		r.runs++
 		return
 	}
-	c.after(s.queue, func() {
-		if r.finalActions == 0 && !slices.Contains(r.cancelled, dispatch.Attempt) {
-			r.runs++
+	c.after(queue, func() {
+		if r.finalActions > 0 || slices.Contains(r.cancelled, dispatch.Attempt) {
+			return
+		}
+		r.runs++
+		if !dispatch.Stream {
+			c.checkBeginning(i, dispatch, r)
 		}
 	})
 }
@@ -281,7 +292,7 @@
 	id := fmt.Sprint(kind, "-", len(c.requests))
 	c.requests[id] = &request{instance: i, kind: kind, sentAt: c.now}
 	arrived := forwarder.Request{ID: id, Host: host, Method: "POST", Path: "/" + kind + "/x", Key: secret.New(goodKey), CallerTimeout: cmp.Or(c.timeout, 2500), Fingerprint: id}
-	if kind == "stream" || kind == "once" {
+	if kind != "filing" && kind != "lookup" {
 		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
 		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%c.subjects), Tokens: 300}, {ID: id, Tokens: 300}}
 	}
--- a/internal/decision/forwarder/forwarder_test.go
+++ b/internal/decision/forwarder/forwarder_test.go
@@ -18,7 +18,7 @@
 	c.t.Helper()
 	for id, r := range c.requests {
 		require.Equal(c.t, 1, r.finalActions, "%s has exactly one final response\n%s", id, c.logOf(id))
-		if r.kind == "filing" || r.kind == "once" {
+		if r.kind == "filing" || r.kind == "once" || r.kind == "act" {
 			require.LessOrEqual(c.t, r.runs, 1, "%s runs at most once\n%s", id, c.logOf(id))
 		} else {
 			require.LessOrEqual(c.t, r.runs, 2, "%s runs at two servers at most\n%s", id, c.logOf(id))
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -19,6 +19,8 @@
 		updated int
 		// sentFor is the time for which requests are sent, from 100 ms before the publication.
 		sentFor clock.Millis
+		// noRetries leaves no budget for other attempts.
+		noRetries bool
 		// served is the least fraction of the requests that an engine must answer.
 		served float64
 	}{
@@ -28,6 +30,10 @@
 		"other streams, no other":                    {kind: "once", sentFor: 6 * clock.Second},
 		"sent before the weights were superseded":    {kind: "stream", updated: 3, sentFor: 90, served: 1},
 		"not resumable, sent before the new weights": {kind: "once", updated: 3, sentFor: 90},
+		"safe responses, others usable":              {kind: "answer", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"safe responses, sent before":                {kind: "answer", updated: 3, sentFor: 90, noRetries: true},
+		"unsafe responses, others usable":            {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"unsafe responses, sent before":              {kind: "act", updated: 3, sentFor: 90, served: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
@@ -35,6 +41,9 @@
 				c.timeout = 12 * clock.Second
 				for i := range c.settings {
 					c.settings[i].Bounds.RetryExtra = 1000
+					if test.noRetries {
+						c.settings[i].Bounds.RetryExtra, c.settings[i].Bounds.RetryRatio = 0, 0
+					}
 					c.startInstance(i)
 				}
 				c.run(300)
