Check the version of weights for requests without a known prompt

Callers of requests whose token counts were missing or said 0, or that named no model, could get responses that began on superseded weights at servers that have weights: no version was checked or sent, no limit applied, and nothing withdrew them.

Cause: the weights on which a request may run were derived from its prompt (hasPrompt), which only says what the scheduler knows of its size.

Evidence: six new rows of TestQueuedRequestsDoNotBeginOnSupersededWeights.

Change: an attempt has the weights on which it may run (boundWeights), from its server and its request: those of the model that it names, or all of the server's if it names none of them. The limit, the penalty, the deadline and the withdrawal follow from the first of them that was superseded. The expected version is sent, and the one in the response recorded, if it is that of one model. Salt, sources, admission and estimates still need a prompt. A server without weights is not concerned: the simulation now checks for each request to one that no version and no shorter deadline is sent, also if the request names a model.

A request without a prompt that names a model which the server does not have is still sent there, bound by all of the server's weights.

--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -34,10 +34,11 @@
 	// Team is the team name to send to the server; empty for none.
 	Team string
 	// HasPrompt reports whether the request carries a prompt. CacheSalt is then the
-	// salt of its cached parts and WeightsVersion the version of the weights that the
-	// server must have.
-	HasPrompt      bool
-	CacheSalt      string
+	// salt of its cached parts.
+	HasPrompt bool
+	CacheSalt string
+	// WeightsVersion is the version of the weights that the server must have; 0 if it has none, or several
+	// models of which the request names none.
 	WeightsVersion int64
 	// FetchAddress is the address of a server from which the server can fetch prompt
 	// parts; empty for none.
--- a/internal/decision/forwarder/alternatives.go
+++ b/internal/decision/forwarder/alternatives.go
@@ -21,8 +21,8 @@
 	startMs float64
 	// origin is that of its server.
 	origin originkeeper.Origin
-	// weightsVersion is the version of the weights at its server.
-	weightsVersion int64
+	// weights are those at its server.
+	weights boundWeights
 }
 
 // attemptRole is what an attempt is to the current one of its request.
@@ -65,7 +65,7 @@
 	entry := eventlog.New(eventlog.AlternativeTried, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
 	f.log(entry.With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 	number, plan := f.startAttempt(fl, choice, besideSilent)
-	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weightsVersion: plan.weightsVersion}
+	fl.alternative = &alternative{number: number, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weights: plan.weights}
 	fl.checkAt = fl.deadline
 	return true
 }
@@ -88,7 +88,7 @@
 	replacement := fl.alternative
 	fl.alternative = nil
 	fl.attempt, fl.server, fl.expectedStartMs = replacement.number, replacement.server, replacement.startMs
-	fl.attemptOrigin, fl.weightsVersion = replacement.origin, replacement.weightsVersion
+	fl.attemptOrigin, fl.weights = replacement.origin, replacement.weights
 	fl.attemptActive, fl.streamStarted = true, false
 	if silent {
 		f.servers.RecordSilence(f.now, left)
@@ -114,9 +114,7 @@
 	ended := fl.alternative
 	fl.alternative = nil
 	f.endAttempt(fl, ended.number)
-	if event.WeightsVersion > 0 && fl.hasPrompt() {
-		f.recordWeights(ended.server, fl.request.Model, event.WeightsVersion)
-	}
+	f.recordAnsweredWeights(ended.server, ended.weights, event.WeightsVersion)
 	switch {
 	case event.Outcome == OutcomeSuperseded:
 		fl.supersededRuns++
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -104,7 +104,7 @@
 func (f *Forwarder) dispatch(fl *flight, choice scheduler.Choice) {
 	fl.waiting, fl.waitDeadline = false, 0
 	attempt, plan := f.startAttempt(fl, choice, currentAttempt)
-	fl.attempt, fl.weightsVersion = attempt, plan.weightsVersion
+	fl.attempt, fl.weights = attempt, plan.weights
 	fl.server = choice.Server
 	fl.attemptOrigin = f.originOf(choice.Server)
 	fl.attemptActive = true
@@ -135,8 +135,9 @@
 	entry = entry.With("attempt", fl.attempts).With("alternative", role != currentAttempt).With("cost", fmt.Sprintf("%.0fms", choice.CostMs)).With("missed", choice.UncachedTokens).With("source", choice.FetchSource)
 	entry = entry.With("load", fmt.Sprintf("%d/%d/%d", choice.Load.Requests, choice.Load.PrefillTokens, choice.Load.MemoryTokens))
 	plan := f.planAttempt(fl, choice)
-	f.scheduleWithdrawal(fl.request.Model, plan.weightsVersion)
-	entry = f.withWeights(entry, fl.request.Model, plan.weightsVersion).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
+	f.scheduleWithdrawal(plan.weights)
+	_, version, _ := plan.weights.sole()
+	entry = f.withWeights(entry, plan.weights).With("startsIn", fmt.Sprintf("%.0fms", choice.StartMs())).With("left", fl.remaining(f.now))
 	f.log(entry.With("stateVersion", f.desired.Version).With("stateAge", f.now.Since(f.desiredConfirmedAt)))
 	saveAddress := ""
 	if choice.SaveToStore {
@@ -145,7 +146,7 @@
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
 		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
-		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: plan.weightsVersion,
+		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: version,
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
 		Priority: fl.priority(), Timeout: fl.remaining(f.now), ServerTimeout: plan.serverTimeout, SendBefore: plan.sendBefore, LastEventID: fl.lastEventID,
 		Stream: fl.route.Kind == desired.Stream, Resumable: fl.route.Resumable, SilenceLimit: f.silenceLimit(fl), Alternative: role != currentAttempt, HoldsEvents: role == besideMoving, PartDelivered: fl.partDelivered,
@@ -195,8 +196,8 @@
 	f.scheduleCheck(fl)
 	f.recordServed(fl, event.WeightsVersion)
 	entry := eventlog.New(eventlog.AttemptFirstToken, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
-	entry = f.withWeights(entry, fl.request.Model, fl.weightsVersion)
-	if event.WeightsVersion > 0 && fl.hasPrompt() {
+	entry = f.withWeights(entry, fl.weights)
+	if event.WeightsVersion > 0 && len(fl.weights.versions) > 0 {
 		entry = entry.With("served", event.WeightsVersion)
 	}
 	f.log(entry.With("after", f.now.Since(fl.arrivedAt)))
@@ -242,9 +243,7 @@
 	if !fl.streamStarted && !event.Outcome.NotRun() {
 		f.recordServed(fl, event.WeightsVersion)
 	}
-	if event.WeightsVersion > 0 && fl.hasPrompt() {
-		f.recordWeights(fl.server, fl.request.Model, event.WeightsVersion)
-	}
+	f.recordAnsweredWeights(fl.server, fl.weights, event.WeightsVersion)
 	f.endAttempt(fl, fl.attempt)
 	if event.Outcome == OutcomeCompleted && (!fl.partDelivered || event.Status == statusOK) {
 		f.handleCompletedAttempt(fl, event)
--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -21,25 +21,25 @@
 
 // attemptPlan has the weights and the times of an attempt.
 type attemptPlan struct {
-	// weightsVersion is that of the server; 0 without a prompt.
-	weightsVersion int64
+	// weights are those at the server.
+	weights boundWeights
 	// serverTimeout is the time that the server gets for the response, and sendBefore the time from which
 	// the request must not be sent.
 	serverTimeout clock.Millis
 	sendBefore    clock.Millis
 }
 
-// beginLimit returns the time until which a request may begin on the version of the weights. It
-// reports false if the version is the newest.
-func (f *Forwarder) beginLimit(model string, version int64) (clock.Millis, bool) {
-	supersededAt, superseded := f.rollout.SupersededAt(model, version)
+// beginLimit returns the time until which a request may begin on the weights. It reports false if they
+// are the newest.
+func (f *Forwarder) beginLimit(weights boundWeights) (clock.Millis, bool) {
+	supersededAt, superseded := f.supersededAt(weights)
 	return supersededAt.Add(f.settings.Bounds.MaxWeightsAge - beginMargin), superseded
 }
 
 // limitBeginning limits the time until the request must start at the candidate, and reports whether it
 // may be sent there.
-func (f *Forwarder) limitBeginning(fl *flight, candidate *scheduler.Candidate, version int64) bool {
-	limit, limited := f.beginLimit(fl.request.Model, version)
+func (f *Forwarder) limitBeginning(fl *flight, candidate *scheduler.Candidate, weights boundWeights) bool {
+	limit, limited := f.beginLimit(weights)
 	if !limited {
 		return true
 	}
@@ -66,13 +66,12 @@
 // weights, or before the earliest one if they are the newest. A stream gets all the time that is left, as a
 // deadline would also end it after it has begun.
 func (f *Forwarder) planAttempt(fl *flight, choice scheduler.Choice) attemptPlan {
-	plan := attemptPlan{serverTimeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
-	if !fl.hasPrompt() {
+	server, _ := f.servers.Server(choice.Server)
+	plan := attemptPlan{weights: fl.weightsAt(server), serverTimeout: fl.remaining(f.now), sendBefore: f.sendBefore(fl)}
+	if len(plan.weights.versions) == 0 {
 		return plan
 	}
-	server, _ := f.servers.Server(choice.Server)
-	plan.weightsVersion = server.Entry.WeightVersions[fl.request.Model]
-	limit, limited := f.beginLimit(fl.request.Model, plan.weightsVersion)
+	limit, limited := f.beginLimit(plan.weights)
 	if fl.route.Kind == desired.Stream {
 		if limited {
 			plan.sendBefore = min(plan.sendBefore, limit)
@@ -88,8 +87,8 @@
 }
 
 // scheduleWithdrawal lets withdrawLate look at an attempt when it must have begun.
-func (f *Forwarder) scheduleWithdrawal(model string, version int64) {
-	if limit, limited := f.beginLimit(model, version); limited {
+func (f *Forwarder) scheduleWithdrawal(weights boundWeights) {
+	if limit, limited := f.beginLimit(weights); limited {
 		f.nextWithdrawal = min(f.nextWithdrawal, limit)
 	}
 }
@@ -129,41 +128,41 @@
 // waitingUntil returns the earliest limit of the attempts of a stream that have not begun. Of other
 // responses it is unknown whether they have. It reports false if there is no limit.
 func (f *Forwarder) waitingUntil(fl *flight) (clock.Millis, bool) {
-	if !fl.hasPrompt() || fl.route.Kind != desired.Stream {
+	if fl.route.Kind != desired.Stream {
 		return 0, false
 	}
 	limit, limited := clock.Millis(0), false
 	if fl.attemptActive && !fl.streamStarted {
-		limit, limited = f.beginLimit(fl.request.Model, fl.weightsVersion)
+		limit, limited = f.beginLimit(fl.weights)
 	}
 	if fl.alternative != nil {
-		if other, also := f.beginLimit(fl.request.Model, fl.alternative.weightsVersion); also && (!limited || other < limit) {
+		if other, also := f.beginLimit(fl.alternative.weights); also && (!limited || other < limit) {
 			limit, limited = other, true
 		}
 	}
 	return limit, limited
 }
 
-// pastLimit reports whether nothing may begin any more on the version of the weights.
-func (f *Forwarder) pastLimit(model string, version int64) bool {
-	limit, limited := f.beginLimit(model, version)
+// pastLimit reports whether nothing may begin any more on the weights.
+func (f *Forwarder) pastLimit(weights boundWeights) bool {
+	limit, limited := f.beginLimit(weights)
 	return limited && f.now >= limit
 }
 
 // withdraw cancels the attempts of the request that have not begun in time. It goes on at another
 // server, if that is possible.
 func (f *Forwarder) withdraw(fl *flight) {
-	if other := fl.alternative; other != nil && f.pastLimit(fl.request.Model, other.weightsVersion) {
-		f.logWithdrawal(fl, other.server, other.number, other.weightsVersion)
+	if other := fl.alternative; other != nil && f.pastLimit(other.weights) {
+		f.logWithdrawal(fl, other.server, other.number, other.weights)
 		f.dropAlternative(fl)
 		if !fl.streamStarted {
 			fl.checkAt = min(fl.deadline, f.now.Add(silenceCheckInterval))
 		}
 	}
-	if !fl.attemptActive || fl.streamStarted || !f.pastLimit(fl.request.Model, fl.weightsVersion) {
+	if !fl.attemptActive || fl.streamStarted || !f.pastLimit(fl.weights) {
 		return
 	}
-	f.logWithdrawal(fl, fl.server, fl.attempt, fl.weightsVersion)
+	f.logWithdrawal(fl, fl.server, fl.attempt, fl.weights)
 	f.emit(CancelAttempt{Request: fl.id(), Attempt: fl.attempt})
 	fl.attemptActive = false
 	fl.supersededRuns++
@@ -180,7 +179,7 @@
 	}
 }
 
-func (f *Forwarder) logWithdrawal(fl *flight, server string, attempt int, version int64) {
+func (f *Forwarder) logWithdrawal(fl *flight, server string, attempt int, weights boundWeights) {
 	entry := eventlog.New(eventlog.AttemptWithdrawn, fl.id()).With("server", server).With("attempt", attempt)
-	f.log(f.withWeights(entry, fl.request.Model, version).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
+	f.log(f.withWeights(entry, weights).With("passed", fl.partDelivered).With("after", f.now.Since(fl.arrivedAt)))
 }
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -41,17 +41,18 @@
 			Server: server.ID, OtherDomain: server.Domain != f.settings.Domain, ErrorRate: server.ErrorRate(f.now),
 			MemoryTokens: service.CacheTokens, Slots: server.Slots,
 		}
+		weights := fl.weightsAt(server)
 		if fl.hasPrompt() {
 			version, serves := server.Entry.WeightVersions[fl.request.Model]
 			if !serves {
 				continue
 			}
-			var usable bool
-			if candidate.PenaltyMs, usable = f.weightsPenalty(fl.request.Model, version); !usable || !f.limitBeginning(fl, &candidate, version) {
-				continue
-			}
 			candidate.Salt = f.cacheSalt(fl, version)
 		}
+		var usable bool
+		if candidate.PenaltyMs, usable = f.weightsPenalty(weights); !usable || !f.limitBeginning(fl, &candidate, weights) {
+			continue
+		}
 		if f.paths.Blocked(server.ID) {
 			candidate.PenaltyMs += hopCost
 		}
@@ -94,9 +95,9 @@
 	slightPenaltyMs = 10.0
 )
 
-// weightsPenalty returns the penalty for the version of the weights, and whether it is still usable.
-func (f *Forwarder) weightsPenalty(model string, version int64) (penaltyMs float64, usable bool) {
-	supersededAt, superseded := f.rollout.SupersededAt(model, version)
+// weightsPenalty returns the penalty for the weights, and whether they are still usable.
+func (f *Forwarder) weightsPenalty(weights boundWeights) (penaltyMs float64, usable bool) {
+	supersededAt, superseded := f.supersededAt(weights)
 	if !superseded {
 		return 0, true
 	}
--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -132,6 +132,8 @@
 	limitsReceived map[callKey]clock.Millis
 	// lossPercent is the percentage of datagrams that are lost.
 	lossPercent int
+	// omits is what requests of engines don't state: "counts" of tokens, or not even a "model".
+	omits string
 	// parts has the crashes of engines by parts of prompts; nil where no part crashes them.
 	parts *partCrashes
 
@@ -199,7 +201,9 @@
 	cancelled []int
 	// softwareVersions are those of the servers whose events it has received.
 	softwareVersions map[string]bool
-	parts            []scheduler.Part
+	// weights are the versions of the weights at the servers of its attempts, by number.
+	weights map[int]int64
+	parts   []scheduler.Part
 }
 
 type scheduledCall struct {
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -27,7 +27,11 @@
 	s, known := c.servers[dispatch.Server]
 	require.True(c.t, known)
 	require.Zero(c.t, r.finalActions, "%s is dispatched after its final response", dispatch.Request)
-	c.checkDispatch(i, dispatch, s)
+	if r.weights == nil {
+		r.weights = map[int]int64{}
+	}
+	r.weights[dispatch.Attempt] = cmp.Or(dispatch.WeightsVersion, s.entry.WeightVersions[model])
+	c.checkDispatch(i, dispatch, s, r)
 	if c.rollout != nil {
 		c.rollout.record(i, dispatch, s, r)
 	}
@@ -236,7 +240,14 @@
 const resumeGrace = 300 * clock.Millisecond
 
 // checkDispatch verifies the invariants of each attempt.
-func (c *cluster) checkDispatch(i int, dispatch forwarder.Dispatch, s *server) {
+func (c *cluster) checkDispatch(i int, dispatch forwarder.Dispatch, s *server, r *request) {
+	switch {
+	case len(s.entry.WeightVersions) == 0:
+		require.Zero(c.t, dispatch.WeightsVersion)
+		require.Equal(c.t, dispatch.Timeout, dispatch.ServerTimeout)
+	case len(s.entry.WeightVersions) == 1 || c.omits != "model":
+		require.NotZero(c.t, dispatch.WeightsVersion, "%s does not state the version of its weights", dispatch.Request)
+	}
 	if c.now.Since(c.pausedUntil[i]) < resumeGrace {
 		// The events of the pause are only being delivered now.
 		return
@@ -244,13 +255,17 @@
 	if s.drainingSince > 0 && !c.storeCutOff[i] {
 		require.Less(c.t, c.now.Since(s.drainingSince), 200*clock.Millisecond, "%s is dispatched to a draining server", dispatch.Request)
 	}
-	if dispatch.HasPrompt {
+	if weights := r.weights[dispatch.Attempt]; weights != 0 {
 		for version, publishedAt := range c.publishedAt {
-			if version > dispatch.WeightsVersion {
-				require.Less(c.t, c.now.Since(publishedAt), 6*clock.Second, "%s is dispatched to weights %d although %d were published", dispatch.Request, dispatch.WeightsVersion, version)
+			if version > weights {
+				require.Less(c.t, c.now.Since(publishedAt), 6*clock.Second, "%s is dispatched to weights %d although %d were published", dispatch.Request, weights, version)
 			}
 		}
+	}
+	if dispatch.HasPrompt {
 		require.Contains(c.t, dispatch.CacheSalt, fmt.Sprint(model, "@", dispatch.WeightsVersion, "/"))
+	} else {
+		require.Empty(c.t, dispatch.CacheSalt+dispatch.FetchAddress+dispatch.SaveAddress)
 	}
 	require.Positive(c.t, dispatch.Timeout)
 	require.Equal(c.t, "press", dispatch.Team)
@@ -260,12 +275,13 @@
 // request's instance was disturbed.
 func (c *cluster) checkBeginning(i int, dispatch forwarder.Dispatch, r *request) {
 	over := r.finalActions > 0 || slices.Contains(r.cancelled, dispatch.Attempt)
-	if over || !dispatch.HasPrompt || c.stopped[i] || c.now.Since(max(c.pausedUntil[i], c.disturbedUntil[i])) < resumeGrace {
+	weights := r.weights[dispatch.Attempt]
+	if over || weights == 0 || c.stopped[i] || c.now.Since(max(c.pausedUntil[i], c.disturbedUntil[i])) < resumeGrace {
 		return
 	}
 	for version, publishedAt := range c.publishedAt {
-		if version > dispatch.WeightsVersion {
-			require.LessOrEqual(c.t, c.now.Since(publishedAt), c.settings[i].Bounds.MaxWeightsAge, "%s begins on weights %d although %d were published\n%s", dispatch.Request, dispatch.WeightsVersion, version, c.logOf(dispatch.Request))
+		if version > weights {
+			require.LessOrEqual(c.t, c.now.Since(publishedAt), c.settings[i].Bounds.MaxWeightsAge, "%s begins on weights %d although %d were published\n%s", dispatch.Request, weights, version, c.logOf(dispatch.Request))
 		}
 	}
 }
@@ -296,6 +312,16 @@
 		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
 		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%c.subjects), Tokens: 300}, {ID: id, Tokens: 300}}
 	}
+	switch {
+	case kind == "lookup":
+		// Its servers have no weights.
+		arrived.Model = model
+	case c.omits == "model":
+		arrived.Model = ""
+		fallthrough
+	case c.omits != "":
+		arrived.PromptTokens, arrived.OutputTokens, arrived.PromptParts = 0, 0, nil
+	}
 	c.requests[id].parts = arrived.PromptParts
 	if c.stopped[i] {
 		c.requests[id].finalActions = 1
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -50,9 +50,9 @@
 	query *query
 	// expectedStartMs is the expected time until the response starts, in milliseconds.
 	expectedStartMs float64
-	// weightsVersion is the version of the weights at the current attempt's server.
-	weightsVersion int64
-	triedServers   map[string]bool
+	// weights are those at the current attempt's server.
+	weights      boundWeights
+	triedServers map[string]bool
 	// leftServers are the tried servers that a stream has left although they had not failed.
 	leftServers []string
 	// partDelivered reports whether the caller has received a part of the stream;
@@ -119,6 +119,7 @@
 	fl.leftServers = nil
 }
 
+// hasPrompt reports whether the size of a prompt is known. A request without one may run on weights too.
 func (fl *flight) hasPrompt() bool { return fl.request.PromptTokens != 0 }
 
 // remaining returns the time until the deadline.
--- a/internal/decision/forwarder/moves.go
+++ b/internal/decision/forwarder/moves.go
@@ -81,7 +81,7 @@
 	}
 	fl.nextMoveAt = f.now.Add(moveRetryDelay)
 	number, plan := f.startAttempt(fl, choice, besideMoving)
-	fl.alternative = &alternative{number: number, move: reason, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weightsVersion: plan.weightsVersion}
+	fl.alternative = &alternative{number: number, move: reason, server: choice.Server, startMs: choice.CostMs, origin: f.originOf(choice.Server), weights: plan.weights}
 	timeout := moveTimeout
 	if reason == moveForLeaving {
 		timeout = max(moveTimeout, clock.Millis(choice.CostMs*silenceFactor))
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -48,14 +48,16 @@
 	}
 }
 
-// withWeights adds the version of the weights to the entry, the time since a newer one was published, and
-// the age of this instance's copy of the published versions.
-func (f *Forwarder) withWeights(entry eventlog.Entry, model string, version int64) eventlog.Entry {
-	if version == 0 {
+// withWeights adds the version of the weights to the entry, if it is that of one model, the time since a newer
+// one was published, and the age of this instance's copy of the published versions.
+func (f *Forwarder) withWeights(entry eventlog.Entry, weights boundWeights) eventlog.Entry {
+	if len(weights.versions) == 0 {
 		return entry
 	}
-	entry = entry.With("weights", version)
-	if supersededAt, superseded := f.rollout.SupersededAt(model, version); superseded {
+	if _, version, ok := weights.sole(); ok {
+		entry = entry.With("weights", version)
+	}
+	if supersededAt, superseded := f.supersededAt(weights); superseded {
 		entry = entry.With("supersededFor", f.now.Since(supersededAt))
 	}
 	confirmedAt := f.replicas.Copy(replicator.Weights).ConfirmedAt
@@ -68,16 +70,25 @@
 // recordServed records the version that the response to the current attempt names, if it is not the one that
 // was sent. That one is no news: the server may have loaded others since it wrote the head.
 func (f *Forwarder) recordServed(fl *flight, version int64) {
-	if version == 0 || !fl.hasPrompt() || version == fl.weightsVersion {
+	model, sent, ok := fl.weights.sole()
+	if !ok || version == 0 || version == sent {
 		return
 	}
 	entry := eventlog.New(eventlog.OtherWeightsServed, fl.id()).With("server", fl.server).With("attempt", fl.attempt)
-	entry = entry.With("sent", fl.weightsVersion).With("served", version)
-	if supersededAt, superseded := f.rollout.SupersededAt(fl.request.Model, version); superseded {
+	entry = entry.With("sent", sent).With("served", version)
+	if supersededAt, superseded := f.rollout.SupersededAt(model, version); superseded {
 		entry = entry.With("supersededFor", f.now.Since(supersededAt))
 	}
 	f.log(entry)
-	f.recordWeights(fl.server, fl.request.Model, version)
+	f.recordWeights(fl.server, model, version)
+}
+
+// recordAnsweredWeights records the version that the response to an attempt names, unless it may be that of
+// another model.
+func (f *Forwarder) recordAnsweredWeights(id string, weights boundWeights, version int64) {
+	if model, _, ok := weights.sole(); ok && version > 0 {
+		f.recordWeights(id, model, version)
+	}
 }
 
 // recordWeights records the version that a server itself reported.
@@ -146,13 +157,9 @@
 }
 
 // hasExpiredWeights reports whether one of the versions is too old to serve requests.
-func (f *Forwarder) hasExpiredWeights(weights map[string]int64) bool {
-	for model, version := range weights {
-		if _, usable := f.weightsPenalty(model, version); !usable {
-			return true
-		}
-	}
-	return false
+func (f *Forwarder) hasExpiredWeights(versions map[string]int64) bool {
+	_, usable := f.weightsPenalty(boundWeights{versions: versions})
+	return !usable
 }
 
 func (f *Forwarder) emitRolloutSteps(steps []rollout.Step) {
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -19,6 +19,9 @@
 		updated int
 		// sentFor is the time for which requests are sent, from 100 ms before the publication.
 		sentFor clock.Millis
+		// omits is what the requests don't state, and models the number of the engines' models.
+		omits  string
+		models int
 		// noRetries leaves no budget for other attempts.
 		noRetries bool
 		// served is the least fraction of the requests that an engine must answer.
@@ -34,11 +37,22 @@
 		"safe responses, sent before":                {kind: "answer", updated: 3, sentFor: 90, noRetries: true},
 		"unsafe responses, others usable":            {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 1},
 		"unsafe responses, sent before":              {kind: "act", updated: 3, sentFor: 90, served: 1},
+		"streams without counts, sent before":        {kind: "stream", omits: "counts", updated: 3, sentFor: 90, served: 1},
+		"streams without a model, others usable":     {kind: "once", omits: "model", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"streams without a model, two models":        {kind: "once", omits: "model", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"streams of one of two models":               {kind: "stream", omits: "counts", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"responses without a model, sent before":     {kind: "act", omits: "model", updated: 3, sentFor: 90, served: 1},
+		"responses without counts, others usable":    {kind: "answer", omits: "counts", updated: 3, sentFor: 6 * clock.Second, served: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				c := newCluster(t, seed, 4)
-				c.timeout = 12 * clock.Second
+				c.timeout, c.omits = 12*clock.Second, test.omits
+				for _, s := range c.servers {
+					if test.models == 2 && s.entry.Service == "engines" {
+						s.entry = s.entry.WithWeightVersion("other", 1)
+					}
+				}
 				for i := range c.settings {
 					c.settings[i].Bounds.RetryExtra = 1000
 					if test.noRetries {
