Let responses that usually take longer than the age limit keep their time

Such a response keeps the caller's time, and may begin late if weights are superseded while it waits (listed in the postmortem). The rows of TestQueuedRequestsDoNotBeginOnSupersededWeights pass unchanged.

--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -80,6 +80,10 @@
 	}
 	if !limited {
 		limit = f.now.Add(f.settings.Bounds.MaxWeightsAge - beginMargin)
+		if f.runTime(fl) > limit.Since(f.now)-sendMargin {
+			// It could never be completed, although newer weights seldom follow.
+			return plan
+		}
 	}
 	plan.serverTimeout = min(plan.serverTimeout, limit.Since(f.now)-sendMargin)
 	plan.sendBefore = min(plan.sendBefore, limit.Add(-plan.serverTimeout))
