Date weights that an earlier build names by the copy that follows

Cause: an earlier build's digest names a version before the copy arrives that shows its position in the store. Change: the copy gets 500 ms to arrive, and dates a version that is known from a digest alone. Versions before the newest are in no copy, and are recorded at once as before.

--- a/internal/decision/forwarder/duework.go
+++ b/internal/decision/forwarder/duework.go
@@ -13,6 +13,7 @@
 	f.refuseConvicted()
 	f.endSuspicions()
 	f.refuseFailedTunnels()
+	f.addNamedWeights()
 	f.withdrawLate()
 	f.checkFlights()
 	f.sendWaiting()
--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -1,6 +1,10 @@
 package forwarder
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
@@ -18,6 +22,8 @@
 	// maxServerWaitDivisor sets the longest wait of a request at a server to the age limit divided by this:
 	// callers leave, or are answered, before that.
 	maxServerWaitDivisor = 2
+	// copyDelay is the time in which a copy of the store's objects usually follows a digest.
+	copyDelay = 500 * clock.Millisecond
 	// agesRepeated is the time for which all digests have the ages of weights that are new.
 	agesRepeated = clock.Second
 )
@@ -31,16 +37,34 @@
 	// digests have the ages.
 	stalledAt   clock.Millis
 	repeatUntil clock.Millis
+	// newest has the newest version of each model's weights that came with its position in the store.
+	newest map[string]int64
+	// named has the times at which an earlier build named versions that are not known yet.
+	named map[namedWeights]clock.Millis
+}
+
+// namedWeights is a version of a model's weights.
+type namedWeights struct {
+	model   string
+	version int64
 }
 
-func newWeightsAges() weightsAges { return weightsAges{revisions: revisiondater.New()} }
+func (n namedWeights) compare(other namedWeights) int {
+	return cmp.Or(cmp.Compare(n.model, other.model), cmp.Compare(n.version, other.version))
+}
 
-// handleWeightsPublished records newer weights. A later change of a known version says nothing about its
-// publication.
+func newWeightsAges() weightsAges {
+	return weightsAges{revisions: revisiondater.New(), newest: map[string]int64{}, named: map[namedWeights]clock.Millis{}}
+}
+
+// handleWeightsPublished records newer weights, also if a digest has named them before. A later change of the
+// same version says nothing about its publication.
 func (f *Forwarder) handleWeightsPublished(published WeightsPublished) {
-	if known, _ := f.rollout.Knows(published.Model, published.Version); known {
+	known, _ := f.rollout.Knows(published.Model, published.Version)
+	if known && published.Version <= f.weightsAges.newest[published.Model] {
 		return
 	}
+	f.weightsAges.newest[published.Model] = max(f.weightsAges.newest[published.Model], published.Version)
 	publishedAt, exact := f.datePublication(published)
 	f.addWeights(published.Model, published.Version, publishedAt, exact, "store")
 }
@@ -113,12 +137,32 @@
 	forEachAge(message.WeightsAges, observe)
 	forEachAge(message.WeightsBounds, bound)
 	name := func(model string, version int64, _ clock.Millis) {
-		if known, _ := f.rollout.Knows(model, version); !known {
-			f.addWeights(model, version, f.earliestPublication(model, version), false, "earlierBuild")
+		named := namedWeights{model: model, version: version}
+		if _, waiting := f.weightsAges.named[named]; !waiting {
+			f.weightsAges.named[named] = f.now
 		}
 	}
 	forEachAge(message.EarlierAges, name)
 	forEachAge(message.EarlierBounds, name)
+	f.addNamedWeights()
+}
+
+// addNamedWeights records the versions that an earlier build has named. The copy from which it has the newest
+// one tells more about the publication, so that there is some time for it to arrive.
+func (f *Forwarder) addNamedWeights() {
+	if len(f.weightsAges.named) == 0 {
+		return
+	}
+	for _, named := range slices.SortedFunc(maps.Keys(f.weightsAges.named), namedWeights.compare) {
+		known, _ := f.rollout.Knows(named.model, named.version)
+		if !known && named.version > f.rollout.Newest(named.model) && f.now.Since(f.weightsAges.named[named]) < copyDelay {
+			continue
+		}
+		delete(f.weightsAges.named, named)
+		if !known {
+			f.addWeights(named.model, named.version, f.earliestPublication(named.model, named.version), false, "earlierBuild")
+		}
+	}
 }
 
 func forEachAge(byModel map[string]map[int64]clock.Millis, do func(model string, version int64, age clock.Millis)) {
