Test that streams that wait, move or go on elsewhere begin in time

Eight rows of TestQueuedRequestsDoNotBeginOnSupersededWeights for the ways to a beginning that its table did not have: servers that decline, break off or do not receive requests (streams of both kinds and unsafe responses), requests that wait for capacity, for engines that crash, and for the replies of keepers (24 instances), streams that callers resume at another instance, and streams that move from engines that stop.

--- a/internal/decision/forwarder/cluster_test.go
+++ b/internal/decision/forwarder/cluster_test.go
@@ -134,6 +134,8 @@
 	lossPercent int
 	// omits is what requests of engines don't state: "counts" of tokens, or not even a "model".
 	omits string
+	// resumed is the request whose stream all new requests resume; empty for none.
+	resumed string
 	// parts has the crashes of engines by parts of prompts; nil where no part crashes them.
 	parts *partCrashes
 
--- a/internal/decision/forwarder/dispatch_test.go
+++ b/internal/decision/forwarder/dispatch_test.go
@@ -312,6 +312,9 @@
 		arrived.Model, arrived.PromptTokens, arrived.OutputTokens = model, 1000, 20
 		arrived.PromptParts = []scheduler.Part{{ID: "a", Tokens: 400}, {ID: fmt.Sprint("b", len(c.requests)%c.subjects), Tokens: 300}, {ID: id, Tokens: 300}}
 	}
+	if c.resumed != "" {
+		arrived.ResumedRequest, arrived.LastEventID = c.resumed, "1"
+	}
 	switch {
 	case kind == "lookup":
 		// Its servers have no weights.
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -1,6 +1,8 @@
 package forwarder_test
 
 import (
+	"cmp"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,36 +24,49 @@
 		// omits is what the requests don't state, and models the number of the engines' models.
 		omits  string
 		models int
+		// instances is the number of instances, and slots that of an engine; 0 for the usual ones.
+		instances, slots int
+		// disturb is called each time that a request is sent.
+		disturb func(*cluster)
 		// noRetries leaves no budget for other attempts.
 		noRetries bool
 		// served is the least fraction of the requests that an engine must answer.
 		served float64
 	}{
-		"resumable streams, others usable":           {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"resumable streams, no other":                {kind: "stream", sentFor: 6 * clock.Second},
-		"other streams, others usable":               {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
-		"other streams, no other":                    {kind: "once", sentFor: 6 * clock.Second},
-		"sent before the weights were superseded":    {kind: "stream", updated: 3, sentFor: 90, served: 1},
-		"not resumable, sent before the new weights": {kind: "once", updated: 3, sentFor: 90},
-		"safe responses, others usable":              {kind: "answer", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"safe responses, sent before":                {kind: "answer", updated: 3, sentFor: 90, noRetries: true},
-		"unsafe responses, others usable":            {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"unsafe responses, sent before":              {kind: "act", updated: 3, sentFor: 90, served: 1},
-		"streams without counts, sent before":        {kind: "stream", omits: "counts", updated: 3, sentFor: 90, served: 1},
-		"streams without a model, others usable":     {kind: "once", omits: "model", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
-		"streams without a model, two models":        {kind: "once", omits: "model", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 0.8},
-		"streams of one of two models":               {kind: "stream", omits: "counts", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"responses without a model, sent before":     {kind: "act", omits: "model", updated: 3, sentFor: 90, served: 1},
-		"responses without counts, others usable":    {kind: "answer", omits: "counts", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"resumable streams, others usable":            {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"resumable streams, no other":                 {kind: "stream", sentFor: 6 * clock.Second},
+		"other streams, others usable":                {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"other streams, no other":                     {kind: "once", sentFor: 6 * clock.Second},
+		"sent before the weights were superseded":     {kind: "stream", updated: 3, sentFor: 90, served: 1},
+		"not resumable, sent before the new weights":  {kind: "once", updated: 3, sentFor: 90},
+		"safe responses, others usable":               {kind: "answer", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"safe responses, sent before":                 {kind: "answer", updated: 3, sentFor: 90, noRetries: true},
+		"unsafe responses, others usable":             {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"unsafe responses, sent before":               {kind: "act", updated: 3, sentFor: 90, served: 1},
+		"streams without counts, sent before":         {kind: "stream", omits: "counts", updated: 3, sentFor: 90, served: 1},
+		"streams without a model, others usable":      {kind: "once", omits: "model", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"streams without a model, two models":         {kind: "once", omits: "model", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"streams of one of two models":                {kind: "stream", omits: "counts", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"responses without a model, sent before":      {kind: "act", omits: "model", updated: 3, sentFor: 90, served: 1},
+		"responses without counts, others usable":     {kind: "answer", omits: "counts", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"streams that servers decline or break off":   {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 0.5, disturb: failSome},
+		"others that servers decline or break off":    {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.3, disturb: failSome},
+		"responses that servers decline or break off": {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 0.3, disturb: failSome},
+		"streams that wait for capacity":              {kind: "stream", sentFor: 6 * clock.Second, slots: 2},
+		"streams that wait for engines":               {kind: "stream", sentFor: 6 * clock.Second, disturb: crashSome},
+		"streams that wait for keepers":               {kind: "stream", sentFor: 6 * clock.Second, instances: 24},
+		"streams that are resumed":                    {kind: "stream", sentFor: 6 * clock.Second, disturb: resumeFirst},
+		"streams that are moved":                      {kind: "stream", sentFor: 6 * clock.Second, disturb: leaveSome},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
-				c := newCluster(t, seed, 4)
+				c := newCluster(t, seed, cmp.Or(test.instances, 4))
 				c.timeout, c.omits = 12*clock.Second, test.omits
 				for _, s := range c.servers {
 					if test.models == 2 && s.entry.Service == "engines" {
 						s.entry = s.entry.WithWeightVersion("other", 1)
 					}
+					s.entry.Slots = cmp.Or(test.slots, s.entry.Slots)
 				}
 				for i := range c.settings {
 					c.settings[i].Bounds.RetryExtra = 1000
@@ -83,6 +98,9 @@
 							s.queue = 6500
 						}
 					}
+					if test.disturb != nil {
+						test.disturb(c)
+					}
 					c.sendRequest(c.random.IntN(len(c.instances)), test.kind)
 					c.run(20)
 				}
@@ -97,6 +115,31 @@
 	}
 }
 
+// failSome lets servers decline, break off and not receive requests.
+func failSome(c *cluster) {
+	c.faultPercents = map[forwarder.Outcome]int{forwarder.OutcomeDeclined: 20, forwarder.OutcomeInterrupted: 20, forwarder.OutcomeNotSent: 10}
+}
+
+// crashSome lets servers crash and come back.
+func crashSome(c *cluster) { c.oneIn(20, c.crashServer) }
+
+// leaveSome lets an engine say every second that it will stop, so that its streams move.
+func leaveSome(c *cluster) {
+	c.streamDuration = 4 * clock.Second
+	if n := len(c.requests); n%50 == 49 {
+		c.servers[fmt.Sprint("e", n/50)].leaving = true
+	}
+}
+
+// resumeFirst lets callers resume the first stream that has begun.
+func resumeFirst(c *cluster) {
+	for n := 0; c.resumed == "" && n < len(c.requests); n++ {
+		if id := fmt.Sprint("stream-", n); c.requests[id].partDelivered {
+			c.resumed = id
+		}
+	}
+}
+
 // loadWeights gives a number of engines the newest weights, as they report themselves.
 func (c *cluster) loadWeights(count int) {
 	for _, id := range c.serverIDs()[:count] {
