Apply a changed age limit of weights to requests that wait at servers

After a reload of the settings with a lower version_ms, callers could get streams that began up to a second after the new limit.

Cause: the time of the next check for requests that have not begun is computed from the limit, and was not computed anew when the limit changed.

Evidence: TestLowerAgeLimitAppliesToWaitingRequests failed before: a stream began 3,910 ms after the publication, bound 3,400.

Change: a reload of the settings makes the next check due. The test passes.

--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -216,3 +216,17 @@
 	c.runConfirmed(4 * clock.Second)
 	require.IsType(t, forwarder.ForwardResponse{}, c.requests[id].finalAction, c.logOf(id))
 }
+
+// TestLowerAgeLimitAppliesToWaitingRequests lowers the age limit while requests wait at engines.
+func TestLowerAgeLimitAppliesToWaitingRequests(t *testing.T) {
+	t.Parallel()
+	for offset := clock.Millis(0); offset < clock.Second; offset += 100 {
+		c := superseded(t, 3*clock.Second, offset)
+		id := c.sendRequest(0, "stream")
+		c.runConfirmed(2200)
+		c.settings[0].Bounds.MaxWeightsAge = offset + 2500
+		c.step(0, forwarder.SettingsReloaded{Settings: c.settings[0]})
+		c.runConfirmed(4 * clock.Second)
+		require.Equal(t, 1, c.requests[id].finalActions, c.logOf(id))
+	}
+}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -297,4 +297,6 @@
 		f.retryBudget = retrybudget.New(settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, settings.Bounds.RetryWindow)
 	}
 	f.settings.Bounds = settings.Bounds
+	// The age limit of weights may have changed.
+	f.nextWithdrawal = f.now
 }
