Take no event that clients ignore for the beginning of a stream

A server that sends an event without data and identifier (a `retry` time, a type alone) before its first token would make the instance take the stream for begun: it is not withdrawn at the age limit of its weights, its silence is not looked at, and its caller has the head of a response that may still be refused.

Cause: each event ended the wait for the first one, though the checker of streams already tells those apart that clients ignore. Comments were held back.

Evidence: TestEventThatClientsIgnoreBeginsNoStream failed in three of four cases.

Change: such events before the first token are held back, as comments are, and passed on with it, or at the end of a stream that has none. An event with an identifier and no data still counts as a beginning.

--- a/internal/decision/streamchecker/streamchecker.go
+++ b/internal/decision/streamchecker/streamchecker.go
@@ -86,6 +86,9 @@
 	return c, nil
 }
 
+// Began reports whether the attempt has had an event that clients don't ignore.
+func (c Checker) Began() bool { return c.began }
+
 // LastID returns the identifier of the last event; empty for none.
 func (c Checker) LastID() string { return c.lastID }
 
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -60,13 +60,33 @@
 	}
 }
 
-// next returns the next event, as eventReader.next does. unproven is the number of attempts before
+// next returns the next event, as eventReader.next does. The first one comes with the events before it that
+// clients ignore: they don't show that the server has begun. unproven is the number of attempts before
 // whose end did not show that the stream is complete.
 func (s *openStream) next(unproven int) ([]byte, error) {
 	if s.hasFirst {
 		s.hasFirst = false
 		return s.first, s.firstErr
 	}
+	var ignored []byte
+	for {
+		event, err := s.nextChecked(unproven)
+		switch {
+		case err == nil && s.checker.Began():
+			return append(ignored, event...), nil
+		case err == io.EOF && len(event) == 0 && len(ignored) > 0:
+			return ignored, nil
+		case err != nil:
+			return event, err
+		}
+		if ignored = append(ignored, event...); len(ignored) > maxEventBytes {
+			return ignored, errors.Errorf("the events before the first token are longer than %d bytes", maxEventBytes)
+		}
+	}
+}
+
+// nextChecked returns the next event once it is checked.
+func (s *openStream) nextChecked(unproven int) ([]byte, error) {
 	event, err := s.events.next()
 	switch {
 	case err == nil:
--- a/internal/runtime/edge/moved_test.go
+++ b/internal/runtime/edge/moved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"strings"
 	"testing"
 
@@ -68,3 +69,28 @@
 		})
 	}
 }
+
+// TestEventThatClientsIgnoreBeginsNoStream guards against a request that counts as begun while it still waits at
+// its server, which may be until its weights are too old.
+func TestEventThatClientsIgnoreBeginsNoStream(t *testing.T) {
+	for name, ignored := range map[string]string{"none": "", "a retry time": "retry: 100\n\n", "a type": "event: x\n\n", "two": "retry: 100\n\n: c\n\nevent: x\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			next := func(text string) []string {
+				stream := &openStream{checker: streamchecker.New(""), framed: true, events: &eventReader{reader: bufio.NewReader(strings.NewReader(text))}}
+				var events []string
+				for {
+					event, err := stream.next(0)
+					if err != nil {
+						require.Equal(t, io.EOF, err)
+						require.Empty(t, event)
+						return events
+					}
+					events = append(events, string(event))
+				}
+			}
+			token := "id: 1\ndata: x\n\n"
+			require.Equal(t, []string{ignored + token, "retry: 5\n\n", "id: 2\ndata: y\n\n"}, next(ignored+token+"retry: 5\n\nid: 2\ndata: y\n\n"))
+			require.Equal(t, ignored, strings.Join(next(ignored), ""), "a stream without tokens is passed on")
+		})
+	}
+}
