Let no version that a restored store names extend the use of older weights

An instance that knows a version of weights only from a copy (its publication was not observed), and whose store comes back from an older copy and names a lower version for the first time, gave older weights a new time: callers could get responses that began on them until six seconds after the later publication, although newer weights had been known for longer.

Cause: the age of a version counts from the first newer one, and of those after that only observed publications counted. That is right where versions are named in order, as a lower bound of a later one says nothing then; after a restored store the one in between is the later one.

Evidence: the new case of TestSuperseded: 5 known at 1,200 ms with the bound 1,000, then 3 with 8,500 ms: the age of 1 counted from 8,500, expected 1,000, whether the publication of 3 was observed or not.

Change: versions have the time at which they became known. One that was known before the first newer one was published counts, too. AddVersion gets the current time, and its callers in tests pass it.

--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -94,7 +94,7 @@
 // addWeights records published weights, of which this instance learned from the store or a peer.
 func (f *Forwarder) addWeights(model string, version int64, publishedAt clock.Millis, exact bool, from string) {
 	known, wasExact := f.rollout.Knows(model, version)
-	newer, changed := f.rollout.AddVersionAfterGap(model, version, publishedAt, f.earliestPublication(model, version), exact)
+	newer, changed := f.rollout.AddVersionAfterGap(f.now, model, version, publishedAt, f.earliestPublication(model, version), exact)
 	if changed {
 		f.nextWithdrawal = f.now
 	}
--- a/internal/decision/rollout/era_test.go
+++ b/internal/decision/rollout/era_test.go
@@ -106,7 +106,7 @@
 			case 5:
 				s.controllers[i] = rollout.New(fmt.Sprintf("edge-%d@10.0.0.%d", i, i), minHandover)
 				for v := int64(2); v <= version; v++ {
-					s.controllers[i].AddVersion(model, v, s.now, false)
+					s.controllers[i].AddVersion(s.now, model, v, s.now, false)
 				}
 			case 6, 7:
 				s.goBack(clock.Millis(s.random.IntN(8000)))
--- a/internal/decision/rollout/rollout.go
+++ b/internal/decision/rollout/rollout.go
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	controller := rollout.New("edge-1@10.0.0.1", minHandover)
-//	controller.AddVersion("model", 2, now, true)
+//	controller.AddVersion(now, "model", 2, now, true)
 //	for _, step := range controller.Next(now, view) { ... }
 //	controller.HandleLeaseRead(now, response)
 //	controller.HandleReport(now, server, report)
--- a/internal/decision/rollout/rollout_test.go
+++ b/internal/decision/rollout/rollout_test.go
@@ -137,7 +137,7 @@
 	s.publish(2)
 	s.run(2600)
 	s.controllers[0] = rollout.New("edge-0@10.0.0.0", minHandover)
-	s.controllers[0].AddVersion(model, 2, s.now, true)
+	s.controllers[0].AddVersion(s.now, model, 2, s.now, true)
 	s.run(5500)
 	require.Equal(t, 9, s.updated(2))
 	s.requireOneHolder()
@@ -169,7 +169,7 @@
 			case 5:
 				s.controllers[i] = rollout.New(fmt.Sprintf("edge-%d@10.0.0.%d", i, i), minHandover)
 				for v := int64(2); v <= version; v++ {
-					s.controllers[i].AddVersion(model, v, s.now, false)
+					s.controllers[i].AddVersion(s.now, model, v, s.now, false)
 				}
 			}
 		}
@@ -194,9 +194,9 @@
 // version, and that an observed time of publication replaces an estimate.
 func TestSuperseded(t *testing.T) {
 	controller := rollout.New("edge", minHandover)
-	controller.AddVersion(model, 1, 0, true)
-	controller.AddVersion(model, 2, 1000, true)
-	controller.AddVersion(model, 3, 4000, true)
+	controller.AddVersion(0, model, 1, 0, true)
+	controller.AddVersion(1000, model, 2, 1000, true)
+	controller.AddVersion(4000, model, 3, 4000, true)
 	since, outdated := controller.SupersededAt(model, 1)
 	require.True(t, outdated)
 	require.Equal(t, clock.Second, since)
@@ -204,22 +204,32 @@
 	require.False(t, outdated)
 
 	late := rollout.New("late", minHandover)
-	late.AddVersion(model, 3, -2000, false)
-	late.AddVersion(model, 2, 1000, true)
-	late.AddVersion(model, 3, 4000, true)
+	late.AddVersion(4000, model, 3, -2000, false)
+	late.AddVersion(4000, model, 2, 1000, true)
+	late.AddVersion(4000, model, 3, 4000, true)
 	since, _ = late.SupersededAt(model, 2)
 	require.Equal(t, 4*clock.Second, since, "a peer observed the publication")
 	since, _ = late.SupersededAt(model, 1)
 	require.Equal(t, clock.Second, since)
 
 	started := rollout.New("started", minHandover)
-	started.AddVersion(model, 1, -9000, false)
-	started.AddVersionAfterGap(model, 3, 4000, -2000, true)
+	started.AddVersion(4000, model, 1, -9000, false)
+	started.AddVersionAfterGap(4000, model, 3, 4000, -2000, true)
 	since, _ = started.SupersededAt(model, 1)
 	require.Equal(t, -2*clock.Second, since, "another version may have come first")
 	since, _ = started.SupersededAt(model, 2)
 	require.Equal(t, 4*clock.Second, since)
-	started.AddVersion(model, 2, 1000, true)
+	started.AddVersion(4000, model, 2, 1000, true)
 	since, _ = started.SupersededAt(model, 1)
 	require.Equal(t, clock.Second, since, "it was version 2")
+
+	// A restored store names 3 when 5 is known.
+	for name, exact := range map[string]bool{"observed": true, "bounded": false} {
+		restored := rollout.New("restored", minHandover)
+		restored.AddVersion(0, model, 1, 0, true)
+		restored.AddVersion(1200, model, 5, 1000, false)
+		restored.AddVersion(9000, model, 3, 8500, exact)
+		since, _ = restored.SupersededAt(model, 1)
+		require.Equal(t, clock.Second, since, "3 is %s, and 5 was published before it", name)
+	}
 }
--- a/internal/decision/rollout/simulation_test.go
+++ b/internal/decision/rollout/simulation_test.go
@@ -294,7 +294,7 @@
 // publish publishes the version to all instances.
 func (s *simulation) publish(version int64) {
 	for _, controller := range s.controllers {
-		controller.AddVersion(model, version, s.now, true)
+		controller.AddVersion(s.now, model, version, s.now, true)
 	}
 }
 
--- a/internal/decision/rollout/versions.go
+++ b/internal/decision/rollout/versions.go
@@ -17,6 +17,8 @@
 	// gapSince is the earliest possible time of publication of versions between the one before and
 	// this one, of which this instance does not know.
 	gapSince clock.Millis
+	// learnedAt is the time at which it became known here; it was published before.
+	learnedAt clock.Millis
 }
 
 // versionHistory are the latest versions of a model's weights, the oldest first.
@@ -37,18 +39,18 @@
 	return slices.BinarySearchFunc(h, version, func(p publishedVersion, version int64) int { return cmp.Compare(p.version, version) })
 }
 
-// AddVersion records a published version of a model's weights. If no instance has
+// AddVersion records a published version of a model's weights, which becomes known now. If no instance has
 // observed the publication, exact is false and publishedAt is the earliest possible time. A
 // later bound replaces an earlier one, an observed time replaces a bound, and an earlier
 // observed time replaces a later one. AddVersion reports whether the version is newer than
 // all known ones, and whether a time has changed.
-func (c *Controller) AddVersion(model string, version int64, publishedAt clock.Millis, exact bool) (newer, changed bool) {
-	return c.AddVersionAfterGap(model, version, publishedAt, publishedAt, exact)
+func (c *Controller) AddVersion(now clock.Millis, model string, version int64, publishedAt clock.Millis, exact bool) (newer, changed bool) {
+	return c.AddVersionAfterGap(now, model, version, publishedAt, publishedAt, exact)
 }
 
 // AddVersionAfterGap does the same for a version before which others may have been published that are not
 // known, but not before gapSince.
-func (c *Controller) AddVersionAfterGap(model string, version int64, publishedAt, gapSince clock.Millis, exact bool) (newer, changed bool) {
+func (c *Controller) AddVersionAfterGap(now clock.Millis, model string, version int64, publishedAt, gapSince clock.Millis, exact bool) (newer, changed bool) {
 	known := c.versions[model]
 	index, found := known.search(version)
 	if found {
@@ -60,7 +62,7 @@
 		return false, false
 	}
 	newer = version > known.newest().version
-	known = slices.Insert(known, index, publishedVersion{version: version, publishedAt: publishedAt, exact: exact, gapSince: gapSince})
+	known = slices.Insert(known, index, publishedVersion{version: version, publishedAt: publishedAt, exact: exact, gapSince: gapSince, learnedAt: now})
 	c.versions[model] = known[max(0, len(known)-maxVersions):]
 	return newer, true
 }
@@ -116,8 +118,9 @@
 		at = min(at, known[first].gapSince)
 	}
 	for _, later := range known[first+1:] {
-		// A version that a restored store names for the first time is not newer than these.
-		if later.exact {
+		// A version that a restored store names for the first time is not newer than those that were
+		// published or known before it.
+		if later.exact || later.learnedAt < at {
 			at = min(at, later.publishedAt)
 		}
 	}
