End the connection of a cancelled attempt although its server has not read the request

Cause: a plain close lets the kernel deliver first what was written. A server that does not read keeps its window closed, and sees neither an end nor a reset; when it reads, it gets the whole request before the end. Through another instance also that one did not see it: it was blocked in writing to the server, and read nothing from the one that had left. Class: what this process does to its own end is taken for what the other end sees. Change: a connection with unsent bytes is reset (conncloser); its request was incomplete at the server, which can't begin it any more. All others end in order as before, as a lost reset is not repeated. A blocked write for another instance checks every 20 ms whether that one has left.

--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -15,8 +16,10 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/conncloser"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/framer"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/inputpoller"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -32,6 +35,9 @@
 	// reads no more while its caller does not, which it allows for up to 5 s at a time
 	// (httpserver). With 4 s, streams of callers that paused were cut.
 	tunnelAckTimeout = 10 * clock.Second
+	// peerCheckInterval is the interval at which a blocked write to a server checks whether the other
+	// instance has left.
+	peerCheckInterval = 20 * time.Millisecond
 )
 
 // tunnelNumber numbers the tunnels for other instances.
@@ -129,7 +135,7 @@
 		e.machine.submit(connected)
 		return false
 	}
-	defer server.Close()
+	defer conncloser.Close(server)
 	e.machine.submit(connected)
 	e.meter.Add("tunnelsOpened", 1)
 	peer, buffered, err := http.NewResponseController(w).Hijack()
@@ -140,14 +146,14 @@
 	if !greet(peer) || open.Probe {
 		return true
 	}
-	stop := context.AfterFunc(ctx, func() { _ = peer.Close(); _ = server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = peer.Close(); _ = conncloser.Close(server) })
 	defer stop()
 	go func() {
 		defer e.recoverPanic("tunnel")
 		// The other instance ends the request by closing its connection.
 		buffer := make([]byte, tunnelBufferBytes)
-		_, _ = io.CopyBuffer(&requestWriter{target: server, allowed: before(open.SendBefore)}, readerOnly{buffered.Reader}, buffer)
-		_ = server.Close()
+		_, _ = io.CopyBuffer(&requestWriter{target: &serverWriter{server: server, peer: peer}, allowed: before(open.SendBefore)}, readerOnly{buffered.Reader}, buffer)
+		_ = conncloser.Close(server)
 		_ = peer.Close()
 	}()
 	e.copyResponse(peer, server, open, requestID)
@@ -228,6 +234,25 @@
 // readerOnly hides the method that would copy without the buffer.
 type readerOnly struct{ io.Reader }
 
+// serverWriter writes to a server until the other instance closes its connection, which nobody reads
+// meanwhile.
+type serverWriter struct{ server, peer net.Conn }
+
+// Write writes to the server.
+func (w *serverWriter) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		if err := w.server.SetWriteDeadline(time.Now().Add(peerCheckInterval)); err != nil {
+			return written, err
+		}
+		n, err := w.server.Write(data[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) || inputpoller.HasEnded(w.peer) {
+			return written, err
+		}
+	}
+}
+
 // requestWriter writes what the other instance sends, if the beginning is still allowed: this
 // process may have been paused since the tunnel was admitted.
 type requestWriter struct {
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/conncloser"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -281,7 +282,7 @@
 func (e *Exchange) closeConn() {
 	e.closeOnce.Do(func() {
 		// The error is ignored: the connection is not used again.
-		_ = e.conn.Close()
+		_ = conncloser.Close(e.conn)
 		e.closed()
 	})
 }
--- a/internal/runtime/httpclient/tunnel.go
+++ b/internal/runtime/httpclient/tunnel.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/conncloser"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/framer"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -58,6 +59,9 @@
 // Read reads what the server has sent.
 func (c *tunnelConn) Read(buffer []byte) (int, error) { return c.reader.Read(buffer) }
 
+// Close closes the connection to the other instance.
+func (c *tunnelConn) Close() error { return conncloser.Close(c.Conn) }
+
 // open opens a connection to the address. Its error is a NotSentError with a verdict.
 func (t *Tunnel) open(ctx context.Context, dial func(address string) (net.Conn, error), address string) (net.Conn, error) {
 	conn, err := dial(t.Address)
--- a/internal/runtime/inputpoller/inputpoller.go
+++ b/internal/runtime/inputpoller/inputpoller.go
@@ -1,5 +1,6 @@
 // Package inputpoller reports whether the kernel holds input that has not been read from a
-// connection, or connections that have not been accepted from a listener. A read or an accept whose
+// connection, or connections that have not been accepted from a listener, and whether the other end
+// has closed a connection that is not being read. A read or an accept whose
 // deadline has passed returns an error without looking.
 //
 // # Usage
@@ -15,7 +16,14 @@
 
 // HasInput reports whether the next read or accept will not block. The source is a connection or
 // a listener; it reports false for one that is closed or has no file descriptor.
-func HasInput(source any) bool {
+func HasInput(source any) bool { return polls(source, unix.POLLIN) }
+
+// HasEnded reports whether the other end has closed the connection, even if what it sent before has
+// not been read. It reports false for one that is closed here or has no file descriptor.
+func HasEnded(source any) bool { return polls(source, unix.POLLRDHUP) }
+
+// polls reports whether one of the events, or an error, is pending.
+func polls(source any, events int16) bool {
 	socket, ok := source.(syscall.Conn)
 	if !ok {
 		return false
@@ -24,11 +32,11 @@
 	if err != nil {
 		return false
 	}
-	ready := false
+	pending := false
 	err = raw.Control(func(descriptor uintptr) {
-		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: events}}
 		count, pollErr := unix.Poll(polled, 0)
-		ready = pollErr == nil && count > 0
+		pending = pollErr == nil && count > 0
 	})
-	return err == nil && ready
+	return err == nil && pending
 }
