Give up connecting to a server for an instance that has left

Callers saw: nothing. Change: the connect ends with the context of the other instance's request, and shows nothing about the server then.

--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -95,7 +95,7 @@
 		}
 		switch action := action.(type) {
 		case forwarder.OpenTunnel:
-			if e.runTunnel(w, action, r.Header.Get(httpclient.TunnelRequest)) {
+			if e.runTunnel(w, r, action) {
 				return
 			}
 		case forwarder.RefuseTunnel:
@@ -117,14 +117,23 @@
 
 // runTunnel connects to the server and copies bytes. It reports false if the connect has failed;
 // then the state machine decides what that shows.
-func (e *Edge) runTunnel(w http.ResponseWriter, open forwarder.OpenTunnel, requestID string) bool {
+func (e *Edge) runTunnel(w http.ResponseWriter, r *http.Request, open forwarder.OpenTunnel) bool {
 	ctx, cancel := context.WithTimeout(e.ctx, open.Timeout.Duration())
 	defer cancel()
 	if !before(open.SendBefore)() {
 		writeRefusal(w, tunnelverdict.HeldBack, "")
 		return true
 	}
+	// The context of the request ends when the other instance leaves.
+	stopConnect := context.AfterFunc(r.Context(), cancel)
 	server, err := httpclient.Connect(ctx, open.Address)
+	if !stopConnect() {
+		// The end of the connect shows nothing about the server.
+		if err == nil {
+			_ = server.Close()
+		}
+		return true
+	}
 	connected := forwarder.TunnelConnected{Tunnel: open.Tunnel, Verdict: tunnelverdict.Reached}
 	if err != nil {
 		connected.Verdict = tunnelverdict.Unanswered
@@ -156,7 +165,7 @@
 		_ = conncloser.Close(server)
 		_ = peer.Close()
 	}()
-	e.copyResponse(peer, server, open, requestID)
+	e.copyResponse(peer, server, open, r.Header.Get(httpclient.TunnelRequest))
 	return true
 }
 
