Count a reply as agreement with a presumed origin only if it was compared

Cause: an instance presumes the only version that it has listed, and asks others whether they have seen another one; answers without looking at that question, and any answer without contradiction counted as agreement. Change: a reply names the presumed origin if its sender has compared it and has seen no other; only such replies make the majority.

--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -35,6 +35,8 @@
 	// is none. contradicted reports whether an instance has seen another possible one.
 	presumed     originkeeper.Origin
 	contradicted bool
+	// agreed are the addresses of the instances that have seen no other one.
+	agreed map[string]bool
 	// waited reports whether it has waited for the time from which an assignment shows it.
 	waited  bool
 	service string
@@ -142,7 +144,7 @@
 		f.resumeStream(fl, origin, f.settings.Name)
 		return
 	}
-	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}}
+	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}, agreed: map[string]bool{}}
 	if fl.route.Resumable && fl.request.ResumedRequest == "" {
 		fl.lookup.presumed, _ = f.soleOrigin(fl.service)
 	}
@@ -232,6 +234,9 @@
 		reply := originmessage.Message{Kind: originmessage.Reply, ID: message.ID, Stream: message.Stream}
 		reply.Origin, reply.Known = f.origins.Find(f.now, message.Stream)
 		reply.Conflicting = f.origins.Conflicting(f.now, message.Stream) || (message.Origin.Service != "" && f.contradicts(message.Origin))
+		if !reply.Known && !reply.Conflicting {
+			reply.Origin = message.Origin
+		}
 		f.sendOriginMessage(reply, message.Address)
 	case originmessage.Reply:
 		f.handleOriginReply(message)
@@ -259,6 +264,10 @@
 		return
 	}
 	fl.lookup.replied[reply.Address] = true
+	if reply.Origin == fl.lookup.presumed {
+		// The reply of an earlier build says nothing about the presumed origin.
+		fl.lookup.agreed[reply.Address] = true
+	}
 	if f.havePeers && len(fl.lookup.replied) == len(fl.lookup.asked) {
 		f.resolveUnknownOrigin(fl)
 	}
--- a/internal/decision/forwarder/origins_test.go
+++ b/internal/decision/forwarder/origins_test.go
@@ -23,6 +23,9 @@
 	c.deliver(from, send.Address, len(encoded), func(to int) {
 		received, err := datagram.DecodeOriginMessage(encoded)
 		require.NoError(c.t, err)
+		if _, earlier := c.earlierBuilds[to]; earlier && received.Kind == originmessage.Query {
+			received.Origin = originkeeper.Origin{}
+		}
 		c.step(to, forwarder.OriginMessageReceived{Message: received})
 	})
 }
--- a/internal/decision/forwarder/out_of_step_test.go
+++ b/internal/decision/forwarder/out_of_step_test.go
@@ -156,17 +156,24 @@
 	}
 	for _, size := range []struct{ instances, seeds int }{{7, *outOfStepSeeds}, {67, 1}, {295, 1}} {
 		for name, leave := range leaves {
-			for _, variant := range []struct{ assigns, named bool }{{true, false}, {false, false}, {true, true}, {false, true}} {
+			// The others run an earlier build after the calm time if earlier is set.
+			for _, variant := range []struct{ assigns, named, earlier bool }{{assigns: true}, {}, {assigns: true, named: true}, {named: true}, {earlier: true}} {
 				isUsual := name == "cut off" && variant.assigns || name == "suspended" && size.instances < 295
-				if size.instances > 7 && (raceDetector || variant.named || !isUsual) {
+				if size.instances > 7 && (raceDetector || variant.named || variant.earlier || !isUsual) {
 					continue
 				}
-				t.Run(fmt.Sprintf("%d instances, %s, assignments %t, named %t", size.instances, name, variant.assigns, variant.named), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d instances, %s, assignments %t, named %t, earlier builds %t", size.instances, name, variant.assigns, variant.named, variant.earlier), func(t *testing.T) {
 					t.Parallel()
 					calm, resumed, newer := share{}, share{}, 0
 					for seed := range uint64(size.seeds) {
 						o := newOutOfStep(t, seed, size.instances, variant.assigns)
 						before, _ := o.play(2*clock.Second, variant.named)
+						o.earlierBuilds = map[int]earlierBuild{}
+						for i := range o.instances {
+							if variant.earlier && i != o.index {
+								o.earlierBuilds[i] = earlierBuild{}
+							}
+						}
 						leave(o)
 						o.after(outOfStepGap+clock.Millis(o.random.IntN(1000)), func() { o.listAssignments(o.index) })
 						o.release()
@@ -200,6 +207,12 @@
 			c.stopped[1+i] = true
 		}
 	}
+	earlier := func(c *cluster, count int) {
+		c.earlierBuilds = map[int]earlierBuild{}
+		for i := range count {
+			c.earlierBuilds[1+i] = earlierBuild{}
+		}
+	}
 	for name, test := range map[string]struct {
 		prepare func(c *cluster)
 		// assigns reports whether the store has an assignment.
@@ -219,7 +232,11 @@
 			see(c, 2)
 			c.step(2, forwarder.ServerChanged{Entry: registry.Entry{ID: "n0"}, Removed: true})
 		}, false, false},
-		"the only version is new": {func(c *cluster) { c.setSoftwareVersions("v2") }, false, false},
+		"another of an earlier build lists two": {func(c *cluster) { see(c, 2); earlier(c, others) }, false, false},
+		"half are of an earlier build":          {func(c *cluster) { earlier(c, others/2) }, false, true},
+		"most are of an earlier build":          {func(c *cluster) { earlier(c, others/2+1) }, false, false},
+		"most are, with an assignment":          {func(c *cluster) { earlier(c, others/2+1) }, true, true},
+		"the only version is new":               {func(c *cluster) { c.setSoftwareVersions("v2") }, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 1, 1+others)
--- a/internal/decision/forwarder/soleversions.go
+++ b/internal/decision/forwarder/soleversions.go
@@ -77,9 +77,9 @@
 
 // presumedOrigin returns the origin that was presumed when the lookup began, if this instance
 // still presumes it and more than half of the instances that were asked, with this one, have
-// replied without contradiction.
+// agreed and none has contradicted.
 func (f *Forwarder) presumedOrigin(lookup *originLookup) (originkeeper.Origin, bool) {
 	origin, known := f.soleOrigin(lookup.presumed.Service)
-	agreed := f.havePeers && 2*(len(lookup.replied)+1) > len(lookup.asked)+1
+	agreed := f.havePeers && 2*(len(lookup.agreed)+1) > len(lookup.asked)+1
 	return origin, known && origin == lookup.presumed && agreed && !lookup.contradicted
 }
--- a/internal/decision/originmessage/originmessage.go
+++ b/internal/decision/originmessage/originmessage.go
@@ -38,6 +38,6 @@
 	// query presumes is not the only possible one.
 	Conflicting bool
 	// Origin is that of the stream. In a query it is the presumed one, without a service if there
-	// is none.
+	// is none, and likewise in a reply whose sender knows neither the stream nor another possible origin.
 	Origin originkeeper.Origin
 }
