Count an age of weights that came late only as a bound

A peer that stands still between making and sending a digest, or a network that holds it up, made its ages too small by that time, and they replaced longer bounds: the age was counted until now unless this instance itself had stood still. Change: an age counts as observed if the peer has received a digest that was sent within the last second; otherwise it is a bound from then on. "An age that comes late" of TestAgesOfPeers failed before (observed, 300 ms), and passes (a bound of 1,320 ms).

--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -191,6 +191,8 @@
 		"a bound without an echo":                 {read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
 		"an age without an echo":                  {read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
 		"an age that is read after a suspension":  {echoedAfter: 600, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 900},
+		"an age that comes late":                  {echoedAfter: 20, read: []any{clock.Millis(200), clock.Millis(200), clock.Millis(200), clock.Millis(200), clock.Millis(200), digest.Digest{WeightsAges: of(300)}}, longest: 1320},
+		"an age that comes in time":               {echoedAfter: 20, read: []any{clock.Millis(200), clock.Millis(200), digest.Digest{WeightsAges: of(300)}}, age: 300},
 		"an age read after a long suspension":     {echoedAfter: 2000, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
 		"a copy":                                  {echoedAfter: 20, read: []any{copied}, longest: 3000},
 		"a copy, then an age":                     {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsAges: of(300)}}, age: 300},
--- a/internal/decision/forwarder/weightsages.go
+++ b/internal/decision/forwarder/weightsages.go
@@ -112,7 +112,7 @@
 }
 
 // mergeWeightsAges records the ages that a peer has stated. Ages count until now, unless the digest
-// may have waited to be read: then from when this instance sent what the peer had received before. The
+// may have waited, here or at the peer: then from when this instance sent what the peer had received before. The
 // times of an earlier build may be too small by any time, so that they only name the versions.
 func (f *Forwarder) mergeWeightsAges(message digest.Digest) {
 	sums, echoed := f.sent.Find(f.now, message.Echo)
@@ -131,7 +131,7 @@
 	observe := func(model string, version int64, age clock.Millis) {
 		f.addWeights(model, version, f.now.Add(-age), true, "peer")
 	}
-	if !echoed || sums.SentAt < f.weightsAges.stalledAt {
+	if !echoed || sums.SentAt < f.weightsAges.stalledAt || f.now.Since(sums.SentAt) > maxUncertainty {
 		observe = bound
 	}
 	forEachAge(message.WeightsAges, observe)
