Serve prompts before the versions of weights are known again

The limit holds for an instance in touch, which has run for some seconds. Open in the postmortem: it should not be ready before it has read the versions.

--- a/internal/decision/forwarder/beginlimits.go
+++ b/internal/decision/forwarder/beginlimits.go
@@ -37,11 +37,8 @@
 }
 
 // limitBeginning limits the time until the request must start at the candidate, and reports whether it
-// may be sent there. An instance that has not read the versions yet can't tell which are superseded.
+// may be sent there.
 func (f *Forwarder) limitBeginning(fl *flight, candidate *scheduler.Candidate, weights boundWeights) bool {
-	if !f.knowsVersions(weights) {
-		return false
-	}
 	limit, limited := f.beginLimit(weights)
 	if !limited {
 		return true
--- a/internal/decision/forwarder/boundweights.go
+++ b/internal/decision/forwarder/boundweights.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
-	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -36,20 +35,6 @@
 	return "", 0, false
 }
 
-// knowsVersions reports whether this instance has read the published versions, or a peer has named those of one
-// of the models: digests name them for all.
-func (f *Forwarder) knowsVersions(w boundWeights) bool {
-	if len(w.versions) == 0 || f.replicas.Copy(replicator.Weights).ConfirmedAt > 0 {
-		return true
-	}
-	for model := range w.versions {
-		if f.rollout.Newest(model) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // supersededAt returns the time at which the first of the weights was superseded. It reports false if all are
 // the newest.
 func (f *Forwarder) supersededAt(w boundWeights) (clock.Millis, bool) {
