Queue no further connections before a listener that drains is closed

Callers that connected in the last moment of a stop saw their connection reset, their request without a response: up to 19 of 20 in one stop. Cause: a listener that drains accepts what waits for up to 250 ms. Under callers that connect again and again the queue is never empty, and closing it resets all that wait. Change: the kernel queues one further connection at most before the listener is closed, and those that wait are accepted for another 250 ms. A connect in that time is repeated by the caller's kernel and refused.

The test now counts a connection as reset only if the server has not accepted it (before: any reset of a first request), and allows 4 of 20 instead of 10.

--- a/internal/runtime/drainlistener/drainlistener.go
+++ b/internal/runtime/drainlistener/drainlistener.go
@@ -16,12 +16,17 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/inputpoller"
 )
 
 const (
-	// maxDrain limits the time for which Drain accepts, as new connections may always arrive.
+	// maxDrain is the time after which the kernel accepts no further connections, as new ones may
+	// always arrive.
 	maxDrain = 250 * time.Millisecond
+	// maxLast limits the time for accepting those that wait then.
+	maxLast = 250 * time.Millisecond
 	// acceptTimeout limits the accept of a connection that waits. It is longer than a process
 	// may be suspended by a CPU quota.
 	acceptTimeout = 500 * time.Millisecond
@@ -31,8 +36,13 @@
 type Listener struct {
 	*net.TCPListener
 	draining atomic.Bool
-	// until is the time at which Drain stops to accept. It is set before draining.
-	until     time.Time
+	// until is the time at which the queue of connections is closed at the latest. It is set before
+	// draining.
+	until time.Time
+	// queueClosed reports whether the kernel was told to queue no further connections. Only Accept
+	// uses it.
+	queueClosed bool
+
 	drained   chan struct{}
 	drainOnce sync.Once
 	endOnce   sync.Once
@@ -60,7 +70,23 @@
 
 // prepareLast reports whether another connection waits and may be accepted.
 func (l *Listener) prepareLast() bool {
-	return time.Now().Before(l.until) && inputpoller.HasInput(l.TCPListener) && l.SetDeadline(time.Now().Add(acceptTimeout)) == nil
+	now := time.Now()
+	if !l.queueClosed && (!now.Before(l.until) || !inputpoller.HasInput(l.TCPListener)) {
+		l.closeQueue()
+	}
+	return now.Before(l.until.Add(maxLast)) && inputpoller.HasInput(l.TCPListener) && l.SetDeadline(now.Add(acceptTimeout)) == nil
+}
+
+// closeQueue lets the kernel queue one further connection at most: it resets those that wait when
+// the listener is closed, and their requests have no response.
+func (l *Listener) closeQueue() {
+	l.queueClosed = true
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Errors are ignored: more connections may be reset then.
+	_ = raw.Control(func(descriptor uintptr) { _ = unix.Listen(int(descriptor), 0) })
 }
 
 // end closes the listener and returns the error of Accept.
@@ -83,7 +109,7 @@
 	})
 	select {
 	case <-l.drained:
-	case <-time.After(maxDrain + acceptTimeout):
+	case <-time.After(maxDrain + maxLast + acceptTimeout):
 		// Accept is not called.
 		_ = l.end()
 	}
--- a/internal/runtime/httpserver/stop_test.go
+++ b/internal/runtime/httpserver/stop_test.go
@@ -21,12 +21,33 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
+// recordingListener records which connections the server has accepted.
+type recordingListener struct {
+	*drainlistener.Listener
+	accepted sync.Map
+}
+
+// Accept accepts a connection.
+func (l *recordingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Store(conn.RemoteAddr().String(), true)
+	}
+	return conn, err
+}
+
+// hasAccepted reports whether the server has accepted the caller's connection.
+func (l *recordingListener) hasAccepted(conn net.Conn) bool {
+	_, accepted := l.accepted.Load(conn.LocalAddr().String())
+	return accepted
+}
+
 // startStoppable starts a server whose listener is returned.
-func startStoppable(t *testing.T, idle clock.Millis) (*httpserver.Server, *drainlistener.Listener) {
+func startStoppable(t *testing.T, idle clock.Millis) (*httpserver.Server, *recordingListener) {
 	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := drainlistener.New(tcp.(*net.TCPListener))
+	listener := &recordingListener{Listener: drainlistener.New(tcp.(*net.TCPListener))}
 	server := httpserver.New(&echoHandler{disconnected: make(chan struct{})}, 1<<20)
 	server.SetLimits(desired.Limits{HeaderBytes: 2048, BodyBytes: 1000, HeaderTimeout: 300 * clock.Millisecond, IdleTimeout: idle})
 	go func() { _ = server.Serve(listener) }()
@@ -35,7 +56,7 @@
 }
 
 // stop stops the server as an instance does.
-func stop(t *testing.T, server *httpserver.Server, listener *drainlistener.Listener) {
+func stop(t *testing.T, server *httpserver.Server, listener *recordingListener) {
 	t.Helper()
 	server.Drain()
 	listener.Drain()
@@ -164,7 +185,8 @@
 
 // TestStopUnderLoad stops the server under callers that use connections until they are closed, and
 // verifies that each request is answered. The kernel may accept a connection between the last look
-// at the listener and its end; the server never sees such a connection, which is reset.
+// at the listener and its end; the server never sees such a connection, which is reset. If the
+// caller's write takes the error of the reset, its read reports the end of the input.
 func TestStopUnderLoad(t *testing.T) {
 	t.Parallel()
 	for round := range 4 {
@@ -186,7 +208,7 @@
 						switch {
 						case err == nil:
 							answered++
-						case first && errors.Is(err, syscall.ECONNRESET):
+						case !listener.hasAccepted(conn) && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF)):
 							unaccepted++
 						default:
 							failures = append(failures, fmt.Sprint("caller ", n, ", first request: ", first, ": ", err))
@@ -207,7 +229,7 @@
 		stop(t, server, listener)
 		callers.Wait()
 		require.Empty(t, failures, "of %d", answered)
-		require.LessOrEqual(t, unaccepted, 10, "of 20 callers")
+		require.LessOrEqual(t, unaccepted, 4, "of 20 callers")
 	}
 }
 
