Count a reset that a caller's write reports in tests of stops

Cause: if the reset arrives before the write, the write takes its error and the read reports the end of the input; such a connection then failed the test. Change: the write's error counts as well, as strictly: only a reset of a connection's first request.

--- a/cmd/hyssopdoor/stop_test.go
+++ b/cmd/hyssopdoor/stop_test.go
@@ -49,9 +49,7 @@
 				for number, open := 0, true; open; number++ {
 					text := callerRequest(http.MethodPost, "/v1/completions", `{"model":"notes","prompt":"transect","max_tokens":8,"stream":true}`, c.authHeader())
 					pipelined := 1 + 2*(n%2)
-					for range pipelined {
-						_, _ = io.WriteString(conn, text)
-					}
+					_, writeErr := io.WriteString(conn, strings.Repeat(text, pipelined))
 					for i := 0; i < pipelined && open; i++ {
 						_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 						response, err := http.ReadResponse(reader, nil)
@@ -62,7 +60,7 @@
 						switch {
 						case err == nil:
 							answers[response.StatusCode]++
-						case number+i == 0 && errors.Is(err, syscall.ECONNRESET):
+						case number+i == 0 && errors.Is(errors.Join(err, writeErr), syscall.ECONNRESET):
 							unaccepted++
 						default:
 							failures = append(failures, fmt.Sprint("caller ", n, ", request ", number, ", ", i, ": ", err))
