--- a/internal/decision/digest/digest.go
+++ b/internal/decision/digest/digest.go
@@ -100,8 +100,9 @@
 	// WeightsBounds are the longest possible times of versions of which the sender knows no
 	// instance that has observed the publication.
 	WeightsBounds map[string]map[int64]clock.Millis
-	// EarlierAges and EarlierBounds are the times for builds that know neither of both. Those of
-	// such a sender count from when it heard of the versions, or from a later confirmation.
+	// EarlierAges and EarlierBounds are the times as builds without the two fields above state them
+	// and read them. What these builds state may be less than the time since the publication: they
+	// count from when they learned of a version.
 	EarlierAges   map[string]map[int64]clock.Millis
 	EarlierBounds map[string]map[int64]clock.Millis
 	// CrashedServers are the servers that crashed, by the fingerprint of a request that
--- a/internal/decision/forwarder/earlier_builds_test.go
+++ b/internal/decision/forwarder/earlier_builds_test.go
@@ -9,8 +9,8 @@
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
-// earlierBuild has the times from which an instance counts the ages of published weights as builds up to
-// 11fb21a do: from when it heard of them, or earlier by the age that a digest states.
+// earlierBuild has the times from which an instance of a build without observed ages counts the ages of
+// published weights: from when it learned of a version, or earlier if a digest states a higher age.
 type earlierBuild map[int64]clock.Millis
 
 // hear records the versions that the instance knows.
