Be ready only once the versions of weights are known

Cause: an instance is ready once it has the desired state and the servers. The versions of weights are read by a call of their own; until that is answered no weights count as superseded. Change: while servers name weights, an instance is not ready before it has a copy of the versions or a peer has named one, for 3 s at most after it knows the servers: the store may not answer, and a failure domain that is cut off goes on serving.

--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -108,8 +108,9 @@
 	// desiredConfirmedAt is the time at which the desired state was last known to be
 	// current.
 	desiredConfirmedAt clock.Millis
-	// haveServers reports whether the servers have been listed.
-	haveServers bool
+	// haveServers reports whether the servers have been listed, and haveServersSince since when.
+	haveServers      bool
+	haveServersSince clock.Millis
 	// storeFailedAt is the time at which calls to the store began to fail,
 	// storeRecoveredAt the time at which they succeeded again.
 	storeFailedAt    clock.Millis
--- a/internal/decision/forwarder/readiness.go
+++ b/internal/decision/forwarder/readiness.go
@@ -1,11 +1,36 @@
 package forwarder
 
-import "github.com/hyssopdoor/hyssopdoor/pkg/clock"
+import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
+	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
+)
 
 // ReadyAt reports whether a load balancer should send requests to this instance at now.
 func (f *Forwarder) ReadyAt(now clock.Millis) bool {
 	f.now = now
-	return !f.draining && f.desired.Version > 0 && f.haveServers && !f.keysStale() && !f.awaitsAssignments()
+	return !f.draining && f.desired.Version > 0 && f.haveServers && !f.keysStale() && !f.awaitsAssignments() && !f.awaitsVersions()
+}
+
+// maxVersionsWait limits the time for which an instance that knows the servers waits for the versions of
+// weights: two calls to the store without an answer, and the pauses after them.
+const maxVersionsWait = 3 * clock.Second
+
+// awaitsVersions reports whether servers have weights of which this instance, which has just started, can't tell
+// whether they are superseded: it has no copy of the versions, and no peer has named one.
+func (f *Forwarder) awaitsVersions() bool {
+	if f.now.Since(f.haveServersSince) >= maxVersionsWait || f.replicas.Copy(replicator.Weights).ConfirmedAt > 0 {
+		return false
+	}
+	loaded := false
+	for _, server := range f.servers.All() {
+		for model := range server.WeightVersions {
+			if f.rollout.Newest(model) > 0 {
+				return false
+			}
+			loaded = true
+		}
+	}
+	return loaded
 }
 
 // InFlight returns the number of in-flight requests and of tunnels.
--- a/internal/decision/forwarder/started_test.go
+++ b/internal/decision/forwarder/started_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/replicator"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -52,3 +53,43 @@
 	require.Equal(t, 40, goOn)
 	require.False(t, readyBefore)
 }
+
+// TestInstanceWithoutVersionsIsNotReady guards against requests that begin on weights superseded long ago at an
+// instance that has read the servers, but not the versions of their weights.
+func TestInstanceWithoutVersionsIsNotReady(t *testing.T) {
+	t.Parallel()
+	copied := replicator.Copy{Era: 1, Revision: 9, Through: 9, ConfirmedAt: clock.Second}
+	tests := map[string]struct {
+		told    forwarder.Event // told is what the instance learns next.
+		after   clock.Millis
+		unnamed bool // unnamed reports whether the servers name no weights.
+		ready   bool
+	}{
+		"nothing":                        {forwarder.Tick{}, 100, false, false},
+		"nothing for seconds":            {forwarder.Tick{}, 2900, false, false},
+		"nothing although asked twice":   {forwarder.Tick{}, 3 * clock.Second, false, true},
+		"a copy of the versions":         {forwarder.ReplicaUpdated{Kind: replicator.Weights, Copy: copied}, 100, false, true},
+		"a copy of the state":            {forwarder.ReplicaUpdated{Kind: replicator.State, Copy: copied}, 100, false, false},
+		"a version":                      {forwarder.WeightsPublished{Model: model, Version: 2}, 100, false, true},
+		"a version of another model":     {forwarder.WeightsPublished{Model: "another", Version: 2}, 100, false, false},
+		"nothing, and no server has any": {forwarder.Tick{}, 100, true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, 1)
+			if test.unnamed {
+				for _, s := range c.servers {
+					s.entry.WeightVersions = nil
+				}
+			}
+			c.instances[0] = forwarder.New(c.settings[0], "start-again", 1)
+			c.step(0, forwarder.StateRead{State: newDesiredState(1), ConfirmedAt: c.now})
+			c.listAssignments(0)
+			c.listServers(0)
+			c.now = c.now.Add(test.after)
+			c.step(0, test.told)
+			require.Equal(t, test.ready, c.instances[0].ReadyAt(c.now))
+		})
+	}
+}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -122,7 +122,9 @@
 	for _, entry := range listed.Entries {
 		f.handleServerChanged(ServerChanged{Entry: entry})
 	}
-	f.haveServers = true
+	if !f.haveServers {
+		f.haveServers, f.haveServersSince = true, f.now
+	}
 	f.servers.Replace(f.now, listed.Entries, max(f.expiryWindowEnd(), f.eras.EntriesSettledAt()))
 	f.updateSoleVersions()
 	f.forgetRemoved()
