Share the readings of the store between the tests of ages of weights

Cause: TestAgesOfPeers wrote out the publications and copies for which TestAgeOfWeightsOfOneInstance has functions, and long names of cases realigned the tables. Change: read and published are functions of the file. Cases that were added have names that fit the columns: "the watcher pauses beside an earlier build" (was "is suspended"), and in TestAgesOfPeers "a later version, an unechoed bound", "a copy, then an earlier build's age", "a copy, then an earlier build's bound", "an earlier build's bound" and "an earlier build's age, then a copy". No case, bound or assertion has changed. The tests of the file pass.

--- a/internal/decision/forwarder/weights_age_test.go
+++ b/internal/decision/forwarder/weights_age_test.go
@@ -46,16 +46,13 @@
 		// earlierBuilds is the number of instances of an earlier build.
 		earlierBuilds int
 	}{
-		"undisturbed":                                      {disturb: func(*cluster) {}, usableFor: 4 * clock.Second},
-		"undisturbed beside an earlier build":              {disturb: func(*cluster) {}, usableFor: 4 * clock.Second, earlierBuilds: 5},
-		"the watcher is killed beside an earlier build":    {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second, earlierBuilds: 5},
-		"the watcher is suspended beside an earlier build": {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second, earlierBuilds: 5},
-		"the watcher is killed":                            {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second},
-		"the watcher is cut off from the store":            {disturb: func(c *cluster) { cutOff(c, 4*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
-		"the store is away for a while":                    {disturb: func(c *cluster) { cutOff(c, 1500, all...) }, usableFor: 2 * clock.Second},
-		"the watcher is suspended":                         {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
-		"the watcher is suspended for a moment":            {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(700) }, usableFor: 3 * clock.Second},
-		"an instance without a watch is suspended":         {disturb: func(c *cluster) { c.pausedUntil[(c.storeWatcher()+1)%7] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
+		"undisturbed":                              {disturb: func(*cluster) {}, usableFor: 4 * clock.Second},
+		"the watcher is killed":                    {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second},
+		"the watcher is cut off from the store":    {disturb: func(c *cluster) { cutOff(c, 4*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
+		"the store is away for a while":            {disturb: func(c *cluster) { cutOff(c, 1500, all...) }, usableFor: 2 * clock.Second},
+		"the watcher is suspended":                 {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
+		"the watcher is suspended for a moment":    {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(700) }, usableFor: 3 * clock.Second},
+		"an instance without a watch is suspended": {disturb: func(c *cluster) { c.pausedUntil[(c.storeWatcher()+1)%7] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second},
 		"all instances are suspended": {disturb: func(c *cluster) {
 			for _, i := range all {
 				c.pausedUntil[i] = c.now.Add(3 * clock.Second)
@@ -65,6 +62,9 @@
 		"the watcher is cut off from all":               {disturb: func(c *cluster) { partition(c, 3*clock.Second, c.storeWatcher()) }, usableFor: 3 * clock.Second},
 		"the store comes back older, and all list anew": {disturb: func(c *cluster) { c.after(300, func() { c.objects.goBack(c.now.Add(-200)) }) }, usableFor: 2 * clock.Second},
 		"the store comes back older while it is away":   {disturb: func(c *cluster) { cutOff(c, 1200, all...); c.after(300, func() { c.objects.goBack(c.now.Add(-2000)) }) }, usableFor: 2 * clock.Second},
+		"undisturbed beside an earlier build":           {disturb: func(*cluster) {}, usableFor: 4 * clock.Second, earlierBuilds: 5},
+		"the watcher is killed beside an earlier build": {disturb: func(c *cluster) { c.stopped[c.storeWatcher()] = true }, usableFor: 3 * clock.Second, earlierBuilds: 5},
+		"the watcher pauses beside an earlier build":    {disturb: func(c *cluster) { c.pausedUntil[c.storeWatcher()] = c.now.Add(3 * clock.Second) }, usableFor: 3 * clock.Second, earlierBuilds: 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(2) {
@@ -104,20 +104,21 @@
 	}
 }
 
+// read returns the reading of a copy of the store that was confirmed at a time.
+func read(kind replicator.Kind, confirmedAt clock.Millis, revision int64) forwarder.Event {
+	return forwarder.ReplicaUpdated{Kind: kind, Copy: replicator.Copy{Era: 1, Revision: revision, Through: revision, ConfirmedAt: confirmedAt}}
+}
+
+// published returns the reading of a version of the weights that was published at a revision of the store.
+func published(version, revision int64) forwarder.Event {
+	return forwarder.WeightsPublished{Model: model, Version: version, Position: storeposition.Position{Era: 1, Revision: revision}}
+}
+
 // TestAgeOfWeightsOfOneInstance verifies how old weights count that one instance learns of at 20 s, and
 // whether their publication counts as observed.
 func TestAgeOfWeightsOfOneInstance(t *testing.T) {
 	t.Parallel()
 	const learnedAt = 20 * clock.Second
-	position := func(revision int64) storeposition.Position {
-		return storeposition.Position{Era: 1, Revision: revision}
-	}
-	read := func(kind replicator.Kind, confirmedAt clock.Millis, revision int64) forwarder.Event {
-		return forwarder.ReplicaUpdated{Kind: kind, Copy: replicator.Copy{Era: 1, Revision: revision, Through: revision, ConfirmedAt: confirmedAt}}
-	}
-	published := func(revision int64) forwarder.Event {
-		return forwarder.WeightsPublished{Model: model, Version: 2, Position: position(revision)}
-	}
 	for name, test := range map[string]struct {
 		// confirmed is what was confirmed before 20 s, and learned what happens then.
 		confirmed []forwarder.Event
@@ -126,18 +127,18 @@
 		age       clock.Millis
 		exact     bool
 	}{
-		"just published":               {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_700, 71)}, learned: []forwarder.Event{published(72)}, age: 300, exact: true},
-		"the store was just confirmed": {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_990, 71)}, learned: []forwarder.Event{published(72)}, age: 10, exact: true},
-		"an answer was held up":        {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_260, 71)}, learned: []forwarder.Event{published(72)}, age: 740, exact: true},
-		"the first after a failure":    {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 18_900, 71)}, learned: []forwarder.Event{published(72)}, age: 1100},
-		"a watcher that takes over":    {confirmed: []forwarder.Event{read(replicator.Weights, 15_500, 60), read(replicator.State, 18_800, 71)}, learned: []forwarder.Event{read(replicator.State, 19_900, 80), published(72)}, age: 1200},
-		"no answer for too long":       {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 18_000, 71)}, learned: []forwarder.Event{published(72)}, age: 2000},
-		"a suspended instance":         {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_600, 71)}, stall: 390, learned: []forwarder.Event{published(72)}, age: 400, exact: true},
+		"just published":               {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_700, 71)}, learned: []forwarder.Event{published(2, 72)}, age: 300, exact: true},
+		"the store was just confirmed": {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_990, 71)}, learned: []forwarder.Event{published(2, 72)}, age: 10, exact: true},
+		"an answer was held up":        {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_260, 71)}, learned: []forwarder.Event{published(2, 72)}, age: 740, exact: true},
+		"the first after a failure":    {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 18_900, 71)}, learned: []forwarder.Event{published(2, 72)}, age: 1100},
+		"a watcher that takes over":    {confirmed: []forwarder.Event{read(replicator.Weights, 15_500, 60), read(replicator.State, 18_800, 71)}, learned: []forwarder.Event{read(replicator.State, 19_900, 80), published(2, 72)}, age: 1200},
+		"no answer for too long":       {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 18_000, 71)}, learned: []forwarder.Event{published(2, 72)}, age: 2000},
+		"a suspended instance":         {confirmed: []forwarder.Event{read(replicator.Weights, 16_000, 70), read(replicator.State, 19_600, 71)}, stall: 390, learned: []forwarder.Event{published(2, 72)}, age: 400, exact: true},
 		"a revision of another era":    {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70)}, learned: []forwarder.Event{forwarder.WeightsPublished{Model: model, Version: 2, Position: storeposition.Position{Era: 2, Revision: 9}}}, age: 3000},
-		"no revision before it":        {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70), read(replicator.State, 19_700, 73)}, learned: []forwarder.Event{published(72)}, age: 3000},
-		"a long gap":                   {confirmed: []forwarder.Event{read(replicator.Weights, 9_000, 70)}, learned: []forwarder.Event{published(72)}, age: 6000},
-		"the first list":               {learned: []forwarder.Event{published(72)}, age: 6000},
-		"a later change of known ones": {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70), read(replicator.State, 18_700, 71)}, learned: []forwarder.Event{published(72), read(replicator.State, 19_990, 73), published(74)}, age: 1300},
+		"no revision before it":        {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70), read(replicator.State, 19_700, 73)}, learned: []forwarder.Event{published(2, 72)}, age: 3000},
+		"a long gap":                   {confirmed: []forwarder.Event{read(replicator.Weights, 9_000, 70)}, learned: []forwarder.Event{published(2, 72)}, age: 6000},
+		"the first list":               {learned: []forwarder.Event{published(2, 72)}, age: 6000},
+		"a later change of known ones": {confirmed: []forwarder.Event{read(replicator.Weights, 17_000, 70), read(replicator.State, 18_700, 71)}, learned: []forwarder.Event{published(2, 72), read(replicator.State, 19_990, 73), published(2, 74)}, age: 1300},
 	} {
 		t.Run(name, func(t *testing.T) {
 			settings := instancesettings.Defaults()
@@ -174,11 +175,8 @@
 	type ages = map[string]map[int64]clock.Millis
 	of := func(age clock.Millis) ages { return ages{model: {2: age}} }
 	limit := instancesettings.Defaults().Bounds.MaxWeightsAge
-	copied := forwarder.WeightsPublished{Model: model, Version: 2, Position: storeposition.Position{Era: 1, Revision: 72}}
-	confirmed := forwarder.ReplicaUpdated{Kind: replicator.State, Copy: replicator.Copy{Era: 1, Revision: 71, Through: 71, ConfirmedAt: 18_500}}
-	confirmedLater := forwarder.ReplicaUpdated{Kind: replicator.State, Copy: replicator.Copy{Era: 1, Revision: 73, Through: 73, ConfirmedAt: 20_000}}
-	changedLater := forwarder.WeightsPublished{Model: model, Version: 2, Position: storeposition.Position{Era: 1, Revision: 74}}
-	later := forwarder.WeightsPublished{Model: model, Version: 3, Position: storeposition.Position{Era: 1, Revision: 75}}
+	copied, later := published(2, 72), published(3, 75)
+	confirmed := read(replicator.State, 18_500, 71)
 	for name, test := range map[string]struct {
 		// echoedAfter is the time from the digest that the peer has received to what is read, 0 for none.
 		echoedAfter clock.Millis
@@ -186,30 +184,30 @@
 		read         []any
 		age, longest clock.Millis
 	}{
-		"an age":                                  {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}}, age: 300},
-		"a bound":                                 {echoedAfter: 20, read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 320},
-		"a bound without an echo":                 {read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
-		"an age without an echo":                  {read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
-		"an age that is read after a suspension":  {echoedAfter: 600, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 900},
-		"an age that comes late":                  {echoedAfter: 20, read: []any{clock.Millis(200), clock.Millis(200), clock.Millis(200), clock.Millis(200), clock.Millis(200), digest.Digest{WeightsAges: of(300)}}, longest: 1320},
-		"an age that comes in time":               {echoedAfter: 20, read: []any{clock.Millis(200), clock.Millis(200), digest.Digest{WeightsAges: of(300)}}, age: 300},
-		"an age read after a long suspension":     {echoedAfter: 2000, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
-		"a copy":                                  {echoedAfter: 20, read: []any{copied}, longest: 3000},
-		"a copy, then an age":                     {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsAges: of(300)}}, age: 300},
-		"a copy, then a bound":                    {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 320},
-		"an age, then a copy and a bound":         {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}, copied, digest.Digest{WeightsBounds: of(200)}}, age: 300},
-		"a bound after a later version":           {echoedAfter: 20, read: []any{later, digest.Digest{WeightsBounds: of(4000)}}, longest: 4020},
-		"an unechoed bound after a later version": {read: []any{later, digest.Digest{WeightsBounds: of(300)}}, longest: limit},
-		"an age of an earlier build":              {echoedAfter: 20, read: []any{digest.Digest{EarlierAges: of(300)}, 500 * clock.Millisecond}, longest: 3500},
-		"that while a copy may follow":            {echoedAfter: 20, read: []any{digest.Digest{EarlierAges: of(300)}, 499 * clock.Millisecond}},
-		"that after a later version":              {echoedAfter: 20, read: []any{later, digest.Digest{EarlierAges: of(300)}}, longest: limit},
-		"a copy, then an age of an earlier build": {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierAges: of(300)}}, longest: 3000},
-		"a copy, then a bound of one":             {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierBounds: of(300)}}, longest: 3000},
-		"a bound of one":                          {echoedAfter: 20, read: []any{digest.Digest{EarlierBounds: of(300)}, 500 * clock.Millisecond}, longest: 3500},
-		"an age of an earlier build, then a copy": {echoedAfter: 20, read: []any{confirmed, digest.Digest{EarlierAges: of(300)}, copied}, longest: 1520},
-		"that with a copy that comes late":        {echoedAfter: 20, read: []any{confirmed, digest.Digest{EarlierAges: of(300)}, 600 * clock.Millisecond, copied}, longest: 2120},
-		"that and a later change":                 {echoedAfter: 20, read: []any{confirmed, digest.Digest{EarlierAges: of(300)}, copied, confirmedLater, changedLater}, longest: 1520},
-		"a copy, then a bound without an echo":    {read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
+		"an age":                                 {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"a bound":                                {echoedAfter: 20, read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 320},
+		"a bound without an echo":                {read: []any{digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
+		"an age without an echo":                 {read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
+		"an age that is read after a suspension": {echoedAfter: 600, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 900},
+		"an age that comes late":                 {echoedAfter: 20, read: []any{clock.Millis(200), clock.Millis(200), clock.Millis(200), clock.Millis(200), clock.Millis(200), digest.Digest{WeightsAges: of(300)}}, longest: 1320},
+		"an age that comes in time":              {echoedAfter: 20, read: []any{clock.Millis(200), clock.Millis(200), digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"an age read after a long suspension":    {echoedAfter: 2000, read: []any{digest.Digest{WeightsAges: of(300)}}, longest: 3000},
+		"a copy":                                 {echoedAfter: 20, read: []any{copied}, longest: 3000},
+		"a copy, then an age":                    {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsAges: of(300)}}, age: 300},
+		"a copy, then a bound":                   {echoedAfter: 20, read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 320},
+		"an age, then a copy and a bound":        {echoedAfter: 20, read: []any{digest.Digest{WeightsAges: of(300)}, copied, digest.Digest{WeightsBounds: of(200)}}, age: 300},
+		"a bound after a later version":          {echoedAfter: 20, read: []any{later, digest.Digest{WeightsBounds: of(4000)}}, longest: 4020},
+		"a later version, an unechoed bound":     {read: []any{later, digest.Digest{WeightsBounds: of(300)}}, longest: limit},
+		"an age of an earlier build":             {echoedAfter: 20, read: []any{digest.Digest{EarlierAges: of(300)}, 500 * clock.Millisecond}, longest: 3500},
+		"that while a copy may follow":           {echoedAfter: 20, read: []any{digest.Digest{EarlierAges: of(300)}, 499 * clock.Millisecond}},
+		"that after a later version":             {echoedAfter: 20, read: []any{later, digest.Digest{EarlierAges: of(300)}}, longest: limit},
+		"a copy, then an earlier build's age":    {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierAges: of(300)}}, longest: 3000},
+		"a copy, then an earlier build's bound":  {echoedAfter: 20, read: []any{copied, digest.Digest{EarlierBounds: of(300)}}, longest: 3000},
+		"an earlier build's bound":               {echoedAfter: 20, read: []any{digest.Digest{EarlierBounds: of(300)}, 500 * clock.Millisecond}, longest: 3500},
+		"an earlier build's age, then a copy":    {echoedAfter: 20, read: []any{confirmed, digest.Digest{EarlierAges: of(300)}, copied}, longest: 1520},
+		"that with a copy that comes late":       {echoedAfter: 20, read: []any{confirmed, digest.Digest{EarlierAges: of(300)}, 600 * clock.Millisecond, copied}, longest: 2120},
+		"that and a later change":                {echoedAfter: 20, read: []any{confirmed, digest.Digest{EarlierAges: of(300)}, copied, read(replicator.State, 20_000, 73), published(2, 74)}, longest: 1520},
+		"a copy, then a bound without an echo":   {read: []any{copied, digest.Digest{WeightsBounds: of(300)}}, longest: 3000},
 	} {
 		t.Run(name, func(t *testing.T) {
 			settings := instancesettings.Defaults()
