Start the cluster of TestServedWeightsAreLogged as those with superseded weights

Cause: the test built by hand the instance that superseded returns: its timeout, budget, queues and publication. Change: superseded can leave out engines. An engine that the newest weights are sent to has loaded them. The case "responses that are declined or broken off" (was "that servers decline or break off") fits its table's column. No case, bound or assertion has changed. With recordServed returning at once, "a newer one", "an older one", "no events" and "of an alternative" fail before and after; with an age of the copy that is always "never", "an old copy" and "one that is confirmed"; without the check after a reload of the settings, TestLowerAgeLimitAppliesToWaitingRequests; without withdrawLate, the same ten cases of TestQueuedRequestsDoNotBeginOnSupersededWeights and TestSilentStreamIsCheckedAfterItsAlternativeIsWithdrawn.

--- a/internal/decision/forwarder/served_weights_test.go
+++ b/internal/decision/forwarder/served_weights_test.go
@@ -39,22 +39,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, 1, 1)
-			c.timeout = 12 * clock.Second
-			for _, id := range []string{"e1", "e2", "e3", "e4", "e5"} {
-				if id != "e1" || !test.alternative {
-					delete(c.servers, id)
-				}
+			others := []string{"e1", "e2", "e3", "e4", "e5"}
+			if test.alternative {
+				others = others[1:]
 			}
-			c.settings[0].Bounds.RetryExtra = 1000
-			for _, s := range c.servers {
-				s.queue = 11 * clock.Second
-				s.entry = s.entry.WithWeightVersion(model, max(1, test.sent))
+			c := superseded(t, 11*clock.Second, 0, others...)
+			if test.sent == 2 {
+				c.loadWeights(1)
 			}
-			c.startInstance(0)
-			c.run(300)
-			c.storeCutOff[0] = true
-			c.publishTo(0, 2)
 			id := c.sendRequest(0, "stream")
 			c.runConfirmed(clock.Second)
 			dispatch := c.requests[id].lastDispatch
--- a/internal/decision/forwarder/superseded_weights_test.go
+++ b/internal/decision/forwarder/superseded_weights_test.go
@@ -33,30 +33,30 @@
 		// served is the least fraction of the requests that an engine must answer.
 		served float64
 	}{
-		"resumable streams, others usable":            {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"resumable streams, no other":                 {kind: "stream", sentFor: 6 * clock.Second},
-		"other streams, others usable":                {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
-		"other streams, no other":                     {kind: "once", sentFor: 6 * clock.Second},
-		"sent before the weights were superseded":     {kind: "stream", updated: 3, sentFor: 90, served: 1},
-		"not resumable, sent before the new weights":  {kind: "once", updated: 3, sentFor: 90},
-		"safe responses, others usable":               {kind: "answer", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"safe responses, sent before":                 {kind: "answer", updated: 3, sentFor: 90, noRetries: true},
-		"unsafe responses, others usable":             {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"unsafe responses, sent before":               {kind: "act", updated: 3, sentFor: 90, served: 1},
-		"streams without counts, sent before":         {kind: "stream", omits: "counts", updated: 3, sentFor: 90, served: 1},
-		"streams without a model, others usable":      {kind: "once", omits: "model", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
-		"streams without a model, two models":         {kind: "once", omits: "model", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 0.8},
-		"streams of one of two models":                {kind: "stream", omits: "counts", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"responses without a model, sent before":      {kind: "act", omits: "model", updated: 3, sentFor: 90, served: 1},
-		"responses without counts, others usable":     {kind: "answer", omits: "counts", updated: 3, sentFor: 6 * clock.Second, served: 1},
-		"streams that servers decline or break off":   {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 0.5, disturb: failSome},
-		"others that servers decline or break off":    {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.3, disturb: failSome},
-		"responses that servers decline or break off": {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 0.3, disturb: failSome},
-		"streams that wait for capacity":              {kind: "stream", sentFor: 6 * clock.Second, slots: 2},
-		"streams that wait for engines":               {kind: "stream", sentFor: 6 * clock.Second, disturb: crashSome},
-		"streams that wait for keepers":               {kind: "stream", sentFor: 6 * clock.Second, instances: 24},
-		"streams that are resumed":                    {kind: "stream", sentFor: 6 * clock.Second, disturb: resumeFirst},
-		"streams that are moved":                      {kind: "stream", sentFor: 6 * clock.Second, disturb: leaveSome},
+		"resumable streams, others usable":           {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"resumable streams, no other":                {kind: "stream", sentFor: 6 * clock.Second},
+		"other streams, others usable":               {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"other streams, no other":                    {kind: "once", sentFor: 6 * clock.Second},
+		"sent before the weights were superseded":    {kind: "stream", updated: 3, sentFor: 90, served: 1},
+		"not resumable, sent before the new weights": {kind: "once", updated: 3, sentFor: 90},
+		"safe responses, others usable":              {kind: "answer", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"safe responses, sent before":                {kind: "answer", updated: 3, sentFor: 90, noRetries: true},
+		"unsafe responses, others usable":            {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"unsafe responses, sent before":              {kind: "act", updated: 3, sentFor: 90, served: 1},
+		"streams without counts, sent before":        {kind: "stream", omits: "counts", updated: 3, sentFor: 90, served: 1},
+		"streams without a model, others usable":     {kind: "once", omits: "model", updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"streams without a model, two models":        {kind: "once", omits: "model", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 0.8},
+		"streams of one of two models":               {kind: "stream", omits: "counts", models: 2, updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"responses without a model, sent before":     {kind: "act", omits: "model", updated: 3, sentFor: 90, served: 1},
+		"responses without counts, others usable":    {kind: "answer", omits: "counts", updated: 3, sentFor: 6 * clock.Second, served: 1},
+		"streams that servers decline or break off":  {kind: "stream", updated: 3, sentFor: 6 * clock.Second, served: 0.5, disturb: failSome},
+		"others that servers decline or break off":   {kind: "once", updated: 3, sentFor: 6 * clock.Second, served: 0.3, disturb: failSome},
+		"responses that are declined or broken off":  {kind: "act", updated: 3, sentFor: 6 * clock.Second, served: 0.3, disturb: failSome},
+		"streams that wait for capacity":             {kind: "stream", sentFor: 6 * clock.Second, slots: 2},
+		"streams that wait for engines":              {kind: "stream", sentFor: 6 * clock.Second, disturb: crashSome},
+		"streams that wait for keepers":              {kind: "stream", sentFor: 6 * clock.Second, instances: 24},
+		"streams that are resumed":                   {kind: "stream", sentFor: 6 * clock.Second, disturb: resumeFirst},
+		"streams that are moved":                     {kind: "stream", sentFor: 6 * clock.Second, disturb: leaveSome},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
@@ -152,10 +152,13 @@
 	}
 }
 
-// superseded returns an instance of six engines with a queue, whose weights were superseded some time
-// ago and that orders none to load others.
-func superseded(t *testing.T, queue, ago clock.Millis) *cluster {
+// superseded returns an instance of six engines, or without some of them, with a queue, whose weights were
+// superseded some time ago and that orders none to load others.
+func superseded(t *testing.T, queue, ago clock.Millis, without ...string) *cluster {
 	c := newCluster(t, 1, 1)
+	for _, id := range without {
+		delete(c.servers, id)
+	}
 	c.timeout = 12 * clock.Second
 	c.settings[0].Bounds.RetryExtra = 1000
 	c.startInstance(0)
