Name the backlog of a draining listener by the field's terms

A read-through found comments that described the backlog in words of our own and a field of a test named told. Names and comments only. Measured: vet; the tests of drainlistener (5 times), TestStopUnderLoad (10 times) and TestInstanceWithoutVersionsIsNotReady pass.

--- a/internal/decision/forwarder/started_test.go
+++ b/internal/decision/forwarder/started_test.go
@@ -60,7 +60,7 @@
 	t.Parallel()
 	copied := replicator.Copy{Era: 1, Revision: 9, Through: 9, ConfirmedAt: clock.Second}
 	tests := map[string]struct {
-		told    forwarder.Event // told is what the instance learns next.
+		event   forwarder.Event // event follows the list of servers, after a time.
 		after   clock.Millis
 		unnamed bool // unnamed reports whether the servers name no weights.
 		ready   bool
@@ -88,7 +88,7 @@
 			c.listAssignments(0)
 			c.listServers(0)
 			c.now = c.now.Add(test.after)
-			c.step(0, test.told)
+			c.step(0, test.event)
 			require.Equal(t, test.ready, c.instances[0].ReadyAt(c.now))
 		})
 	}
--- a/internal/runtime/drainlistener/drainlistener.go
+++ b/internal/runtime/drainlistener/drainlistener.go
@@ -34,13 +34,12 @@
 type Listener struct {
 	*net.TCPListener
 	draining atomic.Bool
-	// until is the time at which the queue of connections is closed at the latest. It is set before
-	// draining.
+	// until is the time at which the backlog is shrunk at the latest. It is set before draining.
 	until time.Time
-	// queueClosed reports whether the kernel was told to queue no further connections, and waiting
-	// is the number of those that waited then and are yet to be accepted. Only Accept uses them.
-	queueClosed bool
-	waiting     int
+	// backlogShrunk reports whether the backlog was reduced to its minimum, and pending is the number
+	// of connections that were in it and have not been accepted. Only Accept uses them.
+	backlogShrunk bool
+	pending       int
 
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -69,23 +68,23 @@
 
 // prepareLast reports whether another connection waits and may be accepted.
 func (l *Listener) prepareLast() bool {
-	if !l.queueClosed && (!time.Now().Before(l.until) || !inputpoller.HasInput(l.TCPListener)) {
-		l.closeQueue()
+	if !l.backlogShrunk && (!time.Now().Before(l.until) || !inputpoller.HasInput(l.TCPListener)) {
+		l.shrinkBacklog()
 	}
-	if l.queueClosed {
-		l.waiting--
-		if l.waiting < 0 {
+	if l.backlogShrunk {
+		l.pending--
+		if l.pending < 0 {
 			return false
 		}
 	}
 	return inputpoller.HasInput(l.TCPListener) && l.SetDeadline(time.Now().Add(acceptTimeout)) == nil
 }
 
-// closeQueue lets the kernel queue two further connections at most, and counts those that wait: the
-// kernel resets them when the listener is closed, and their requests have no response. Without any
-// queue, the kernel would log a possible flood of connections.
-func (l *Listener) closeQueue() {
-	l.queueClosed = true
+// shrinkBacklog reduces the backlog to its minimum and counts the pending connections, as the kernel
+// resets those that are left when the listener is closed. With a backlog of 0, it would log a
+// possible SYN flood.
+func (l *Listener) shrinkBacklog() {
+	l.backlogShrunk = true
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return
@@ -94,8 +93,8 @@
 	_ = raw.Control(func(descriptor uintptr) {
 		_ = unix.Listen(int(descriptor), 1)
 		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			// Of a listening socket, this is the length of the queue.
-			l.waiting = int(info.Unacked)
+			// Of a listening socket, this is the number of connections in the backlog.
+			l.pending = int(info.Unacked)
 		}
 	})
 }
