Show that a withdrawn key still names its team on open routes

While the store turns an instance away, the key check of routes that need one refuses the key after its bound, but requests on an open route still run for the team that had it, with its cache salt.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -208,7 +208,8 @@
 		}
 		select {
 		case <-r.Context().Done():
-			return
+			// The client has left, or the engine has crashed: nothing more is sent.
+			panic(http.ErrAbortHandler)
 		case <-time.After(wait):
 		}
 		if number == last+1 {
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -257,6 +257,7 @@
 	Version           int
 	CoastIsolated     bool
 	CoastKeyWithdrawn bool
+	WithBoard         bool
 }
 
 // write writes the desired state to the store.
@@ -270,5 +271,5 @@
 		unable("the desired state: %v", err)
 	}
 	s.write("config", "main", value)
-	note("the store has accepted desired state %d; coast is isolated: %t, its first key is withdrawn: %t", st.Version, st.CoastIsolated, st.CoastKeyWithdrawn)
+	note("the store has accepted desired state %d; coast is isolated: %t, its first key is withdrawn: %t; with route r-board: %t", st.Version, st.CoastIsolated, st.CoastKeyWithdrawn, st.WithBoard)
 }
