Show streams of a split route taken up at the other service

A caller that takes its stream up names no stream, so that the service of a route with several is drawn anew: 5 or 6 of some 20 streams were joined from two software versions after one of three instances was killed.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -36,6 +36,7 @@
 // engine is a stand-in for a model engine. It keeps prompt parts by salt, as the platform's engines do.
 type engine struct {
 	id, zone, address string
+	service           string
 	pace              pace
 	store             *store
 
@@ -53,7 +54,12 @@
 
 // startEngine starts an engine and lists it in the store.
 func startEngine(id, zone string, st *store, p pace) *engine {
-	started := &engine{id: id, zone: zone, store: st, software: "v1", pace: p, runs: map[string][]run{}, salts: map[string]string{}}
+	return startEngineOf("engines", "v1", id, zone, st, p)
+}
+
+// startEngineOf does the same for a service and a version of the software.
+func startEngineOf(service, software, id, zone string, st *store, p pace) *engine {
+	started := &engine{id: id, zone: zone, service: service, store: st, software: software, pace: p, runs: map[string][]run{}, salts: map[string]string{}}
 	started.listen(loopback + ":0")
 	started.list("ready")
 	return started
@@ -81,7 +87,7 @@
 // list writes the engine's entry.
 func (e *engine) list(stage string) {
 	e.mu.Lock()
-	entry := map[string]any{"service": "engines", "address": e.address, "zone": e.zone, "version": e.software, "slots": 64, "state": stage, "cold_left_ms": 0, "stage": "both", "models": []any{model()}, "seq": 1, "born": e.born}
+	entry := map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": e.software, "slots": 64, "state": stage, "cold_left_ms": 0, "stage": "both", "models": []any{model()}, "seq": 1, "born": e.born}
 	e.mu.Unlock()
 	e.store.write("servers", e.id, entry)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 	"polls":     runPolls,
 	"publickey": runPublicKey,
 	"restart":   runRestart,
+	"split":     runSplit,
 }
 
 // record is the file with what was sent, answered and run.
