--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -258,6 +258,7 @@
 	CoastIsolated     bool
 	CoastKeyWithdrawn bool
 	WithBoard         bool
+	RouteMoved        bool
 }
 
 // write writes the desired state to the store.
@@ -271,5 +272,5 @@
 		unable("the desired state: %v", err)
 	}
 	s.write("config", "main", value)
-	note("the store has accepted desired state %d; coast is isolated: %t, its first key is withdrawn: %t; with route r-board: %t", st.Version, st.CoastIsolated, st.CoastKeyWithdrawn, st.WithBoard)
+	note("the store has accepted desired state %d; coast is isolated: %t, its first key is withdrawn: %t; with route r-board: %t; r-moved leads to engines-next: %t", st.Version, st.CoastIsolated, st.CoastKeyWithdrawn, st.WithBoard, st.RouteMoved)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]func() int{
 	"isolation": runIsolation,
 	"memory":    runMemory,
+	"moved":     runMoved,
 	"polls":     runPolls,
 	"publickey": runPublicKey,
 	"restart":   runRestart,
--- a/review/standin/split.go
+++ b/review/standin/split.go
@@ -14,7 +14,13 @@
 
 // runSplit sends streams on a route that leads to two services, whose software differs. One of three instances is
 // killed; the clients of the streams that broke take them up at the others, after the last event that they have.
-func runSplit() int {
+func runSplit() int { return runTakenUp("split", nil) }
+
+func runMoved() int {
+	return runTakenUp("moved", func(st *store) { state{Version: 2, RouteMoved: true}.write(st) })
+}
+
+func runTakenUp(route string, change func(*store)) int {
 	st := startStore()
 	state{Version: 1}.write(st)
 	usual := pace{first: 40 * time.Millisecond, gap: 40 * time.Millisecond, events: 49}
@@ -53,7 +59,7 @@
 			if last > 0 {
 				header.Set("Last-Event-Id", strconv.Itoa(last))
 			}
-			r := request{id: fmt.Sprintf("note-%d-%d", n, try), method: http.MethodPost, host: "split.example", path: "/split/1", key: "key-survey", deadline: 12 * time.Second, header: header, body: fmt.Appendf(nil, "prompt %d", n)}
+			r := request{id: fmt.Sprintf("note-%d-%d", n, try), method: http.MethodPost, host: route + ".example", path: "/" + route + "/1", key: "key-survey", deadline: 12 * time.Second, header: header, body: fmt.Appendf(nil, "prompt %d", n)}
 			got := c.do(r)
 			c.close()
 			note("client: %s at %s after event %d gets %s", r.id, edge.name, last, got)
@@ -87,6 +93,9 @@
 	}
 	var clients sync.WaitGroup
 	begun := time.Now()
+	if change != nil {
+		time.AfterFunc(2800*time.Millisecond, func() { change(st) })
+	}
 	for n := 0; time.Since(begun) < 5*time.Second; n++ {
 		clients.Go(func() { stream(n) })
 		time.Sleep(time.Second * 10 / 292)
