Keep the cached parts of a team that becomes isolated from all other teams

Cause: the salt named a team only while it was isolated, so that its earlier parts stayed under the common salt. The team was also that of the request's arrival, and requests of unknown size had no salt at all, which is one salt for all.

Change: the package cachesalter names the salts of one desired state. The common scope contains a digest of the set of isolated teams, and is empty while there are none, so it follows from the newest state alone. The salt is made when a server is chosen. A flight keeps the name of its team, not what the state on its arrival said of it. Names are escaped. configInForce logs the common scope.

--- a/internal/decision/forwarder/action.go
+++ b/internal/decision/forwarder/action.go
@@ -33,9 +33,9 @@
 	Brittle bool
 	// Team is the team name to send to the server; empty for none.
 	Team string
-	// HasPrompt reports whether the request carries a prompt. CacheSalt is then the
-	// salt of its cached parts.
+	// HasPrompt reports whether the request carries a prompt.
 	HasPrompt bool
+	// CacheSalt is the salt of the request's cached parts; empty for none.
 	CacheSalt string
 	// WeightsVersion is the version of the weights that the server must have; 0 if it has none, or several
 	// models of which the request names none.
--- a/internal/decision/forwarder/admission.go
+++ b/internal/decision/forwarder/admission.go
@@ -19,9 +19,9 @@
 
 // admissionRequest returns the request as the admitter needs it.
 func (f *Forwarder) admissionRequest(fl *flight) admitter.Request {
-	duration := min(f.admitter.Duration(fl.service, fl.priority()), fl.deadline.Since(fl.arrivedAt)/2)
+	duration := min(f.admitter.Duration(fl.service, fl.priority), fl.deadline.Since(fl.arrivedAt)/2)
 	return admitter.Request{
-		ID: fl.id(), Service: fl.service, Priority: fl.priority(),
+		ID: fl.id(), Service: fl.service, Priority: fl.priority,
 		Target: fl.route.ResponseTarget, TargetAt: fl.arrivedAt.Add(fl.route.ResponseTarget),
 		GiveUpAt: min(fl.deadline.Add(-max(minRemaining, duration)), fl.arrivedAt.Add(fl.deadline.Since(fl.arrivedAt)*capacityWaitThirds/3)), Constrained: len(fl.triedServers) > 0 || fl.hasOrigin,
 	}
@@ -88,7 +88,7 @@
 // refuseForCapacity refuses a request for which no capacity is expected in time. The callers
 // return when it is, spread over half as much time again.
 func (f *Forwarder) refuseForCapacity(fl *flight, wait clock.Millis) {
-	f.log(eventlog.New(eventlog.CapacityRefused, fl.id()).With("priority", fl.priority()).With("waiting", f.admitter.Waiting()).With("expected", wait).With("left", fl.remaining(f.now)))
+	f.log(eventlog.New(eventlog.CapacityRefused, fl.id()).With("priority", fl.priority).With("waiting", f.admitter.Waiting()).With("expected", wait).With("left", fl.remaining(f.now)))
 	wait = min(max(wait, minCapacityRetryAfter), maxCapacityRetryAfter)
 	f.refuse(fl, ReasonNoCapacity, wait+clock.Millis(f.jitter(int64(wait/2+defaultRetryAfter/2))))
 }
@@ -140,7 +140,7 @@
 // recordEnded tells the admitter that an attempt of the request has ended.
 func (f *Forwarder) recordEnded(fl *flight, event AttemptEnded) {
 	if used, ok := fl.ways[event.Attempt]; ok && fl.hasPrompt() && event.Outcome == OutcomeCompleted {
-		f.admitter.Ended(f.now, fl.service, fl.priority(), fl.server, f.now.Since(used.beganAt))
+		f.admitter.Ended(f.now, fl.service, fl.priority, fl.server, f.now.Since(used.beganAt))
 	}
 }
 
--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -89,10 +89,13 @@
 		return
 	}
 	fl := &flight{
-		request: request, route: route, service: service, team: team,
+		request: request, route: route, service: service, team: team.Name, priority: route.Priority,
 		arrivedAt: f.now, deadline: f.beforeStop(f.now.Add(f.requestTimeout(request, route))),
 		triedServers: map[string]bool{}, ways: map[int]way{}, lastEventID: request.LastEventID, partKeys: partKeys(request.PromptParts),
 	}
+	if team.HasPriority {
+		fl.priority = team.Priority
+	}
 	if f.mayCrashServers(fl) {
 		f.refuseOnArrival(request, statusUnavailable, ReasonCrashesServers, f.settings.Bounds.RetryWindow)
 		return
@@ -109,7 +112,7 @@
 	}
 	f.flights[fl.id()] = fl
 	if fl.hasPrompt() {
-		f.admitter.Arrived(f.now, service, fl.priority())
+		f.admitter.Arrived(f.now, service, fl.priority)
 	}
 	f.assignResumed(fl)
 }
@@ -155,7 +158,7 @@
 	f.log(entry.With("after", f.now.Since(fl.arrivedAt)).With("passed", fl.partDelivered))
 	f.emit(ObserveDuration{Histogram: HistogramRefusal, Duration: f.now.Since(fl.arrivedAt)})
 	if fl.possibleRuns == 0 && fl.acquired > 0 {
-		f.limiter.Release(fl.team.Name, fl.acquired)
+		f.limiter.Release(fl.team, fl.acquired)
 	}
 	f.removeFlight(fl)
 	switch {
--- a/internal/decision/forwarder/attempts.go
+++ b/internal/decision/forwarder/attempts.go
@@ -126,7 +126,7 @@
 	f.recordSent(fl, choice.Server)
 	f.reportAdded(choice, f.schedulerRequest(fl))
 	f.expediteBroadcast(choice.UncachedTokens)
-	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team.Name).With("server", choice.Server)
+	entry := eventlog.New(eventlog.RouteChosen, fl.id()).With("route", fl.route.Name).With("team", fl.team).With("server", choice.Server)
 	if !hop.Direct() {
 		entry = entry.With("via", hop.Instance)
 	}
@@ -144,9 +144,9 @@
 	f.emit(Dispatch{
 		Request: fl.id(), Attempt: fl.attempts,
 		Server: choice.Server, Address: server.Address, Via: hop, StartedAt: server.StartedAt, Limited: f.limits.Limited(startOf(server)), Brittle: f.isBrittle(server),
-		Team: fl.team.Name, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: version,
+		Team: fl.team, HasPrompt: fl.hasPrompt(), CacheSalt: choice.Salt, WeightsVersion: version,
 		FetchAddress: f.addressOf(choice.FetchSource), SaveAddress: saveAddress,
-		Priority: fl.priority(), Timeout: fl.remaining(f.now), ServerTimeout: plan.serverTimeout, SendBefore: plan.sendBefore, LastEventID: fl.lastEventID,
+		Priority: fl.priority, Timeout: fl.remaining(f.now), ServerTimeout: plan.serverTimeout, SendBefore: plan.sendBefore, LastEventID: fl.lastEventID,
 		Stream: fl.route.Kind == desired.Stream, Resumable: fl.route.Resumable, SilenceLimit: f.silenceLimit(fl), Alternative: role != currentAttempt, HoldsEvents: role == besideMoving, PartDelivered: fl.partDelivered,
 	})
 	return fl.attempts, plan
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 
@@ -39,15 +38,13 @@
 		}
 		candidate := scheduler.Candidate{
 			Server: server.ID, OtherDomain: server.Domain != f.settings.Domain, ErrorRate: server.ErrorRate(f.now),
-			MemoryTokens: service.CacheTokens, Slots: server.Slots,
+			MemoryTokens: service.CacheTokens, Slots: server.Slots, Salt: f.cacheSalt(fl, server),
 		}
 		weights := fl.weightsAt(server)
 		if fl.hasPrompt() {
-			version, serves := server.Entry.WeightVersions[fl.request.Model]
-			if !serves {
+			if _, serves := server.Entry.WeightVersions[fl.request.Model]; !serves {
 				continue
 			}
-			candidate.Salt = f.cacheSalt(fl, version)
 		}
 		var usable bool
 		if candidate.PenaltyMs, usable = f.weightsPenalty(weights); !usable || !f.limitBeginning(fl, &candidate, weights) {
@@ -72,14 +69,14 @@
 	return excluded
 }
 
-// cacheSalt separates cached parts by model, by version of the weights and, for
-// isolated teams, by team.
-func (f *Forwarder) cacheSalt(fl *flight, version int64) string {
-	tenant := ""
-	if fl.team.Isolated {
-		tenant = fl.team.Name
+// cacheSalt returns the salt of the request's cached parts at the server. It is empty for a request that
+// needs none: at a server without weights or, without a known prompt, while no team is isolated.
+func (f *Forwarder) cacheSalt(fl *flight, server registry.Server) string {
+	if len(server.Entry.WeightVersions) == 0 || !fl.hasPrompt() && f.salter.Common() == "" {
+		return ""
 	}
-	return fmt.Sprintf("%s@%d/%s", fl.request.Model, version, tenant)
+	model, version, _ := fl.weightsAt(server).sole()
+	return f.salter.Salt(model, version, fl.team)
 }
 
 // Penalties for superseded weights, in milliseconds of waiting time.
--- a/internal/decision/forwarder/flight.go
+++ b/internal/decision/forwarder/flight.go
@@ -11,7 +11,11 @@
 	request Request
 	route   desired.Route
 	service string
-	team    desired.Team
+	// team is the name of the team that held the caller's key on arrival; empty for none. What the state
+	// says of the team may change while the request waits.
+	team string
+	// priority is the request's priority at an engine on arrival: the team's, or else the route's.
+	priority int
 	// acquired is the number of tokens acquired from the team's limit.
 	acquired int64
 
@@ -126,12 +130,3 @@
 func (fl *flight) remaining(now clock.Millis) clock.Millis {
 	return fl.deadline.Since(now)
 }
-
-// priority returns the request's priority at an engine: the team's, or else the
-// route's.
-func (fl *flight) priority() int {
-	if fl.team.HasPriority {
-		return fl.team.Priority
-	}
-	return fl.route.Priority
-}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -33,6 +33,7 @@
 import (
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/admitter"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/backlogkeeper"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachesalter"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
@@ -105,6 +106,8 @@
 	actions    []Action
 
 	desired desired.State
+	// salter names the salts of cached parts for the desired state.
+	salter cachesalter.Salter
 	// desiredConfirmedAt is the time at which the desired state was last known to be
 	// current.
 	desiredConfirmedAt clock.Millis
--- a/internal/decision/forwarder/serverlimits.go
+++ b/internal/decision/forwarder/serverlimits.go
@@ -150,5 +150,5 @@
 
 // compareUrgency orders flights by their priority, and then by their arrival.
 func compareUrgency(a, b *flight) int {
-	return cmp.Or(cmp.Compare(a.priority(), b.priority()), cmp.Compare(a.arrivedAt, b.arrivedAt), cmp.Compare(a.id(), b.id()))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrivedAt, b.arrivedAt), cmp.Compare(a.id(), b.id()))
 }
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachesalter"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/digest"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
@@ -56,9 +57,10 @@
 	if read.State.Version == f.desired.Version {
 		return
 	}
-	f.desired = read.State
+	f.desired, f.salter = read.State, cachesalter.New(read.State.Teams)
 	f.updateStreamRoutes()
-	f.log(eventlog.New(eventlog.ConfigInForce, "").With("revision", f.desired.Version).With("routes", len(f.desired.Routes)).With("keys", len(f.desired.Keys)))
+	entry := eventlog.New(eventlog.ConfigInForce, "").With("revision", f.desired.Version).With("routes", len(f.desired.Routes)).With("keys", len(f.desired.Keys))
+	f.log(entry.With("cacheScope", f.salter.Common()))
 	f.setPriorities()
 	f.limiter.Retain(func(team string) bool { _, ok := f.desired.Teams[team]; return ok })
 	for _, name := range slices.Sorted(maps.Keys(f.desired.Teams)) {
