Serve no request for the team of a key that may have been withdrawn

Cause: handleArrival looked the key up on each route but asked whether keys were stale only where one is required, and the check before each send left open routes out. It also asked only whether some team has the key: a request whose key had gone to another team while it waited was sent for the first team.

Change: a request depends on its key if its route needs one or the caller brings one. Beyond the bound it is refused as not run on open routes too, and before each send the key must still name the team of the arrival. Requests without a key are served as before.

--- a/internal/decision/forwarder/arrivals.go
+++ b/internal/decision/forwarder/arrivals.go
@@ -53,8 +53,8 @@
 		return
 	}
 	team, known := f.desired.TeamForKey(request.Key)
-	if f.desired.RequiresKeys() && !route.Open {
-		if !known {
+	if f.dependsOnKey(request, route) {
+		if !known && !route.Open {
 			f.refuseUnknown(request, statusUnauthorized, ReasonInvalidKey)
 			return
 		}
--- a/internal/decision/forwarder/permissions.go
+++ b/internal/decision/forwarder/permissions.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tokenbucket"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
@@ -24,19 +25,26 @@
 	return until
 }
 
+// dependsOnKey reports whether a key decides if the request is served, or for which team. On an open route
+// a request needs no key, but one that brings a team's key is served for that team.
+func (f *Forwarder) dependsOnKey(request Request, route desired.Route) bool {
+	return f.desired.RequiresKeys() && (!route.Open || !request.Key.IsEmpty())
+}
+
 // checksKey reports whether a send of the request depends on the caller's key. A stream of which
 // the caller has a part goes on.
 func (f *Forwarder) checksKey(fl *flight) bool {
-	return f.desired.RequiresKeys() && !fl.route.Open && !fl.partDelivered
+	return !fl.partDelivered && (fl.team != "" || f.dependsOnKey(fl.request, fl.route))
 }
 
 // keyRefusal returns why the request must not be sent any more although it was admitted: its key
-// was withdrawn meanwhile, or may have been; empty if it may be sent.
+// was withdrawn or given to another team meanwhile, or may have been; empty if it may be sent.
 func (f *Forwarder) keyRefusal(fl *flight) Reason {
 	if !f.checksKey(fl) {
 		return ""
 	}
-	if _, known := f.desired.TeamForKey(fl.request.Key); !known {
+	team, known := f.desired.TeamForKey(fl.request.Key)
+	if team.Name != fl.team || !known && !fl.route.Open {
 		return ReasonInvalidKey
 	}
 	if f.keysStale() {
--- a/internal/decision/forwarder/permissions_test.go
+++ b/internal/decision/forwarder/permissions_test.go
@@ -154,6 +154,112 @@
 	}
 }
 
+// openState returns a state in which the lookup route is open, with the teams of the keys.
+func openState(version int64, open bool, keys map[string]string) desired.State {
+	state := pausableState(version, goodKey)
+	state.Routes[0].Open = open
+	state.Keys, state.Teams = nil, map[string]desired.Team{}
+	for key, team := range keys {
+		state.Teams[team] = desired.Team{Name: team, Isolated: true}
+		state = state.WithKey(secret.New(key), team)
+	}
+	return state
+}
+
+// TestKeyOnOpenRouteNamesNoTeamAfterItsBound guards against a request on an open route that is served for
+// the team of a key that may have been withdrawn for longer than the bound allows.
+func TestKeyOnOpenRouteNamesNoTeamAfterItsBound(t *testing.T) {
+	for name, test := range map[string]struct {
+		key    string
+		age    clock.Millis
+		lax    bool
+		team   string
+		reason forwarder.Reason // reason is empty for a request that is sent.
+	}{
+		"a team's key":                   {key: goodKey, age: 4500, team: "press"},
+		"a key of no team":               {key: "unknown", age: 4500},
+		"no key":                         {age: 4500},
+		"a team's key, stale":            {key: goodKey, age: 4501, reason: forwarder.ReasonStaleState},
+		"a key of no team, stale":        {key: "unknown", age: 4501, reason: forwarder.ReasonStaleState},
+		"no key, stale":                  {age: 60000},
+		"a team's key, without a bound":  {key: goodKey, age: 60000, lax: true, team: "press"},
+		"another key, without the bound": {key: "unknown", age: 60000, lax: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPausable(0)
+			settings := instancesettings.Defaults()
+			settings.Bounds.StrictKeys = !test.lax
+			p.step(forwarder.SettingsReloaded{Settings: settings})
+			p.step(forwarder.StateRead{State: openState(2, true, map[string]string{goodKey: "press"}), ConfirmedAt: p.now})
+			p.now = p.now.Add(test.age)
+			actions := p.step(forwarder.RequestArrived{Request: forwarder.Request{ID: "1", Host: "h", Path: "/x", Key: secret.New(test.key)}})
+			refused, isRefused := find[forwarder.Refuse](actions)
+			require.Equal(t, test.reason, refused.Reason)
+			if isRefused {
+				require.Equal(t, 503, refused.Status)
+				return
+			}
+			dispatch, sent := find[forwarder.Dispatch](actions)
+			require.True(t, sent)
+			require.Equal(t, test.team, dispatch.Team)
+			if !test.lax && test.key != "" {
+				require.LessOrEqual(t, dispatch.SendBefore.Since(p.now), 4501-test.age, "it may not be sent after the bound either")
+			}
+		})
+	}
+}
+
+// TestRequestIsNotSentForEarlierTeam guards against a request that waits while its key is withdrawn or
+// given to another team, and is then sent for the team that held it on arrival.
+func TestRequestIsNotSentForEarlierTeam(t *testing.T) {
+	press := map[string]string{goodKey: "press"}
+	for name, test := range map[string]struct {
+		open          bool
+		key           string
+		before, after map[string]string // before and after are the teams by key; after is nil for no other state.
+		pause         clock.Millis
+		reason        forwarder.Reason
+	}{
+		"the same":                      {key: goodKey, before: press, after: press},
+		"given to another team":         {key: goodKey, before: press, after: map[string]string{goodKey: "radio"}, reason: forwarder.ReasonInvalidKey},
+		"the last team is removed":      {key: goodKey, before: press, after: map[string]string{}, reason: forwarder.ReasonInvalidKey},
+		"open, the same":                {open: true, key: goodKey, before: press, after: press},
+		"open, withdrawn":               {open: true, key: goodKey, before: press, after: map[string]string{"other": "press"}, reason: forwarder.ReasonInvalidKey},
+		"open, given to another team":   {open: true, key: goodKey, before: press, after: map[string]string{goodKey: "radio"}, reason: forwarder.ReasonInvalidKey},
+		"open, given to a team":         {open: true, key: goodKey, before: map[string]string{"other": "press"}, after: press, reason: forwarder.ReasonInvalidKey},
+		"open, the last one is removed": {open: true, key: goodKey, before: press, after: map[string]string{}, reason: forwarder.ReasonInvalidKey},
+		"open, of no team":              {open: true, key: "unknown", before: press, after: map[string]string{goodKey: "radio"}},
+		"open, no key":                  {open: true, before: press, after: map[string]string{goodKey: "radio"}},
+		"open, the state is stale":      {open: true, key: goodKey, before: press, pause: 4501, reason: forwarder.ReasonStaleState},
+		"open, stale, no key":           {open: true, before: press, pause: 4501},
+	} {
+		for _, outcome := range []forwarder.Outcome{forwarder.OutcomeExpired, forwarder.OutcomeNotSent} {
+			t.Run(fmt.Sprint(name, ", ", outcome), func(t *testing.T) {
+				p := newPausable(0)
+				before := openState(2, test.open, test.before)
+				before.Routes[0].Timeout = 20 * clock.Second
+				p.step(forwarder.StateRead{State: before, ConfirmedAt: p.now})
+				dispatch, ok := find[forwarder.Dispatch](p.step(forwarder.RequestArrived{Request: forwarder.Request{ID: "1", Host: "h", Path: "/x", Key: secret.New(test.key)}}))
+				require.True(t, ok)
+				p.now = p.now.Add(test.pause)
+				if test.after != nil {
+					p.step(forwarder.StateRead{State: openState(3, test.open, test.after), ConfirmedAt: p.now})
+				}
+				actions := p.step(forwarder.AttemptEnded{Request: "1", Attempt: dispatch.Attempt, Outcome: outcome})
+				refused, isRefused := find[forwarder.Refuse](actions)
+				require.Equal(t, test.reason, refused.Reason)
+				again, sent := find[forwarder.Dispatch](actions)
+				require.NotEqual(t, isRefused, sent)
+				if isRefused {
+					require.Equal(t, 503, refused.Status, "it has not run")
+				} else {
+					require.Equal(t, dispatch.Team, again.Team)
+				}
+			})
+		}
+	}
+}
+
 // TestPausedInstanceTakesItsShareOnly guards against an instance that, after a pause of its
 // process, grants the whole burst of a team before it has received digests of the others.
 func TestPausedInstanceTakesItsShareOnly(t *testing.T) {
