Reserve the memory for request bodies in chunks as they grow

Cause: a body of unknown length reserved 128 KB and could grow to max_body_bytes without reserving the rest.

Change: the package reserver reserves memory as bytes arrive, in an account for each exchange. A chunked body grows its account and is refused with 503 and Retry-After when no memory is left. It has not run. The budget of all bodies is the same as before.

--- a/internal/runtime/httpserver/conn.go
+++ b/internal/runtime/httpserver/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/inputpoller"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/progresswriter"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -148,19 +149,19 @@
 	}
 	c.requests++
 	inbound.Connection = Connection{Number: c.number, Requests: c.requests, Age: clock.Millis(time.Since(c.acceptedAt).Milliseconds())}
-	reserved := inbound.reservedBytes(limits.BodyBytes)
-	if !c.server.bodyMemory.acquire(reserved) {
-		c.reject(&rejection{status: http.StatusServiceUnavailable, retryAfter: clock.Second})
+	account := c.server.bodies.Account("")
+	defer account.Release()
+	if !account.Grow(inbound.reservedBytes(limits.BodyBytes)) {
+		c.reject(bodiesFull)
 		return false
 	}
-	defer func() { c.server.bodyMemory.release(reserved) }()
-	if !c.readBody(inbound, limits.BodyBytes) {
+	if !c.readBody(inbound, limits.BodyBytes, account) {
 		return false
 	}
 	return c.handle(inbound)
 }
 
-func (c *conn) readBody(inbound *InboundRequest, limit int64) bool {
+func (c *conn) readBody(inbound *InboundRequest, limit int64, account *reserver.Account) bool {
 	if !c.beginRead(c.callerTimeout(inbound)) {
 		return false
 	}
@@ -169,7 +170,7 @@
 			return false
 		}
 	}
-	if rejected := inbound.readBody(c.reader, limit); rejected != nil {
+	if rejected := inbound.readBody(c.reader, limit, account); rejected != nil {
 		c.reject(rejected)
 		return false
 	}
--- a/internal/runtime/httpserver/httpserver.go
+++ b/internal/runtime/httpserver/httpserver.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -53,10 +54,10 @@
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
-	handler    Handler
-	limits     atomic.Pointer[desired.Limits]
-	bodyMemory *memoryBudget
-	draining   atomic.Bool
+	handler  Handler
+	limits   atomic.Pointer[desired.Limits]
+	bodies   *reserver.Reserver
+	draining atomic.Bool
 	// readsEnded reports whether EndReads was called.
 	readsEnded atomic.Bool
 
@@ -69,7 +70,7 @@
 // New returns a Server that passes requests to the handler. The bodies of all requests in
 // flight may use at most bodyBytes of memory.
 func New(handler Handler, bodyBytes int64) *Server {
-	s := &Server{handler: handler, conns: map[*conn]bool{}, bodyMemory: &memoryBudget{free: bodyBytes}}
+	s := &Server{handler: handler, conns: map[*conn]bool{}, bodies: reserver.New(bodyBytes)}
 	limits := desired.DefaultLimits()
 	s.limits.Store(&limits)
 	return s
@@ -89,6 +90,9 @@
 	}
 }
 
+// BodyBytes returns the memory that is reserved for bodies.
+func (s *Server) BodyBytes() int64 { return s.bodies.Held() }
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
@@ -143,28 +147,6 @@
 	delete(s.conns, c)
 }
 
-// memoryBudget limits the memory for request bodies.
-type memoryBudget struct {
-	mu   sync.Mutex
-	free int64 // free is in bytes.
-}
-
-func (b *memoryBudget) acquire(bytes int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.free < bytes {
-		return false
-	}
-	b.free -= bytes
-	return true
-}
-
-func (b *memoryBudget) release(bytes int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.free += bytes
-}
-
 // discardInput reads and discards further input for up to 300 ms. Closing the connection
 // with unread input would send a reset, which can destroy the response in transit.
 func discardInput(c net.Conn) {
--- a/internal/runtime/httpserver/inbound.go
+++ b/internal/runtime/httpserver/inbound.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -53,7 +54,8 @@
 	return min(limit, i.contentLength)
 }
 
-// chunkedBodyReserve is the memory in bytes to reserve for a body of unknown length.
+// chunkedBodyReserve is the memory in bytes to reserve for the first bytes of a body of unknown length.
+// That for the others is reserved as they arrive.
 const chunkedBodyReserve = 128 << 10
 
 // rejection is the response to a request that can't be read. With status 0 the connection
@@ -63,6 +65,9 @@
 	retryAfter clock.Millis
 }
 
+// bodiesFull rejects a request for whose body there is no memory left. It has not run.
+var bodiesFull = &rejection{status: http.StatusServiceUnavailable, retryAfter: clock.Second}
+
 // readHead reads the head of a request.
 func readHead(reader *bufio.Reader, limit int64) (*InboundRequest, *rejection) {
 	head, rejected := readLines(reader, limit)
@@ -155,7 +160,7 @@
 }
 
 // readBody reads the complete body.
-func (i *InboundRequest) readBody(reader *bufio.Reader, limit int64) *rejection {
+func (i *InboundRequest) readBody(reader *bufio.Reader, limit int64, account *reserver.Account) *rejection {
 	if i.contentLength > limit {
 		return &rejection{status: http.StatusRequestEntityTooLarge}
 	}
@@ -167,7 +172,7 @@
 		i.Body = make([]byte, i.contentLength)
 		_, err = io.ReadFull(reader, i.Body)
 	default:
-		i.Body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(reader), limit+1))
+		i.Body, err = account.ReadAll(httputil.NewChunkedReader(reader), min(limit+1, chunkedBodyReserve), limit)
 		if err == nil {
 			err = skipTrailer(reader)
 		}
@@ -175,12 +180,14 @@
 	switch {
 	case isTimeout(err):
 		return &rejection{status: http.StatusRequestTimeout}
+	case err == reserver.ErrFull:
+		return bodiesFull
+	case err == reserver.ErrTooLong:
+		return &rejection{status: http.StatusRequestEntityTooLarge}
 	case err != nil && i.contentLength < 0 && err != io.ErrUnexpectedEOF && err != io.EOF:
 		return &rejection{status: http.StatusBadRequest}
 	case err != nil:
 		return &rejection{}
-	case int64(len(i.Body)) > limit:
-		return &rejection{status: http.StatusRequestEntityTooLarge}
 	}
 	return nil
 }
