Limit the memory for what servers send, and share it among them

What callers saw, in the report of another operator and in our test: when faulty engines sent an event, comments or the body of a call without end, an instance of 134 MB kept it all (peaks of 137 to 233 MB) and would be ended by the platform, and the requests of other callers with it.

Cause: each event and each body of a call had a limit, but all of them together had none. Only buffered bodies were reserved.

Change: heads, events and bodies, also those of health checks, reports, orders and caches, are reserved in the account of their exchange beyond a small part. The accounts of one server grow only while they hold no more than is left free, so that faulty servers leave room for sound ones. An attempt without memory ends as corrupted and goes on elsewhere if it may. A hop drops a head without end at its limit. New metrics responseBytes and requestBytes.

--- a/internal/runtime/edge/actions.go
+++ b/internal/runtime/edge/actions.go
@@ -1,12 +1,16 @@
 package edge
 
 import (
+	"context"
+
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/cachetracker"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/objectstore"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/datagram"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
 )
 
 // perform performs one action. It is called with the state machine locked and must
@@ -54,9 +58,7 @@
 	case forwarder.RefuseTunnel:
 		e.machine.deliver(action.Tunnel, action)
 	case forwarder.ReadCache:
-		e.start(func() {
-			e.machine.submit(e.platform.ReadCache(e.ctx, action.Read, e.notify(action.Read.Server, action.Read.StartedAt)))
-		})
+		e.start(func() { e.readCache(action.Read) })
 	case forwarder.ReadAssignment:
 		e.start(func() {
 			e.machine.submit(forwarder.AssignmentRead{Service: action.Service, Response: e.platform.ReadAssignment(e.ctx, action.Service)})
@@ -86,8 +88,22 @@
 	}
 }
 
+// callContext returns the context for a call to a server, of which the response is limited by an account.
+func (e *Edge) callContext(server string) (ctx context.Context, release func()) {
+	account := e.responses.Account(server)
+	return httpclient.WithAccount(e.ctx, account), account.Release
+}
+
+func (e *Edge) readCache(read cachetracker.ReadRequest) {
+	ctx, release := e.callContext(read.Server)
+	defer release()
+	e.machine.submit(e.platform.ReadCache(ctx, read, e.notify(read.Server, read.StartedAt)))
+}
+
 func (e *Edge) checkHealth(check forwarder.CheckHealth) {
-	checked := e.platform.CheckHealth(e.ctx, check, e.notify(check.Server, check.StartedAt))
+	ctx, release := e.callContext(check.Server)
+	defer release()
+	checked := e.platform.CheckHealth(ctx, check, e.notify(check.Server, check.StartedAt))
 	checked.BeganAt = check.BeganAt
 	e.machine.submit(checked)
 }
@@ -115,12 +131,16 @@
 func (e *Edge) callEngine(step rollout.Step) {
 	switch step := step.(type) {
 	case rollout.RequestReport:
-		report := e.platform.FetchReport(e.ctx, step, e.notify(step.Server, step.StartedAt))
+		ctx, release := e.callContext(step.Server)
+		defer release()
+		report := e.platform.FetchReport(ctx, step, e.notify(step.Server, step.StartedAt))
 		e.machine.submit(forwarder.EngineReported{Server: step.Server, Report: report})
 	case rollout.Order:
 		// The process may have been suspended since the order was decided, so the
 		// deadline is checked again immediately before sending.
-		reply := e.platform.SendOrder(e.ctx, step, before(step.Deadline), e.notify(step.Server, step.StartedAt))
+		ctx, release := e.callContext(step.Server)
+		defer release()
+		reply := e.platform.SendOrder(ctx, step, before(step.Deadline), e.notify(step.Server, step.StartedAt))
 		e.machine.submit(forwarder.OrderReplied{Server: step.Server, Reply: reply})
 	}
 }
--- a/internal/runtime/edge/attempt.go
+++ b/internal/runtime/edge/attempt.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -15,6 +13,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/streamchecker"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/bootclock"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpclient"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -22,10 +21,10 @@
 	// attemptGrace is added to an attempt's timeout. The state machine and the server end
 	// the attempt before that; the context is only a safeguard.
 	attemptGrace = 500 * time.Millisecond
-	// maxEventBytes limits one event of a stream. eventBufferBytes is the size of the read
-	// buffer; a typical event fits.
-	maxEventBytes    = 1 << 20
-	eventBufferBytes = 2 << 10
+	// maxResponseBytes limits the body of a response that is buffered, and smallResponseBytes is the part
+	// of each body that needs no reservation.
+	maxResponseBytes   = 8 << 20
+	smallResponseBytes = 64 << 10
 	// progressInterval is the shortest time between two reports of a stream's progress.
 	progressInterval = 200 * time.Millisecond
 )
@@ -55,6 +54,7 @@
 
 func (s *openStream) close() {
 	s.exchange.Close()
+	s.events.account.Release()
 	if s.cancel != nil {
 		s.cancel()
 	}
@@ -68,8 +68,10 @@
 		s.hasFirst = false
 		return s.first, s.firstErr
 	}
+	s.events.release()
 	var ignored []byte
 	for {
+		s.events.kept = len(ignored)
 		event, err := s.nextChecked(unproven)
 		switch {
 		case err == nil && s.checker.Began():
@@ -79,9 +81,7 @@
 		case err != nil:
 			return event, err
 		}
-		if ignored = append(ignored, event...); len(ignored) > maxEventBytes {
-			return ignored, errors.Errorf("the events before the first token are longer than %d bytes", maxEventBytes)
-		}
+		ignored = append(ignored, event...)
 	}
 }
 
@@ -105,12 +105,17 @@
 		h.unproven.Add(1)
 	}
 	var reason streamchecker.Reason
-	if errors.As(err, &reason) {
+	if errors.As(err, &reason) || isTooLong(err) {
 		return forwarder.OutcomeCorrupted
 	}
 	return forwarder.OutcomeInterrupted
 }
 
+// isTooLong reports whether a server has sent more than there is memory for.
+func isTooLong(err error) bool {
+	return errors.Is(err, reserver.ErrFull) || errors.Is(err, reserver.ErrTooLong)
+}
+
 // attempt sends the request to a server and reads the response. It returns the event for
 // the state machine, or a stream whose head has been read.
 func (h *requestHandler) attempt(ctx context.Context, c *cancellation, dispatch forwarder.Dispatch) (forwarder.AttemptEnded, *openStream) {
@@ -121,7 +126,13 @@
 	}
 	request.Allowed = before(dispatch.SendBefore)
 	request.Closed = func() { h.edge.closed(c) }
-	exchange, err := httpclient.Send(ctx, dispatch.Address, request)
+	account, kept := h.edge.responses.Account(dispatch.Server), false
+	defer func() {
+		if !kept {
+			account.Release()
+		}
+	}()
+	exchange, err := httpclient.Send(httpclient.WithAccount(ctx, account), dispatch.Address, request)
 	if errors.Is(err, httpclient.ErrExpired) {
 		return withOutcome(result, forwarder.OutcomeExpired, err), nil
 	}
@@ -147,7 +158,8 @@
 	}
 	hasEvents := dispatch.Stream && h.inbound.Method != http.MethodHead
 	if hasEvents && response.StatusCode == http.StatusOK && isUsable(head, response) {
-		events := &eventReader{reader: bufio.NewReaderSize(response.Body, eventBufferBytes)}
+		kept = true
+		events := newEventReader(response.Body, account)
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 		stream := &openStream{ctx: ctx, result: result, head: head, events: events, exchange: exchange, silenceLimit: dispatch.SilenceLimit, framed: framed, checker: streamchecker.New("")}
 		if dispatch.Resumable {
@@ -171,7 +183,9 @@
 		// The server did not confirm what the status would tell the caller.
 		return withOutcome(result, forwarder.OutcomeInterrupted, errors.New("the server refuses the request but did not confirm that it has not executed it")), nil
 	default:
-		return h.bufferResponse(result, head, response), nil
+		result = h.bufferResponse(result, head, response, account)
+		kept = result.Outcome == forwarder.OutcomeCompleted
+		return result, nil
 	}
 }
 
@@ -199,7 +213,7 @@
 
 // outcomeOfReadError distinguishes an invalid response from a broken connection.
 func outcomeOfReadError(err error) forwarder.Outcome {
-	if errors.Is(err, httpclient.ErrHeadTooLong) || strings.Contains(err.Error(), "malformed") {
+	if errors.Is(err, httpclient.ErrHeadTooLong) || isTooLong(err) || strings.Contains(err.Error(), "malformed") {
 		return forwarder.OutcomeCorrupted
 	}
 	return forwarder.OutcomeInterrupted
@@ -214,15 +228,15 @@
 }
 
 // bufferResponse reads the complete response.
-func (h *requestHandler) bufferResponse(result forwarder.AttemptEnded, head ResponseHead, response *http.Response) forwarder.AttemptEnded {
-	body, reserved, err := h.edge.responseMemory.read(response.Body)
+func (h *requestHandler) bufferResponse(result forwarder.AttemptEnded, head ResponseHead, response *http.Response, account *reserver.Account) forwarder.AttemptEnded {
+	body, err := account.ReadAll(response.Body, smallResponseBytes, maxResponseBytes)
 	switch {
-	case errors.Is(err, errBodyTooLong):
+	case isTooLong(err):
 		return withOutcome(result, forwarder.OutcomeCorrupted, err)
 	case err != nil:
 		return withOutcome(result, forwarder.OutcomeInterrupted, err)
 	}
-	h.keep(result.Attempt, &bufferedResponse{status: response.StatusCode, header: head.Header, body: body}, reserved)
+	h.keep(result.Attempt, &bufferedResponse{status: response.StatusCode, header: head.Header, body: body, account: account})
 	return withOutcome(result, forwarder.OutcomeCompleted, nil)
 }
 
@@ -287,44 +301,3 @@
 		h.response.WriteHead(status, head.Header)
 	}
 }
-
-// eventReader reads the events of a stream.
-type eventReader struct {
-	reader *bufio.Reader
-}
-
-// next reads one event including the empty line that ends it, and the comments and empty lines
-// before it: these are no events, and a server that sends only them is silent. At the end of the
-// stream it returns io.EOF, together with the bytes of an incomplete event if there are any.
-func (r *eventReader) next() ([]byte, error) {
-	var event []byte
-	hasField, lineStart := false, 0
-	for {
-		line, err := r.reader.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == bufio.ErrBufferFull:
-		case err == io.EOF && !hasField && isComment(event[lineStart:]):
-			return nil, err
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
-			if hasField {
-				return event, nil
-			}
-			lineStart = len(event)
-		default:
-			hasField = hasField || !isComment(event[lineStart:])
-			lineStart = len(event)
-		}
-		if len(event) > maxEventBytes {
-			return event, errors.Errorf("the event is longer than %d bytes", maxEventBytes)
-		}
-	}
-}
-
-// isComment reports whether the line, which may be incomplete, is a comment or empty.
-func isComment(line []byte) bool {
-	text := bytes.TrimRight(line, "\r\n")
-	return len(text) == 0 || text[0] == ':'
-}
--- a/internal/runtime/edge/edge.go
+++ b/internal/runtime/edge/edge.go
@@ -37,6 +37,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpserver"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/meter"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/objectcache"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/watcher"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -136,8 +137,12 @@
 // Logger writes log entries. Write must not block.
 type Logger interface{ Write(entry eventlog.Entry) }
 
-// bodyMemoryDivisor limits request bodies to 1/6 of the process's memory.
-const bodyMemoryDivisor = 6
+const (
+	// bodyMemoryDivisor limits the bodies of all requests to 1/6 of the process's memory.
+	bodyMemoryDivisor = 6
+	// responseMemoryDivisor limits what servers send, beyond the first bytes of each response, to 1/5 of it.
+	responseMemoryDivisor = 5
+)
 
 // Edge is one running instance.
 type Edge struct {
@@ -149,8 +154,8 @@
 	// httpServer serves the callers.
 	httpServer *httpserver.Server
 	peerSocket net.PacketConn
-	// responseMemory limits the responses that are buffered.
-	responseMemory responseMemory
+	// responses limits the memory for what servers send.
+	responses *reserver.Reserver
 	// kinds are the kinds of the store's objects, of which objects has the copies.
 	// endWatch ends the watches of the store.
 	kinds    []WatchedKind
@@ -192,7 +197,9 @@
 	platform.ObserveEras(e.seeEra)
 	e.kinds = platform.WatchedKinds(e.machine.submit, e.log)
 	e.httpServer = httpserver.New(e, settings.MemoryMB<<20/bodyMemoryDivisor)
-	e.responseMemory.limit = settings.MemoryMB << 20 / responseMemoryDivisor
+	e.responses = reserver.New(settings.MemoryMB << 20 / responseMemoryDivisor)
+	e.meter.Gauge("requestBytes", func() any { return e.httpServer.BodyBytes() })
+	e.meter.Gauge("responseBytes", func() any { return e.responses.Held() })
 	if err := e.listen(); err != nil {
 		e.Close()
 		return nil, err
--- a/internal/runtime/edge/request.go
+++ b/internal/runtime/edge/request.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/httpserver"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -95,9 +96,7 @@
 	// buffered are the responses by attempt. They are held back until the state machine
 	// decides whether to forward one or to retry the request.
 	buffered map[int]*bufferedResponse
-	// reserved is the memory reserved for them, in bytes, and released reports whether the
-	// request has ended.
-	reserved int64
+	// released reports whether the request has ended, and with it their accounts.
 	released bool
 	// streamStarted reports whether events have been forwarded to the caller.
 	// lastEventID is the identifier of the last one.
@@ -121,18 +120,19 @@
 	status int
 	header http.Header
 	body   []byte
+	// account holds the memory for the body.
+	account *reserver.Account
 }
 
 // keep keeps a response until the request ends.
-func (h *requestHandler) keep(attempt int, response *bufferedResponse, reserved int64) {
+func (h *requestHandler) keep(attempt int, response *bufferedResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.released {
-		h.edge.responseMemory.release(reserved)
+		response.account.Release()
 		return
 	}
 	h.buffered[attempt] = response
-	h.reserved += reserved
 }
 
 // release releases the memory of the responses.
@@ -140,7 +140,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.released = true
-	h.edge.responseMemory.release(h.reserved)
+	for _, response := range h.buffered {
+		response.account.Release()
+	}
 }
 
 // run performs the request's actions until one of them ends it.
--- a/internal/runtime/edge/tunnels.go
+++ b/internal/runtime/edge/tunnels.go
@@ -224,7 +224,9 @@
 	for {
 		end := bytes.Index(c.bytes, headEnd)
 		if end < 0 {
-			c.done = len(c.bytes) > maxTunnelHeadBytes
+			if len(c.bytes) > maxTunnelHeadBytes {
+				c.done, c.bytes = true, nil
+			}
 			return nil
 		}
 		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.bytes)), nil)
--- a/internal/runtime/edge/tunnels_test.go
+++ b/internal/runtime/edge/tunnels_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -29,3 +30,18 @@
 	require.NoError(t, err)
 	require.Equal(t, "GET /", server.String())
 }
+
+// TestTunnelKeepsNoHeadWithoutEnd guards against an instance that keeps, for another one, all that a server
+// sends in place of the head of a response.
+func TestTunnelKeepsNoHeadWithoutEnd(t *testing.T) {
+	interim := "HTTP/1.1 103 Early\r\nLink: " + strings.Repeat("x", 2000) + "\r\n\r\n"
+	for name, received := range map[string]string{"a field": "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 4000), "no response": strings.Repeat("x", 4000), "interim responses": interim + interim} {
+		t.Run(name, func(t *testing.T) {
+			collector := &headCollector{}
+			for range 100 {
+				require.Nil(t, collector.add([]byte(received)))
+				require.LessOrEqual(t, len(collector.bytes), maxTunnelHeadBytes)
+			}
+		})
+	}
+}
--- a/internal/runtime/httpclient/httpclient.go
+++ b/internal/runtime/httpclient/httpclient.go
@@ -27,6 +27,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/tunnelverdict"
 	"github.com/hyssopdoor/hyssopdoor/internal/runtime/conncloser"
+	"github.com/hyssopdoor/hyssopdoor/internal/runtime/reserver"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -44,6 +45,12 @@
 	readBufferBytes = 4 << 10
 	// maxHeadBytes limits the head of a response, with the interim responses before it.
 	maxHeadBytes = 64 << 10
+	// smallHeadBytes is the part of each head that needs no memory of the account, and headCopies the
+	// number of copies of the rest: lines, fields and values.
+	smallHeadBytes = 4 << 10
+	headCopies     = 3
+	// smallBodyBytes is the part of each body that needs no memory of the account.
+	smallBodyBytes = 64 << 10
 )
 
 // ErrHeadTooLong means that the head of a response has no end within the limit.
@@ -55,7 +62,8 @@
 // headReader limits the bytes that are read until the head is complete.
 type headReader struct {
 	conn      net.Conn
-	remaining int    // remaining is negative without a limit.
+	remaining int // remaining is negative without a limit.
+	account   *reserver.Account
 	start     string // start has the first bytes that were read.
 	end       error  // end is the error after which no more can be read.
 }
@@ -71,6 +79,9 @@
 	n, err := r.conn.Read(buffer)
 	if r.remaining > 0 {
 		r.remaining -= n
+		if r.remaining < maxHeadBytes-smallHeadBytes && !r.account.Grow(headCopies*int64(n)) {
+			n, err = 0, reserver.ErrFull
+		}
 	}
 	r.start += string(buffer[:min(n, len(responseStart)-len(r.start))])
 	r.end = err
@@ -158,6 +169,15 @@
 	return context.WithValue(ctx, dialKey{}, dial)
 }
 
+// accountKey is the key of an account in a context.
+type accountKey struct{}
+
+// WithAccount returns a context in which the memory for a long head of a response, or for a body that is
+// read by ReadBody, is reserved in the account.
+func WithAccount(ctx context.Context, account *reserver.Account) context.Context {
+	return context.WithValue(ctx, accountKey{}, account)
+}
+
 // Connect opens a connection to the address. Its error is a NotSentError.
 func Connect(ctx context.Context, address string) (net.Conn, error) {
 	return connect(ctx, address, Request{})
@@ -200,7 +220,8 @@
 		closed()
 		return nil, err
 	}
-	head := &headReader{conn: conn, remaining: maxHeadBytes}
+	account, _ := ctx.Value(accountKey{}).(*reserver.Account)
+	head := &headReader{conn: conn, remaining: maxHeadBytes, account: account}
 	exchange := &Exchange{conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), method: request.Method, closed: closed}
 	exchange.stopWatchingContext = context.AfterFunc(ctx, exchange.closeConn)
 	if ctx.Err() != nil {
@@ -273,6 +294,15 @@
 	}
 }
 
+// ReadBody reads the body of the response, which must have at most limit bytes.
+func (e *Exchange) ReadBody(response *http.Response, limit int64) ([]byte, error) {
+	body, err := e.head.account.ReadAll(response.Body, smallBodyBytes, limit)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the response body")
+	}
+	return body, nil
+}
+
 // Close ends the exchange and its connection.
 func (e *Exchange) Close() {
 	e.closeConn()
@@ -308,9 +338,5 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("response status %d to %s %s", response.StatusCode, request.Method, request.Target)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "read the response body")
-	}
-	return body, nil
+	return exchange.ReadBody(response, maxBytes)
 }
