Ask an engine that was away for its start before a stream goes on there

Cause: where a stream may go on was decided by the version in the engine's entry, also after the engine had been away and before it had written its new entry.

Change: an engine that could not be reached or broke off a response is in doubt. A stream that may go on elsewhere runs there only once the engine's report names the listed start, or its entry names a new one. Without a report the doubt ends after three heartbeats. New event startNotListed.

--- a/internal/decision/eventlog/number.go
+++ b/internal/decision/eventlog/number.go
@@ -72,6 +72,7 @@
 	TunnelRefused        Number = 2220
 	ServerBrittle        Number = 2221
 	ServerBrittleInvalid Number = 2222
+	StartNotListed       Number = 2223
 	WeightsNamed         Number = 2301
 	AssignmentWritten    Number = 2320
 	StoreEraChanged      Number = 2401
@@ -162,6 +163,7 @@
 	TunnelRefused:        "tunnelRefused",
 	ServerBrittle:        "serverBrittle",
 	ServerBrittleInvalid: "serverBrittleInvalid",
+	StartNotListed:       "startNotListed",
 	WeightsNamed:         "weightsNamed",
 	AssignmentWritten:    "assignmentWritten",
 	StoreEraChanged:      "storeEraChanged",
--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -36,6 +36,9 @@
 		if wait, holds := f.limitWait(server); wait > 0 || !holds || !f.hasRoom(server) {
 			continue
 		}
+		if !f.startsClearly(fl, server) {
+			continue
+		}
 		candidate := scheduler.Candidate{
 			Server: server.ID, OtherDomain: server.Domain != f.settings.Domain, ErrorRate: server.ErrorRate(f.now),
 			MemoryTokens: service.CacheTokens, Slots: server.Slots, Salt: f.cacheSalt(fl, server),
--- a/internal/decision/forwarder/digests.go
+++ b/internal/decision/forwarder/digests.go
@@ -214,6 +214,7 @@
 		}
 		spread := float64(f.jitter(jitterSteps)) / jitterSteps
 		if f.servers.MarkReportedUnreachable(f.now, id, spread) {
+			f.doubtStart(id)
 			f.log(eventlog.New(eventlog.ServerSuspected, "").With("server", id).With("gone", false).With("from", message.Name))
 		}
 	}
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -225,6 +225,8 @@
 	// startsSeen are the times at which servers were first seen, or seen to have started anew,
 	// while others were known.
 	startsSeen map[string]clock.Millis
+	// startDoubts has the engines that may have started again under their identifiers.
+	startDoubts map[string]startDoubt
 	// paths has the ways to the servers, and suspicions those about which other instances are
 	// asked. tunnels are the connections that are open for other instances.
 	paths       *pathfinder.Pathfinder
@@ -286,7 +288,7 @@
 		eras:              eratracker.New(),
 		parts:             partquarantine.New(maxAccusedParts),
 		limits:            limitsharer.New(), holders: map[limitsharer.Start]limitHolders{},
-		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, groupCeilings: map[roomGroup]groupCeiling{}, startsSeen: map[string]clock.Millis{},
+		rooms: limitsharer.NewRooms(), brittleServices: map[string]brittleService{}, groupCeilings: map[roomGroup]groupCeiling{}, startsSeen: map[string]clock.Millis{}, startDoubts: map[string]startDoubt{},
 		paths: pathfinder.New(), suspicions: map[string]*suspicion{}, controls: map[string]clock.Millis{}, tunnels: map[string]tunnel{},
 		admitter:   admitter.New(),
 		drainState: newDrainState(), weightsAges: newWeightsAges(),
--- a/internal/decision/forwarder/paths.go
+++ b/internal/decision/forwarder/paths.go
@@ -282,6 +282,7 @@
 // health check. Only a server that is gone has crashed: a sound one whose queue of new connections
 // is full can't be reached either.
 func (f *Forwarder) concludeUnreachable(id string, gone bool) {
+	f.doubtStart(id)
 	if gone {
 		if f.servers.MarkGone(f.now, id) {
 			f.handleServerCrash(id)
--- a/internal/decision/forwarder/restarts_test.go
+++ b/internal/decision/forwarder/restarts_test.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/forwarder"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/secret"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
@@ -96,3 +97,93 @@
 	require.True(t, ok)
 	require.Equal(t, 401, refused.Status)
 }
+
+// TestStreamGoesToNoUnlistedStart guards against a stream whose text is joined from two software versions: it
+// breaks, and goes on at an engine that has started again with other software and is still listed with the
+// earlier one.
+func TestStreamGoesToNoUnlistedStart(t *testing.T) {
+	const other = "r1"
+	gone := forwarder.EngineReported{Server: other, Report: rollout.Report{Failed: true, Unreachable: true, Gone: true}}
+	interrupted := forwarder.AttemptEnded{Request: "before", Attempt: 1, Outcome: forwarder.OutcomeInterrupted}
+	report := func(startedAt int64) forwarder.Event {
+		return forwarder.EngineReported{Server: other, Report: rollout.Report{StartedAt: startedAt, WeightVersions: map[string]int64{model: 1}}}
+	}
+	entry := func(startedAt int64, version string) registry.Entry {
+		listed := registry.Entry{ID: other, Service: "records", Address: "10.1.0.2:80", Domain: "a", StartedAt: startedAt, SoftwareVersion: version, Revision: startedAt}
+		return listed.WithWeightVersion(model, 1)
+	}
+	for name, test := range map[string]struct {
+		trouble forwarder.Event // trouble is what happens to the other engine; nil for nothing.
+		after   []forwarder.Event
+		wait    clock.Millis
+		asked   bool // asked reports whether the engine is asked for its start.
+		goesOn  bool
+	}{
+		"no trouble":                     {goesOn: true},
+		"gone":                           {trouble: gone, asked: true},
+		"gone, no report comes":          {trouble: gone, wait: 4 * clock.Second, goesOn: true},
+		"gone, the same start":           {trouble: gone, after: []forwarder.Event{report(1)}, asked: true, goesOn: true},
+		"gone, a failed report":          {trouble: gone, after: []forwarder.Event{forwarder.EngineReported{Server: other, Report: rollout.Report{Failed: true}}}, asked: true},
+		"gone, another start":            {trouble: gone, after: []forwarder.Event{report(2)}, asked: true},
+		"another start, for long":        {trouble: gone, after: []forwarder.Event{report(2)}, wait: 4 * clock.Second},
+		"another start, listed the same": {trouble: gone, after: []forwarder.Event{report(2), forwarder.ServerChanged{Entry: entry(2, "v1")}}, asked: true, goesOn: true},
+		"another start, listed with v2":  {trouble: gone, after: []forwarder.Event{report(2), forwarder.ServerChanged{Entry: entry(2, "v2")}}, asked: true},
+		"it broke off a response":        {trouble: interrupted, asked: true},
+		"broke off, the same start":      {trouble: interrupted, after: []forwarder.Event{report(1)}, asked: true, goesOn: true},
+		"broke off, another start":       {trouble: interrupted, after: []forwarder.Event{report(2)}, asked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPausable(0)
+			state := pausableState(2, goodKey)
+			state.Routes[0].Kind, state.Routes[0].Resumable, state.Routes[0].Timeout = desired.Stream, true, 30*clock.Second
+			p.step(forwarder.StateRead{State: state, ConfirmedAt: p.now})
+			first := entry(1, "v1")
+			first.ID = "r0"
+			p.step(forwarder.ServersListed{Entries: []registry.Entry{first}})
+			begun, ok := find[forwarder.Dispatch](p.request("stream"))
+			require.True(t, ok)
+			p.step(forwarder.StreamStarted{Request: "stream", Attempt: begun.Attempt})
+			p.step(forwarder.ServerChanged{Entry: entry(1, "v1")})
+			before, ok := find[forwarder.Dispatch](p.request("before"))
+			require.True(t, ok)
+			require.Equal(t, other, before.Server)
+			if test.trouble != nil {
+				p.step(test.trouble)
+				p.step(forwarder.HealthChecked{Server: other, Healthy: true})
+			}
+			var actions []forwarder.Action
+			pass := func(duration clock.Millis) {
+				for end := p.now.Add(duration); p.now < end; p.now = p.now.Add(20) {
+					actions = append(actions, p.step(forwarder.StateConfirmed{ConfirmedAt: p.now})...)
+				}
+			}
+			report := func() {
+				for _, event := range test.after {
+					actions = append(actions, p.step(event)...)
+				}
+			}
+			if test.wait > 0 {
+				report()
+				pass(test.wait)
+			}
+			actions = p.step(forwarder.AttemptEnded{Request: "stream", Attempt: begun.Attempt, Outcome: forwarder.OutcomeInterrupted, Status: 200, Delivered: true, LastEventID: "1"})
+			actions = append(actions, p.step(forwarder.HealthChecked{Server: "r0", Healthy: true})...)
+			pass(100)
+			if test.wait == 0 {
+				report()
+			}
+			pass(200)
+			asked, goesOn := false, false
+			for _, action := range actions {
+				switch action := action.(type) {
+				case forwarder.CallEngine:
+					asked = asked || action.Step.(rollout.RequestReport).Server == other
+				case forwarder.Dispatch:
+					goesOn = goesOn || action.Request == "stream" && action.Server == other
+				}
+			}
+			require.Equal(t, test.asked, asked, "the engine is asked for its start")
+			require.Equal(t, test.goesOn, goesOn, "the stream goes on there")
+		})
+	}
+}
--- a/internal/decision/forwarder/rollout.go
+++ b/internal/decision/forwarder/rollout.go
@@ -33,6 +33,7 @@
 		}
 		f.broadcastNow()
 	case EngineReported:
+		f.recordStart(event.Server, event.Report)
 		if event.Report.Unreachable && !f.paused(event.Server) {
 			f.recordUnreachable(event.Server, event.Report.Gone, f.now)
 		}
--- a/internal/decision/forwarder/updates.go
+++ b/internal/decision/forwarder/updates.go
@@ -143,6 +143,7 @@
 		_, known := f.servers.Server(id)
 		return !known
 	})
+	f.forgetStarts()
 	f.paths.Retain(func(id string) bool {
 		_, known := f.servers.Server(id)
 		return known
@@ -237,6 +238,8 @@
 		f.accuse(id, []interruption{latest})
 		return
 	}
+	// It may be back already when it is next connected to.
+	f.doubtStart(id)
 	recent := append(f.interruptions[id], latest)
 	f.interruptions[id] = recent[max(0, len(recent)-maxInterruptions):]
 }
--- a/internal/decision/forwarder/waiting.go
+++ b/internal/decision/forwarder/waiting.go
@@ -49,7 +49,7 @@
 		return true
 	}
 	for _, server := range available {
-		if (loading[server.ID] || f.returnsInTime(fl, server)) && !server.Down() && !fl.triedServers[server.ID] && fl.mayRunAt(server) {
+		if (loading[server.ID] || f.returnsInTime(fl, server) || f.awaitsStart(fl, server)) && !server.Down() && !fl.triedServers[server.ID] && fl.mayRunAt(server) {
 			return true
 		}
 	}
