Keep unnamed streams of a split route at the service that began them

Cause: a caller can't name its stream, and its new identifier drew a service anew. Only the versions of that service's engines were looked at.

Change: the origin of an unnamed stream is presumed only where the route has led to one service for as long as callers may resume a stream. On split routes the origin is kept under the request's content, too, and an unnamed stream is looked up by that.

--- a/internal/decision/forwarder/assignments.go
+++ b/internal/decision/forwarder/assignments.go
@@ -338,11 +338,19 @@
 func (f *Forwarder) updateStreamRoutes() {
 	var routes []string
 	f.streamServices = map[string]bool{}
+	before := f.routeSplits
+	f.routeSplits = map[string]clock.Millis{}
 	for _, route := range f.desired.Routes {
 		if route.Kind != desired.Stream || !route.Resumable {
 			continue
 		}
-		routes = append(routes, fmt.Sprint(route.Host, " ", route.Prefix, " ", route.Split))
+		key := splitKey(route)
+		routes = append(routes, key)
+		since, known := before[key]
+		if !known && (before != nil || !f.settings.FirstStart) {
+			since = f.now
+		}
+		f.routeSplits[key] = since
 		if service, single := route.SoleService(); single {
 			f.streamServices[service] = true
 		}
@@ -355,5 +363,18 @@
 	f.streamRoutes = fmt.Sprintf("%016x", xxhash.Sum64String(strings.Join(routes, "\n")))
 }
 
+// splitKey identifies a route with its traffic split.
+func splitKey(route desired.Route) string {
+	return fmt.Sprint(route.Host, " ", route.Prefix, " ", route.Split)
+}
+
+// ledOnlyTo reports whether, as far as this instance has seen, streams of the route that callers may still resume
+// began at the service.
+func (f *Forwarder) ledOnlyTo(route desired.Route, service string) bool {
+	sole, single := route.SoleService()
+	since, known := f.routeSplits[splitKey(route)]
+	return single && sole == service && known && (since == 0 || f.now.Since(since) >= maxStreamTime)
+}
+
 // sortedFlights returns the keys of lookups in order.
 func sortedFlights(lookups map[uint64]*flight) []uint64 { return slices.Sorted(maps.Keys(lookups)) }
--- a/internal/decision/forwarder/forwarder.go
+++ b/internal/decision/forwarder/forwarder.go
@@ -222,6 +222,9 @@
 	rooms           *limitsharer.Rooms
 	brittleServices map[string]brittleService
 	groupCeilings   map[roomGroup]groupCeiling
+	// routeSplits are the times since which routes of resumable streams lead to their services, by splitKey.
+	// It holds the routes of the newest state only.
+	routeSplits map[string]clock.Millis
 	// startsSeen are the times at which servers were first seen, or seen to have started anew,
 	// while others were known.
 	startsSeen map[string]clock.Millis
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/desired"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/hasher"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originkeeper"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/originmessage"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
@@ -58,11 +59,15 @@
 	return !fl.hasOrigin || fl.origin == streamOriginOf(server)
 }
 
-// streamID returns the identifier of the request that brought the stream's first event.
+// streamID returns the identifier of the request that brought the stream's first event. A caller that resumes a
+// stream without naming it sends the same request again, whose content identifies a stream of a split route.
 func (fl *flight) streamID() string {
 	id := fl.id()
-	if fl.request.ResumedRequest != "" {
+	switch {
+	case fl.request.ResumedRequest != "":
 		id = fl.request.ResumedRequest
+	case fl.resumes() && fl.contentID() != "":
+		id = fl.contentID()
 	}
 	if strings.ToValidUTF8(id, "") == id {
 		return id
@@ -71,6 +76,22 @@
 	return strconv.QuoteToASCII(id)
 }
 
+// contentID returns an identifier of the request's content; empty where the route leads to one service only.
+// There, the software version tells where an unnamed stream may go on.
+func (fl *flight) contentID() string {
+	if _, single := fl.route.SoleService(); single || fl.request.Fingerprint == "" {
+		return ""
+	}
+	fields := []string{fl.request.Fingerprint, fl.request.Model}
+	for _, part := range fl.request.PromptParts {
+		fields = append(fields, part.ID)
+	}
+	return contentPrefix + hasher.Fields(fields...)
+}
+
+// contentPrefix distinguishes identifiers of contents from those of requests.
+const contentPrefix = "content/"
+
 // recordOrigin records that the caller receives an event of the current attempt. The
 // caller may come back at any instance from now on.
 func (f *Forwarder) recordOrigin(fl *flight) {
@@ -89,13 +110,21 @@
 	if !fl.route.Resumable {
 		return
 	}
-	f.putOrigin(fl.streamID(), fl.origin)
-	keepers, passOn := f.originKeepers(fl.streamID()), f.tellsOneKeeper()
+	f.keepOrigin(fl.streamID(), fl.origin)
+	if content := fl.contentID(); content != "" && content != fl.streamID() {
+		f.keepOrigin(content, fl.origin)
+	}
+}
+
+// keepOrigin keeps the origin of a stream, and tells its keepers.
+func (f *Forwarder) keepOrigin(stream string, origin originkeeper.Origin) {
+	f.putOrigin(stream, origin)
+	keepers, passOn := f.originKeepers(stream), f.tellsOneKeeper()
 	if passOn {
 		// The first one then tells the others.
 		keepers = keepers[:min(1, len(keepers))]
 	}
-	f.sendBegan(originmessage.Message{Stream: fl.streamID(), Origin: fl.origin, PassOn: passOn}, keepers)
+	f.sendBegan(originmessage.Message{Stream: stream, Origin: origin, PassOn: passOn}, keepers)
 }
 
 // doubtfulVersion is the software version of streams that go on at no other server. No server
@@ -145,7 +174,7 @@
 		return
 	}
 	fl.lookup = &originLookup{id: f.nextQueryID(), asked: map[string]bool{}, replied: map[string]bool{}, agreed: map[string]bool{}}
-	if fl.route.Resumable && fl.request.ResumedRequest == "" {
+	if fl.route.Resumable && fl.request.ResumedRequest == "" && f.ledOnlyTo(fl.route, fl.service) {
 		fl.lookup.presumed, _ = f.soleOrigin(fl.service)
 	}
 	f.lookups[fl.lookup.id] = fl
