Let streams that have not begun run at engines whose start is in doubt

Cause: while reports failed, all engines were in doubt, and streams that had not begun were kept away from them like those that go on.

Change: such a stream prefers an engine with a certain start, and else runs at any. If the engine turns out to have another start, the stream's origin counts as unknown, also where an assignment had given it one.

--- a/internal/decision/forwarder/candidates.go
+++ b/internal/decision/forwarder/candidates.go
@@ -36,9 +36,6 @@
 		if wait, holds := f.limitWait(server); wait > 0 || !holds || !f.hasRoom(server) {
 			continue
 		}
-		if !f.startsClearly(fl, server) {
-			continue
-		}
 		candidate := scheduler.Candidate{
 			Server: server.ID, OtherDomain: server.Domain != f.settings.Domain, ErrorRate: server.ErrorRate(f.now),
 			MemoryTokens: service.CacheTokens, Slots: server.Slots, Salt: f.cacheSalt(fl, server),
@@ -58,7 +55,7 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	return candidates
+	return f.withCertainStarts(fl, candidates)
 }
 
 // excludedSources returns the servers from which no cached parts can be fetched.
--- a/internal/decision/forwarder/origins.go
+++ b/internal/decision/forwarder/origins.go
@@ -99,7 +99,7 @@
 		return
 	}
 	fl.partDelivered = true
-	if used, ok := fl.ways[fl.attempt]; ok && !fl.hasOrigin && (f.restartedSince(fl.server, used.startedAt) || f.isReplaced(fl.server)) {
+	if used, ok := fl.ways[fl.attempt]; ok && (f.restartedSince(fl.server, used.startedAt) || f.isReplaced(fl.server)) {
 		// Either start of the server may have sent the event, and their software may differ.
 		fl.origin, fl.hasOrigin = originkeeper.Origin{Service: fl.service, SoftwareVersion: doubtfulVersion}, true
 		return
--- a/internal/decision/forwarder/starts.go
+++ b/internal/decision/forwarder/starts.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/eventlog"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/registry"
 	"github.com/hyssopdoor/hyssopdoor/internal/decision/rollout"
+	"github.com/hyssopdoor/hyssopdoor/internal/decision/scheduler"
 	"github.com/hyssopdoor/hyssopdoor/pkg/clock"
 )
 
@@ -17,7 +18,8 @@
 	startDoubtHeartbeats = 3
 )
 
-// startDoubt is the doubt whether an engine still has the start that is listed. It may have started again, with other software, before it writes that into its entry.
+// startDoubt is the doubt whether an engine still has the start that is listed. It may have started again, with
+// other software, before it writes that into its entry.
 type startDoubt struct {
 	// startedAt is the listed start, and since the time at which the engine last gave cause for the doubt.
 	startedAt int64
@@ -58,29 +60,43 @@
 	return doubt, true
 }
 
-// startsClearly reports whether the software of the server is known, as a stream that may go on at another
-// server needs it. If it is not, the engine is asked for its start.
-func (f *Forwarder) startsClearly(fl *flight, server registry.Server) bool {
-	if !fl.resumable() {
-		return true
+// withCertainStarts returns the candidates that have the listed start, and with it the listed software, as a
+// stream that may go on at another server needs it. A stream that has not begun runs at any of the candidates if
+// the starts of all are in doubt.
+func (f *Forwarder) withCertainStarts(fl *flight, candidates []scheduler.Candidate) []scheduler.Candidate {
+	if !fl.resumable() || len(f.startDoubts) == 0 {
+		return candidates
 	}
-	doubt, doubtful := f.doubtOf(server)
-	if !doubtful {
-		return true
+	var certain []scheduler.Candidate
+	for _, candidate := range candidates {
+		server, _ := f.servers.Server(candidate.Server)
+		if doubt, doubtful := f.doubtOf(server); doubtful {
+			f.askStart(server, doubt)
+			continue
+		}
+		certain = append(certain, candidate)
 	}
-	if !doubt.replaced && !f.paths.Blocked(server.ID) && (doubt.askedAt == 0 || f.now.Since(doubt.askedAt) >= startReportInterval) {
-		doubt.askedAt = f.now
-		f.startDoubts[server.ID] = doubt
-		f.emit(CallEngine{Step: rollout.RequestReport{Server: server.ID, Address: server.Address, StartedAt: server.StartedAt}})
+	if len(certain) == 0 && !fl.begun() {
+		return candidates
 	}
-	return false
+	return certain
 }
 
-// awaitsStart reports whether the request may soon run at a server whose start is in doubt: after its report or
-// its new entry.
+// askStart asks an engine for a report, unless it was asked recently or has reported another start.
+func (f *Forwarder) askStart(server registry.Server, doubt startDoubt) {
+	if doubt.replaced || f.paths.Blocked(server.ID) || doubt.askedAt != 0 && f.now.Since(doubt.askedAt) < startReportInterval {
+		return
+	}
+	doubt.askedAt = f.now
+	f.startDoubts[server.ID] = doubt
+	f.emit(CallEngine{Step: rollout.RequestReport{Server: server.ID, Address: server.Address, StartedAt: server.StartedAt}})
+}
+
+// awaitsStart reports whether a stream that has begun may soon go on at a server whose start is in doubt: after
+// its report or its new entry.
 func (f *Forwarder) awaitsStart(fl *flight, server registry.Server) bool {
 	_, doubtful := f.doubtOf(server)
-	return doubtful && fl.resumable()
+	return doubtful && fl.resumable() && fl.begun()
 }
 
 // recordStart records the start that an engine has reported.
