Release the reservation for a body's copies once it has been read

Cause: the copies of a body exist only until its chunks are joined.

Change: the account shrinks to the length of the body then.

Evidence: TestReadAll.

--- a/internal/runtime/reserver/reserver.go
+++ b/internal/runtime/reserver/reserver.go
@@ -117,9 +117,10 @@
 func (a *Account) Release() { a.Shrink(0) }
 
 // ReadAll reads a body of at most limit bytes to its end. The first bytes of it, as many as unreserved,
-// need no memory of the account; that for the others stays reserved. It returns ErrTooLong, ErrFull or the
-// body's error.
+// need no memory of the account. While it is read, memory for its copies is reserved, and afterwards that for the
+// other bytes. It returns ErrTooLong, ErrFull or the body's error.
 func (a *Account) ReadAll(body io.Reader, unreserved, limit int64) ([]byte, error) {
+	before := a.Held()
 	var first bytes.Buffer
 	_, err := io.CopyN(&first, body, unreserved)
 	// Chunks are not copied while the body grows: the garbage of one growing buffer for each of
@@ -141,5 +142,7 @@
 	case len(chunks) == 1:
 		return first.Bytes(), nil
 	}
-	return bytes.Join(chunks, nil), nil
+	content := bytes.Join(chunks, nil)
+	a.Shrink(before + max(0, length-unreserved))
+	return content, nil
 }
