--- a/internal/decision/cachesalter/cachesalter.go
+++ b/internal/decision/cachesalter/cachesalter.go
@@ -3,10 +3,9 @@
 // use each other's parts.
 //
 // A salt names the model, the version of the weights and a scope. An isolated team has a scope of its
-// own. All other requests have a common scope, which names the set of isolated teams. What a team made
-// before it became isolated is therefore not found by others afterwards. The scope follows from the
-// desired state alone, so that it is the same at instances that have started since or have missed
-// states.
+// own. All other requests have a common scope, which names the set of isolated teams, so that other teams
+// no longer use what a team made before it became isolated. The scope follows from the desired state alone:
+// it is the same at instances that have started since or have missed states.
 //
 // Each change of the set makes the engines' common parts useless. While no team is isolated, the
 // common scope is empty.
