Do not doubt the start of an engine that can't be asked for it

Cause: reports don't go through other instances, so the doubt lasted for three heartbeats, in which no stream could go on at any engine that had broken off a response.

Change: without a way of its own an instance has no doubts, but for engines that have already reported another start.

--- a/internal/decision/forwarder/starts.go
+++ b/internal/decision/forwarder/starts.go
@@ -45,7 +45,8 @@
 	f.startDoubts[id] = doubt
 }
 
-// doubtOf returns the doubt about the start of a server. It reports false if there is none.
+// doubtOf returns the doubt about the start of a server. It reports false if there is none, or if this instance
+// has no way to ask: it would otherwise cut all its streams that break while it is cut off from the servers.
 func (f *Forwarder) doubtOf(server registry.Server) (startDoubt, bool) {
 	doubt, ok := f.startDoubts[server.ID]
 	if !ok {
@@ -57,7 +58,7 @@
 		delete(f.startDoubts, server.ID)
 		return startDoubt{}, false
 	}
-	return doubt, true
+	return doubt, doubt.replaced || !f.paths.Blocked(server.ID)
 }
 
 // withCertainStarts returns the candidates that have the listed start, and with it the listed software, as a
@@ -84,7 +85,7 @@
 
 // askStart asks an engine for a report, unless it was asked recently or has reported another start.
 func (f *Forwarder) askStart(server registry.Server, doubt startDoubt) {
-	if doubt.replaced || f.paths.Blocked(server.ID) || doubt.askedAt != 0 && f.now.Since(doubt.askedAt) < startReportInterval {
+	if doubt.replaced || doubt.askedAt != 0 && f.now.Since(doubt.askedAt) < startReportInterval {
 		return
 	}
 	doubt.askedAt = f.now
