--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -82,6 +82,13 @@
 	return s.rev
 }
 
+// raw writes an object with the given text.
+func (s *store) raw(kind, name, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, json.RawMessage(text))
+}
+
 // write stores an object. The caller holds the lock.
 func (s *store) write(kind, name string, spec json.RawMessage) object {
 	if s.objects[kind] == nil {
