--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -150,6 +150,19 @@
 	}
 }
 
+// endFirstStart changes the settings as the platform does once the whole system has started.
+func (f *fleet) endFirstStart() {
+	for _, e := range f.edges {
+		text, err := os.ReadFile(e.settings)
+		if err != nil {
+			panic(err)
+		}
+		if err := os.WriteFile(e.settings, []byte(strings.Replace(string(text), "bootstrap=true", "bootstrap=false", 1)), 0o600); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // start starts a process of the system with the command of the deploy file.
 func (f *fleet) start(e *edge) {
 	program := os.Getenv("REVIEW_EDGE")
--- a/review/standins2/releases.go
+++ b/review/standins2/releases.go
@@ -41,10 +41,7 @@
 	if !f.awaitReady(20 * time.Second) {
 		return 2
 	}
-	for _, e := range f.edges {
-		text, _ := os.ReadFile(e.settings)
-		_ = os.WriteFile(e.settings, []byte(strings.Replace(string(text), "bootstrap=true", "bootstrap=false", 1)), 0o600)
-	}
+	f.endFirstStart()
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
