--- a/review/standins2/again.go
+++ b/review/standins2/again.go
@@ -26,7 +26,7 @@
 		service := []string{"models", "models-b"}[i%2]
 		e := f.addEngine(fmt.Sprintf("i-mod%d", i), service, "m1")
 		e.software = []string{"v1", "v2"}[i%2]
-		e.events = func(*http.Request) (int, time.Duration) { return 100, 85 * time.Millisecond }
+		e.events = func(*http.Request) (int, time.Duration) { return 100, 100 * time.Millisecond }
 		f.store.put("servers", e.id, e.entry("ready"))
 	}
 	f.addEngine("i-app0", "app", "")
@@ -52,8 +52,8 @@
 	}
 	f.endFirstStart()
 	time.Sleep(4 * time.Second)
-	// Two requests for each prompt: 28.6 a second in all.
-	const prompts, spread = 100, 7 * time.Second
+	// Two requests for each prompt: 28.9 a second in all.
+	const prompts, spread = 130, 9 * time.Second
 	killed, sound := f.edges[:3], f.edges[3:] // One of each failure domain.
 	var joined, takenUp, refused, whole atomic.Int64
 	var clients sync.WaitGroup
@@ -92,7 +92,7 @@
 		})
 	}
 	close(begin)
-	time.Sleep(8200 * time.Millisecond)
+	time.Sleep(10200 * time.Millisecond)
 	if trouble {
 		for _, e := range killed {
 			f.note("process %s is killed", e.name)
