--- a/review/standins2/rolling.go
+++ b/review/standins2/rolling.go
@@ -22,7 +22,7 @@
 	eventPause   = 30 * time.Millisecond
 )
 
-// rolling restarts the engines of a service one after the other. Each one starts again under its identifier, with
+// rolling restarts the engines of a service one after the other, twice. Each one starts again under its identifier, with
 // newer software, and writes its entry at once. No complete answer may be joined from two versions.
 func rolling(f *fleet, trouble bool) int {
 	for i := range 9 {
@@ -58,20 +58,22 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	for _, e := range f.engines {
-		next := time.Now().Add(restartGap)
-		if trouble {
-			f.note("engine %s is killed", e.id)
-			if err := e.restart("v2", restartDown); err != nil {
-				f.note("%v", err)
-				return 2
+	for _, software := range []string{"v2", "v3"} {
+		for _, e := range f.engines {
+			next := time.Now().Add(restartGap)
+			if trouble {
+				f.note("engine %s is killed", e.id)
+				if err := e.restart(software, restartDown); err != nil {
+					f.note("%v", err)
+					return 2
+				}
+				f.store.put("servers", e.id, e.entry("ready"))
+				f.note("engine %s runs again with software %s, and has written its entry", e.id, software)
 			}
-			f.store.put("servers", e.id, e.entry("ready"))
-			f.note("engine %s runs again with software v2, and has written its entry", e.id)
+			time.Sleep(time.Until(next))
 		}
-		time.Sleep(time.Until(next))
+		time.Sleep(3 * time.Second)
 	}
-	time.Sleep(2 * time.Second)
 	stop.Store(true)
 	clients.Wait()
 	f.noteRuns()
